--- /dev/null
+++ b/src/daisylink/clock.py
@@ -0,0 +1,46 @@
+"""The clock as an interface, and the system's own clock."""
+
+import time
+from datetime import UTC, datetime
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Source of time that is passed in, so that tests and benches drive it."""
+
+    def now(self) -> datetime:
+        """Return the wall-clock time in UTC."""
+
+    def monotonic(self) -> float:
+        """Return seconds from a fixed, arbitrary start; never goes back."""
+
+
+class SystemClock:
+    """Clock of the machine."""
+
+    def now(self) -> datetime:
+        """Return the wall-clock time in UTC."""
+        return datetime.now(UTC)
+
+    def monotonic(self) -> float:
+        """Return the machine's monotonic time in seconds."""
+        return time.monotonic()
+
+
+class ManualClock:
+    """Clock that moves only when told to.
+
+    :param start: first wall-clock time.
+    """
+
+    def __init__(self, start: datetime | None = None):
+        self.wall = start or datetime(2026, 1, 1, tzinfo=UTC)
+        self.seconds = 0.0
+
+    def now(self) -> datetime:
+        """Return the wall-clock time in UTC."""
+        return self.wall
+
+    def monotonic(self) -> float:
+        """Return seconds since the start."""
+        return self.seconds
--- /dev/null
+++ b/src/daisylink/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: ``daisylink-node``, ``daisylinkctl`` and the stand-ins."""
--- /dev/null
+++ b/src/daisylink/connection/_caller.py
@@ -0,0 +1,260 @@
+"""Connections from callers and from other nodes: HTTP/1.1, parsed by httptools.
+
+circuits.web is too slow for callers' requests (see docs/DESIGN.md); this is an asyncio
+protocol on the same loop.
+"""
+
+import asyncio
+from collections import deque
+from typing import Any
+
+import httptools
+
+from daisylink.errors import RequestError, ResultCode
+from daisylink.request import Exchange, encode_refusal, parse_head, refuse
+
+MAX_HEAD_BYTES = 16 * 1024
+MAX_HEADERS = 100
+MAX_PIPELINED = 8
+HEAD_SECONDS = 10.0
+BODY_SECONDS = 10.0
+IDLE_SECONDS = 75.0
+RELAY_IDLE_SECONDS = 120.0
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection from a caller.
+
+    Requests that come before the answer to the one before wait their turn, so answers
+    go out in the order of requests.
+
+    :param gateway: the process's :class:`~daisylink.process.Gateway`.
+    :param is_relay: whether the other end is a node.
+    """
+
+    def __init__(self, gateway: Any, is_relay: bool):
+        self.gateway = gateway
+        self.is_relay = is_relay
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.current: Exchange | None = None
+        self.waiting: deque[Exchange] = deque()
+        self.parsing: Exchange | None = None
+        self.needs_start = False
+        self.in_head = False
+        self.head_bytes = 0
+        self.url = b""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.last_read = gateway.now()
+        self.fault: RequestError | None = None
+        self.closing = False
+        self.paused = False
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Note the open connection."""
+        self.transport = transport
+        self.gateway.callers.add(self)
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        """Cancel what the caller asked for: it has gone."""
+        self.gateway.callers.discard(self)
+        self.closing = True
+        for exchange in (self.current, *self.waiting):
+            if exchange is not None:
+                exchange.cancel()
+        self.current = None
+        self.waiting.clear()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came and pass it on."""
+        if self.closing:
+            return
+        self.last_read = self.gateway.now()
+        if self.in_head or self.parsing is None:
+            self.head_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.fault = RequestError("upgrade is not served")
+        except httptools.HttpParserError as error:
+            self.fault = self.fault or RequestError(str(error))
+        if self.fault is not None:
+            self._refuse_rest(self.fault.code)
+            return
+        if self.in_head and self.head_bytes > MAX_HEAD_BYTES:
+            self._refuse_rest(ResultCode.REQUEST_HEAD_TOO_LARGE)
+            return
+        if self.needs_start:
+            self.needs_start = False
+            self.current.start()
+        elif self.current is not None:
+            self.current.flush_body()
+        self._check_pause()
+
+    def eof_received(self) -> bool:
+        """Close: a caller that stops sending has gone."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Stop reading the answer: the caller reads too slowly."""
+        if self.current is not None and self.current.hop is not None:
+            self.current.hop.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Read the answer again."""
+        if self.current is not None and self.current.hop is not None:
+            self.current.hop.transport.resume_reading()
+
+    # httptools
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self.in_head = True
+        self.headers = []
+        self.url = b""
+
+    def on_url(self, url: bytes) -> None:
+        """Take a piece of the target."""
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; trailers are dropped."""
+        if not self.in_head:
+            return
+        self.headers.append((name.lower(), value))
+        if len(self.headers) > MAX_HEADERS:
+            self._set_fault("too many headers", ResultCode.REQUEST_HEAD_TOO_LARGE)
+
+    def on_headers_complete(self) -> None:
+        """Take the whole head."""
+        self.in_head = False
+        self.head_bytes = 0
+        if self.fault is not None:
+            return
+        parser = self.parser
+        if parser.should_upgrade():
+            self._set_fault("upgrade is not served")
+            return
+        if not self.url.startswith(b"/"):
+            self._set_fault("target is not a path")
+            return
+        is_old = parser.get_http_version() == "1.0"
+        try:
+            head = parse_head(
+                parser.get_method(), self.url, self.headers, self.is_relay
+            )
+        except RequestError as error:
+            self.fault = error
+            return
+        keep_alive = parser.should_keep_alive()
+        exchange = Exchange(self.gateway, self, head, keep_alive, is_old)
+        self.parsing = exchange
+        if self.current is None:
+            self.current = exchange
+            self.needs_start = True
+        else:
+            self.waiting.append(exchange)
+
+    def on_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        if self.parsing is not None:
+            self.parsing.take_body(data)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the request."""
+        exchange, self.parsing = self.parsing, None
+        if exchange is not None:
+            exchange.end_body()
+
+    # Exchanges
+
+    def write(self, data: bytes) -> None:
+        """Write to the caller."""
+        if not self.closing:
+            self.transport.write(data)
+
+    def finish(self, exchange: Exchange, keep: bool) -> None:
+        """Go on to the next request, or close.
+
+        The rest of a refused request's body is read and dropped.
+        """
+        if exchange is not self.current:
+            return
+        self.current = None
+        if not keep:
+            self.close()
+            return
+        if self.waiting:
+            self.current = self.waiting.popleft()
+            self.gateway.loop.call_soon(self._start_waiting, self.current)
+        self.resume()
+
+    def resume(self) -> None:
+        """Read from the caller again."""
+        self._check_pause()
+
+    def close(self) -> None:
+        """Close once everything is written."""
+        self.closing = True
+        if self.transport is not None:
+            self.transport.close()
+
+    def cut(self) -> None:
+        """Close at once, so that the caller sees that its answer is not whole."""
+        self.closing = True
+        self.transport.abort()
+
+    def sweep(self, now: float) -> None:
+        """Cut a caller that is too slow, and close an idle connection."""
+        quiet = now - self.last_read
+        exchange = self.current
+        if exchange is None:
+            idle = RELAY_IDLE_SECONDS if self.is_relay else IDLE_SECONDS
+            if self.in_head and quiet > HEAD_SECONDS:
+                self._refuse_rest(ResultCode.REQUEST_CALLER_TOO_SLOW)
+            elif quiet > idle or (self.parsing is not None and quiet > BODY_SECONDS):
+                self.close()
+            return
+        is_stalled = not exchange.body_done and exchange.wants_body and not self.paused
+        if is_stalled and quiet > BODY_SECONDS and not exchange.answering:
+            exchange.fail(ResultCode.REQUEST_CALLER_TOO_SLOW)
+
+    def _start_waiting(self, exchange: Exchange) -> None:
+        if exchange is self.current and not self.closing:
+            exchange.start()
+
+    def _check_pause(self) -> None:
+        wants = len(self.waiting) < MAX_PIPELINED and (
+            self.parsing is None or self.parsing.done or self.parsing.wants_body
+        )
+        hop = self.current.hop if self.current is not None else None
+        if hop is not None and hop.is_full:
+            wants = False
+        if wants == self.paused and not self.closing:
+            self.paused = not wants
+            if self.paused:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
+
+    def _set_fault(
+        self, message: str, code: ResultCode = ResultCode.REQUEST_MALFORMED
+    ) -> None:
+        self.fault = self.fault or RequestError(message, code)
+
+    def _refuse_rest(self, code: ResultCode) -> None:
+        """Refuse what cannot be parsed; nothing after it can be understood."""
+        broken = self.parsing
+        self.needs_start = False
+        if broken is None and self.current is None:
+            self.write(encode_refusal(refuse(code), close=True))
+            self.close()
+            return
+        if broken is not None and broken is self.current:
+            broken.fail(code)
+        elif self.current is not None:
+            self.waiting.clear()
+            self.current.keep_alive = False
+        self.parsing = None
--- /dev/null
+++ b/src/daisylink/connection/_hop.py
@@ -0,0 +1,235 @@
+"""Connections to the next hop, and the pool that keeps them open between requests."""
+
+import asyncio
+from typing import Any
+
+import httptools
+
+HTTP_CONTINUE = 100
+FIRST_FINAL_STATUS = 200
+BODILESS_STATUSES = frozenset({204, 304})
+CONNECT_SECONDS = 1.0
+IDLE_SECONDS = 30.0
+MAX_IDLE_PER_ADDRESS = 32
+HIGH_WATER_BYTES = 256 * 1024
+
+
+class HopConnection(asyncio.Protocol):
+    """One connection to a backend server or to another node's relay listener.
+
+    :param pool: the pool that it goes back to.
+    :param address: ``ip:port`` of the other end.
+    """
+
+    def __init__(self, pool: "HopPool", address: str):
+        self.pool = pool
+        self.address = address
+        self.transport: asyncio.Transport | None = None
+        self.exchange: Any = None
+        self.parser: httptools.HttpResponseParser | None = None
+        self.is_head = False
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.length: int | None = None
+        self.status = 0
+        self.ended = False
+        self.reusable = False
+        self.until_close = False
+        self.is_full = False
+        self.idle_since = 0.0
+        self.pending: list[bytes] = []
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Note the open connection."""
+        self.transport = transport
+        transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        """Tell the exchange, if one is under way."""
+        self.pool.forget(self)
+        exchange, self.exchange = self.exchange, None
+        if exchange is None:
+            return
+        if self.until_close and self.status:
+            exchange.flush_answer()
+            exchange.end_answer(self, False)
+        else:
+            exchange.lose_hop()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came and pass it on."""
+        exchange = self.exchange
+        if exchange is None:
+            self.transport.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abort()
+            return
+        if self.exchange is not exchange:
+            return
+        exchange.flush_answer()
+        if self.ended:
+            self.exchange = None
+            reusable = self.reusable and not self.transport.is_closing()
+            exchange.end_answer(self, reusable)
+
+    def pause_writing(self) -> None:
+        """Stop reading the request: the next hop reads too slowly."""
+        self.is_full = True
+        if self.exchange is not None:
+            self.exchange.caller.resume()
+
+    def resume_writing(self) -> None:
+        """Read the request again."""
+        self.is_full = False
+        if self.exchange is not None:
+            self.exchange.caller.resume()
+
+    # httptools
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self.headers = []
+        self.length = None
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; trailers are dropped."""
+        if self.status:
+            return
+        name = name.lower()
+        if name == b"content-length":
+            self.length = int(value)
+        self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Take the whole head."""
+        status = self.parser.get_status_code()
+        if status < FIRST_FINAL_STATUS:
+            return
+        self.status = status
+        bodiless = self.is_head or status in BODILESS_STATUSES
+        chunked = any(name == b"transfer-encoding" for name, _ in self.headers)
+        self.until_close = not bodiless and self.length is None and not chunked
+        self.reusable = self.parser.should_keep_alive() and not self.until_close
+        self.exchange.take_answer_head(status, self.headers, self.length, bodiless)
+        if self.is_head:
+            self.reusable = False
+            self.ended = True
+
+    def on_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        if self.exchange is not None:
+            self.exchange.take_answer_body(data)
+
+    def on_message_complete(self) -> None:
+        """Note the end of an answer, or of an interim one."""
+        if self.status:
+            self.ended = True
+        elif self.parser.get_status_code() == HTTP_CONTINUE:
+            self.exchange.send_continue()
+
+    # Exchanges
+
+    def begin(self, exchange: Any, is_head: bool) -> None:
+        """Serve an exchange.
+
+        :param is_head: whether its method is HEAD, whose answer has no body.
+        """
+        self.exchange = exchange
+        self.is_head = is_head
+        self.parser = httptools.HttpResponseParser(self)
+        self.status = 0
+        self.ended = False
+        self.until_close = False
+
+    def push(self, data: bytes) -> None:
+        """Collect bytes for :meth:`flush`."""
+        self.pending.append(data)
+
+    def flush(self) -> None:
+        """Write what was collected."""
+        if self.pending:
+            data = b"".join(self.pending)
+            self.pending.clear()
+            self.transport.write(data)
+
+    def drop(self) -> None:
+        """Close: the exchange ended before the answer did."""
+        self.exchange = None
+        self.transport.abort()
+
+
+class HopPool:
+    """Open connections by address.
+
+    :param gateway: the process's :class:`~daisylink.process.Gateway`.
+    """
+
+    def __init__(self, gateway: Any):
+        self.gateway = gateway
+        self.idle: dict[str, list[HopConnection]] = {}
+        self.opening: set[asyncio.Task] = set()
+
+    def take(self, address: str) -> HopConnection | None:
+        """Return an idle connection, or None."""
+        idle = self.idle.get(address)
+        while idle:
+            hop = idle.pop()
+            if not hop.transport.is_closing():
+                return hop
+        return None
+
+    def open(self, address: str, exchange: Any, attempt: int) -> None:
+        """Open a connection for one attempt of an exchange."""
+        task = self.gateway.loop.create_task(self._open(address, exchange, attempt))
+        self.opening.add(task)
+        task.add_done_callback(self.opening.discard)
+
+    def give_back(self, hop: HopConnection) -> None:
+        """Keep a connection for the next request."""
+        idle = self.idle.setdefault(hop.address, [])
+        if hop.transport.is_closing():
+            return
+        if len(idle) >= MAX_IDLE_PER_ADDRESS:
+            hop.transport.close()
+            return
+        hop.idle_since = self.gateway.now()
+        idle.append(hop)
+
+    def forget(self, hop: HopConnection) -> None:
+        """Drop a lost connection."""
+        idle = self.idle.get(hop.address)
+        if idle and hop in idle:
+            idle.remove(hop)
+
+    def sweep(self, now: float) -> None:
+        """Close connections that were not used for a while."""
+        for address, idle in list(self.idle.items()):
+            while idle and now - idle[0].idle_since > IDLE_SECONDS:
+                idle.pop(0).transport.close()
+            if not idle:
+                del self.idle[address]
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for idle in self.idle.values():
+            for hop in idle:
+                hop.transport.close()
+        self.idle.clear()
+
+    async def _open(self, address: str, exchange: Any, attempt: int) -> None:
+        host, _, port = address.rpartition(":")
+        loop = self.gateway.loop
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                _, hop = await loop.create_connection(
+                    lambda: HopConnection(self, address), host, int(port)
+                )
+        except (OSError, TimeoutError, ValueError):
+            exchange.take_connect_failure(attempt)
+            return
+        if not exchange.take_connection(hop, attempt):
+            self.give_back(hop)
--- /dev/null
+++ b/src/daisylink/errors.py
@@ -0,0 +1,311 @@
+"""Result codes and the exception family.
+
+Every failure that an operator or a caller can see carries one number of
+:class:`ResultCode`. The table in ``docs/CODES.md`` is printed from this module.
+"""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class CodeInfo(NamedTuple):
+    """What the documentation says about a result code."""
+
+    meaning: str
+    advice: str
+
+
+class ResultCode(IntEnum):
+    """Numbered results: 1xxx sheet, 2xxx acceptance, 3xxx platform, 4xxx settings,
+    5xxx requests, 6xxx nodes.
+    """  # noqa: D205
+
+    OK = 0
+
+    SHEET_EMPTY = 1001
+    SHEET_NOT_UTF8 = 1002
+    SHEET_HEADER = 1003
+    SHEET_TRUNCATED = 1004
+    SHEET_ROW_SHAPE = 1005
+    SHEET_KIND = 1006
+    SHEET_VALUE = 1007
+    SHEET_DUPLICATE = 1008
+    SHEET_DANGLING = 1009
+    SHEET_TOO_LARGE = 1010
+    SHEET_UNREADABLE = 1011
+
+    ACCEPT_CONFLICT = 2001
+    ACCEPT_UNSETTLED = 2002
+    ACCEPT_UNCHANGED = 2003
+    VERSION_UNKNOWN = 2004
+    VERSION_CORRUPT = 2005
+    VERSION_NOT_CLOSED = 2006
+    VERSION_NOT_NEWER = 2007
+    VERSION_BASE_MISMATCH = 2008
+    WAIT_TIMEOUT = 2009
+
+    PLATFORM_UNAVAILABLE = 3001
+    PLATFORM_ANSWER_LOST = 3002
+    PLATFORM_LIMITED = 3003
+    PLATFORM_VALUE_TOO_LARGE = 3004
+
+    SETTING_INVALID = 4001
+    SETTING_ADDRESS_IN_USE = 4002
+
+    REQUEST_MALFORMED = 5001
+    REQUEST_HEAD_TOO_LARGE = 5002
+    REQUEST_BODY_TOO_LARGE = 5003
+    REQUEST_CALLER_TOO_SLOW = 5004
+    REQUEST_NO_ROUTE = 5005
+    REQUEST_METHOD = 5006
+    REQUEST_NOT_READY = 5007
+    REQUEST_NO_SERVER = 5008
+    REQUEST_OVERLOADED = 5009
+    REQUEST_DRAINING = 5010
+    REQUEST_DEADLINE_NOT_RUN = 5011
+    REQUEST_DEADLINE_UNKNOWN = 5012
+    REQUEST_ANSWER_LOST = 5013
+    REQUEST_CONNECT_FAILED = 5014
+    REQUEST_SHED_BY_SERVER = 5015
+    REQUEST_STOPPING = 5016
+    REQUEST_WRONG_NODE = 5017
+    REQUEST_TOO_DEEP = 5018
+
+    NODE_NOT_READY = 6001
+    NODE_BUSY = 6002
+    NODE_UNREACHABLE = 6003
+    ANNOUNCE_INVALID = 6004
+    ADMIN_NOT_FOUND = 6005
+
+
+CODE_TABLE: dict[ResultCode, CodeInfo] = {
+    ResultCode.OK: CodeInfo("Done.", "None."),
+    ResultCode.SHEET_EMPTY: CodeInfo("The sheet holds no row.", "Export it again."),
+    ResultCode.SHEET_NOT_UTF8: CodeInfo(
+        "The sheet is not UTF-8 text.", "Export it as UTF-8."
+    ),
+    ResultCode.SHEET_HEADER: CodeInfo(
+        "A column is missing, unknown or named twice.", "Compare with `examples/`."
+    ),
+    ResultCode.SHEET_TRUNCATED: CodeInfo(
+        "The `end` row is missing or its count differs.", "Export it again, whole."
+    ),
+    ResultCode.SHEET_ROW_SHAPE: CodeInfo(
+        "A row has too few or too many cells, or text after the `end` row.",
+        "Mend the row.",
+    ),
+    ResultCode.SHEET_KIND: CodeInfo("A row's kind is unknown.", "Mend the cell."),
+    ResultCode.SHEET_VALUE: CodeInfo(
+        "A cell's value is not allowed.", "Mend the cell."
+    ),
+    ResultCode.SHEET_DUPLICATE: CodeInfo(
+        "A name, or a route's host and prefix, stands twice.", "Remove one row."
+    ),
+    ResultCode.SHEET_DANGLING: CodeInfo(
+        "A route or service names something the sheet lacks.",
+        "Add it or mend the name.",
+    ),
+    ResultCode.SHEET_TOO_LARGE: CodeInfo(
+        "The version would pass the size limit.", "Split the deployment."
+    ),
+    ResultCode.SHEET_UNREADABLE: CodeInfo(
+        "The file cannot be read.", "Check the path."
+    ),
+    ResultCode.ACCEPT_CONFLICT: CodeInfo(
+        "Another version was accepted meanwhile; nothing was changed.",
+        "Look at the changes printed, then accept again.",
+    ),
+    ResultCode.ACCEPT_UNSETTLED: CodeInfo(
+        "The platform cannot be read, so the outcome is not known yet.",
+        "Run `daisylinkctl history`; accepting again is safe.",
+    ),
+    ResultCode.ACCEPT_UNCHANGED: CodeInfo(
+        "The sheet equals the version in force; no new version was made.", "None."
+    ),
+    ResultCode.VERSION_UNKNOWN: CodeInfo(
+        "No such version is kept.", "See `daisylinkctl history`."
+    ),
+    ResultCode.VERSION_CORRUPT: CodeInfo(
+        "A version's bytes do not match its digest; it was not installed.",
+        "The node asks another source by itself.",
+    ),
+    ResultCode.VERSION_NOT_CLOSED: CodeInfo(
+        "A version's routes point at something it lacks; it was not installed.",
+        "Accept a whole sheet.",
+    ),
+    ResultCode.VERSION_NOT_NEWER: CodeInfo(
+        "A version is not newer than the one in force; it was ignored.", "None."
+    ),
+    ResultCode.VERSION_BASE_MISMATCH: CodeInfo(
+        "A delta's base differs from the version in force.",
+        "The node fetches a snapshot by itself.",
+    ),
+    ResultCode.WAIT_TIMEOUT: CodeInfo(
+        "Not every live node routes by the version yet.", "See `daisylinkctl status`."
+    ),
+    ResultCode.PLATFORM_UNAVAILABLE: CodeInfo(
+        "The platform's key-value service cannot be reached.",
+        "Calls go on by the version in force; try again later.",
+    ),
+    ResultCode.PLATFORM_ANSWER_LOST: CodeInfo(
+        "The platform's answer was lost; the write may have taken effect.",
+        "Settled by reading.",
+    ),
+    ResultCode.PLATFORM_LIMITED: CodeInfo(
+        "The platform refused a call over its rate limit.", "Retried with a delay."
+    ),
+    ResultCode.PLATFORM_VALUE_TOO_LARGE: CodeInfo(
+        "A value passes the platform's limit.", "Report it: versions are split."
+    ),
+    ResultCode.SETTING_INVALID: CodeInfo(
+        "A flag or environment variable is not valid.", "Mend the named setting."
+    ),
+    ResultCode.SETTING_ADDRESS_IN_USE: CodeInfo(
+        "A listening address cannot be bound.", "Choose another address."
+    ),
+    ResultCode.REQUEST_MALFORMED: CodeInfo(
+        "The request is not well-formed HTTP/1.1, or its length is ambiguous.",
+        "Mend the caller.",
+    ),
+    ResultCode.REQUEST_HEAD_TOO_LARGE: CodeInfo(
+        "The request's head passes the limit.", "Send fewer or shorter headers."
+    ),
+    ResultCode.REQUEST_BODY_TOO_LARGE: CodeInfo(
+        "The request's body passes the route's limit.", "Send less, or raise the limit."
+    ),
+    ResultCode.REQUEST_CALLER_TOO_SLOW: CodeInfo(
+        "The caller sent its request too slowly.", "Send it again."
+    ),
+    ResultCode.REQUEST_NO_ROUTE: CodeInfo(
+        "No route of the version matches host and path.", "Check the sheet."
+    ),
+    ResultCode.REQUEST_METHOD: CodeInfo(
+        "The route does not allow the method.", "Check the sheet."
+    ),
+    ResultCode.REQUEST_NOT_READY: CodeInfo(
+        "The node has no version yet.", "Come back after the stated time."
+    ),
+    ResultCode.REQUEST_NO_SERVER: CodeInfo(
+        "No backend server of the pool takes work.", "Come back after the stated time."
+    ),
+    ResultCode.REQUEST_OVERLOADED: CodeInfo(
+        "Slots and queue are full.", "Come back after the stated time."
+    ),
+    ResultCode.REQUEST_DRAINING: CodeInfo(
+        "The backend server is leaving.", "Tried elsewhere by the entry node."
+    ),
+    ResultCode.REQUEST_DEADLINE_NOT_RUN: CodeInfo(
+        "The deadline passed before the request reached a backend server.",
+        "Safe to send again.",
+    ),
+    ResultCode.REQUEST_DEADLINE_UNKNOWN: CodeInfo(
+        "The deadline passed while a backend server may have been running it.",
+        "Find out before sending a non-idempotent request again.",
+    ),
+    ResultCode.REQUEST_ANSWER_LOST: CodeInfo(
+        "The next hop went away after it may have begun the request.",
+        "Find out before sending a non-idempotent request again.",
+    ),
+    ResultCode.REQUEST_CONNECT_FAILED: CodeInfo(
+        "No connection to the next hop could be opened.", "Safe to send again."
+    ),
+    ResultCode.REQUEST_SHED_BY_SERVER: CodeInfo(
+        "The backend server refused the request unrun.", "Safe to send again."
+    ),
+    ResultCode.REQUEST_STOPPING: CodeInfo(
+        "The node is stopping.", "Send it to another node."
+    ),
+    ResultCode.REQUEST_WRONG_NODE: CodeInfo(
+        "The node's own backend server is not of the pool asked for.",
+        "Tried elsewhere by the entry node.",
+    ),
+    ResultCode.REQUEST_TOO_DEEP: CodeInfo(
+        "The request passed through too many calls.", "Look for a loop of services."
+    ),
+    ResultCode.NODE_NOT_READY: CodeInfo(
+        "The node has not caught up with its peers.", "Wait."
+    ),
+    ResultCode.NODE_BUSY: CodeInfo(
+        "The node rations snapshots.", "Retried after the stated time."
+    ),
+    ResultCode.NODE_UNREACHABLE: CodeInfo(
+        "No node answers on the control address.", "Check `--node` or the platform."
+    ),
+    ResultCode.ANNOUNCE_INVALID: CodeInfo(
+        "A backend server's announcement is not valid.", "Mend the named field."
+    ),
+    ResultCode.ADMIN_NOT_FOUND: CodeInfo(
+        "The admin listener has no such path.", "See `docs/OPERATING.md`."
+    ),
+}
+
+
+class DaisylinkError(Exception):
+    """Base of all errors raised by daisylink.
+
+    :param message: one short sentence.
+    :param code: number of the result; the class's own code by default.
+    """
+
+    code = ResultCode.OK
+
+    def __init__(self, message: str, code: ResultCode | None = None):
+        super().__init__(message)
+        self.message = message
+        if code is not None:
+            self.code = code
+
+    def __str__(self) -> str:
+        return f"[{int(self.code)}] {self.message}"
+
+
+class SheetError(DaisylinkError):
+    """A sheet was refused as a whole."""
+
+    code = ResultCode.SHEET_VALUE
+
+
+class VersionError(DaisylinkError):
+    """A version cannot be built, decoded or installed."""
+
+    code = ResultCode.VERSION_CORRUPT
+
+
+class AcceptanceError(DaisylinkError):
+    """A sheet was not accepted, or its acceptance is not settled."""
+
+    code = ResultCode.ACCEPT_CONFLICT
+
+
+class PlatformError(DaisylinkError):
+    """The platform's key-value service did not do what was asked."""
+
+    code = ResultCode.PLATFORM_UNAVAILABLE
+
+
+class SettingError(DaisylinkError):
+    """A setting is not valid."""
+
+    code = ResultCode.SETTING_INVALID
+
+
+class RequestError(DaisylinkError):
+    """A caller's request cannot be served."""
+
+    code = ResultCode.REQUEST_MALFORMED
+
+
+class NodeError(DaisylinkError):
+    """A node refused or did not answer a control message."""
+
+    code = ResultCode.NODE_UNREACHABLE
+
+
+def format_code_table() -> str:
+    """Return the table of result codes as Markdown."""
+    lines = ["| code | name | meaning | what to do |", "| --- | --- | --- | --- |"]
+    for code, info in CODE_TABLE.items():
+        lines.append(
+            f"| {int(code)} | `{code.name}` | {info.meaning} | {info.advice} |"
+        )
+    return "\n".join(lines)
--- /dev/null
+++ b/src/daisylink/process/__init__.py
@@ -0,0 +1,37 @@
+"""What lives as long as the process: the fleet's membership and the version in force.
+
+:class:`FleetNode` is the decision object of distribution and membership;
+:class:`Node` is the program around it.
+"""
+
+from daisylink.process._fleet import FleetNode, FleetSettings, first_incarnation
+from daisylink.process._messages import (
+    MAX_DATAGRAM_BYTES,
+    SurveyReply,
+    SurveyRequest,
+    encode_message,
+)
+from daisylink.process._node import Node
+from daisylink.process._reader import READER_PREFIX, ZONES_KEY, reader_key
+from daisylink.process._records import MemberRecord, MemberState, ServerState
+from daisylink.process._survey import merge_replies
+from daisylink.process._transport import ControlClient
+
+__all__ = [
+    "MAX_DATAGRAM_BYTES",
+    "READER_PREFIX",
+    "ZONES_KEY",
+    "ControlClient",
+    "FleetNode",
+    "FleetSettings",
+    "MemberRecord",
+    "MemberState",
+    "Node",
+    "ServerState",
+    "SurveyReply",
+    "SurveyRequest",
+    "encode_message",
+    "first_incarnation",
+    "merge_replies",
+    "reader_key",
+]
--- /dev/null
+++ b/src/daisylink/process/_detector.py
@@ -0,0 +1,219 @@
+"""Failure detection in one availability zone: direct and indirect pings.
+
+Each node pings one other node of its zone in each period, in shuffled rounds, so the
+load of a node does not depend on the size of the zone. A node that answers neither
+directly nor through helpers is suspected and probed on; it is declared dead only when
+the suspicion lasts. A detector that was itself paused, or whose own pings mostly
+fail, blames nobody in haste.
+"""
+
+import random
+from collections import deque
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import NamedTuple
+
+from daisylink.process._directory import Directory
+from daisylink.process._events import Send
+from daisylink.process._messages import Ack, Ping, PingRequest
+
+RECENT_PROBES = 8
+MIN_PROBES_FOR_ISOLATION = 3
+PAUSE_TOLERANCE = timedelta(milliseconds=700)
+DOUBT_FACTOR = 3
+
+
+class DetectorSettings(NamedTuple):
+    """Times and counts of failure detection."""
+
+    period: timedelta = timedelta(seconds=1)
+    ack_timeout: timedelta = timedelta(milliseconds=300)
+    suspicion: timedelta = timedelta(seconds=3)
+    helpers: int = 3
+
+
+@dataclass
+class Probe:
+    """A ping that waits for its answer."""
+
+    target: str
+    sent_at: float
+    is_indirect: bool = False
+
+
+class RelayedPing(NamedTuple):
+    """A ping made for another node."""
+
+    requester: str
+    sequence: int
+    sent_at: float
+
+
+class Detector:
+    """Pings the nodes of the own zone.
+
+    :param directory: where the nodes of the zone are found.
+    :param rng: source of random numbers.
+    """
+
+    def __init__(
+        self, settings: DetectorSettings, directory: Directory, rng: random.Random
+    ):
+        self.period = settings.period.total_seconds()
+        self.ack_timeout = settings.ack_timeout.total_seconds()
+        self.suspicion = settings.suspicion.total_seconds()
+        self.helpers = settings.helpers
+        self.directory = directory
+        self.rng = rng
+        self.sequence = 0
+        self.round: list[str] = []
+        self.probes: dict[int, Probe] = {}
+        self.relayed: dict[int, RelayedPing] = {}
+        self.suspects: dict[str, float] = {}
+        self.recent: deque[bool] = deque(maxlen=RECENT_PROBES)
+        self.next_period = 0.0
+        self.wake_at = 0.0
+        self.number = 0
+
+    @property
+    def own(self) -> str:
+        """Return the own node's name."""
+        return self.directory.own.node
+
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether none of the recent pings was answered."""
+        enough = len(self.recent) >= MIN_PROBES_FOR_ISOLATION
+        return enough and not any(self.recent)
+
+    def start(self, now: float) -> None:
+        """Spread the first ping over a period."""
+        self.next_period = now + self.rng.uniform(0, self.period)
+        self.wake_at = self.next_period
+
+    def tick(self, now: float) -> tuple[list[Send], list[str]]:
+        """Do what is due.
+
+        :returns: messages to send, and the nodes now found dead.
+        """
+        if now - self.wake_at > PAUSE_TOLERANCE.total_seconds():
+            self._forgive(now)
+        sends = self._check_probes(now)
+        dead: list[str] = []
+        if now >= self.next_period:
+            self.next_period = now + self.period
+            dead = self._expire_suspects(now)
+            sends += self._ping_next(now)
+        self._set_wake()
+        return sends, dead
+
+    def make_ping(self, target: str, now: float, track: bool = True) -> Send:
+        """Return a ping; a tracked one counts against the target if unanswered."""
+        self.sequence += 1
+        if track:
+            self.probes[self.sequence] = Probe(target, now)
+        ping = Ping(self.sequence, self.own, self.number, self.directory.digest)
+        return Send(target, ping)
+
+    def answer_ping(self, ping: Ping) -> Send:
+        """Return the answer to a ping."""
+        digest = self.directory.digest
+        ack = Ack(ping.sequence, self.own, self.number, digest, self.own)
+        return Send(ping.sender, ack)
+
+    def relay_ping(self, request: PingRequest, now: float) -> Send:
+        """Ping a node for another one."""
+        send = self.make_ping(request.target, now, track=False)
+        self.relayed[self.sequence] = RelayedPing(request.sender, request.sequence, now)
+        return send
+
+    def take_ack(self, ack: Ack) -> list[Send]:
+        """Note that a node runs, and tell the node that asked for the ping."""
+        self.suspects.pop(ack.about, None)
+        probe = self.probes.pop(ack.sequence, None) if ack.about != self.own else None
+        if probe is not None:
+            self.recent.append(True)
+        relayed = self.relayed.pop(ack.sequence, None)
+        if relayed is None or ack.sender != ack.about:
+            return []
+        answer = Ack(relayed.sequence, self.own, ack.number, ack.digest, ack.about)
+        return [Send(relayed.requester, answer)]
+
+    def _forgive(self, now: float) -> None:
+        """Drop what was measured while this process did not run."""
+        self.probes.clear()
+        self.relayed.clear()
+        for node in self.suspects:
+            self.suspects[node] = now
+
+    def _check_probes(self, now: float) -> list[Send]:
+        sends: list[Send] = []
+        for sequence, probe in list(self.probes.items()):
+            age = now - probe.sent_at
+            if age >= self.period:
+                del self.probes[sequence]
+                self.recent.append(False)
+                if self._is_live(probe.target):
+                    self.suspects.setdefault(probe.target, now)
+            elif age >= self.ack_timeout and not probe.is_indirect:
+                probe.is_indirect = True
+                sends += self._ask_helpers(sequence, probe.target)
+        horizon = now - self.period
+        for sequence, relayed in list(self.relayed.items()):
+            if relayed.sent_at < horizon:
+                del self.relayed[sequence]
+        return sends
+
+    def _ask_helpers(self, sequence: int, target: str) -> list[Send]:
+        others = [
+            node
+            for _, node in self.directory.zone_ring(self.directory.own.zone)
+            if node not in (self.own, target) and node not in self.suspects
+        ]
+        helpers = self.rng.sample(others, min(self.helpers, len(others)))
+        request = PingRequest(sequence, self.own, target)
+        return [Send(helper, request) for helper in helpers]
+
+    def _expire_suspects(self, now: float) -> list[str]:
+        """Return the suspects whose time is over."""
+        patience = self.suspicion
+        failed = self.recent.count(False)
+        if failed * 2 > len(self.recent):
+            patience *= DOUBT_FACTOR
+        dead = []
+        for node, since in list(self.suspects.items()):
+            if not self._is_live(node):
+                del self.suspects[node]
+            elif now - since >= patience and not self.is_isolated:
+                del self.suspects[node]
+                dead.append(node)
+        return dead
+
+    def _ping_next(self, now: float) -> list[Send]:
+        target = self._next_target()
+        targets = set(self.suspects)
+        if target is not None:
+            targets.add(target)
+        pending = {probe.target for probe in self.probes.values()}
+        return [self.make_ping(node, now) for node in sorted(targets - pending)]
+
+    def _next_target(self) -> str | None:
+        if not self.round:
+            ring = self.directory.zone_ring(self.directory.own.zone)
+            self.round = [node for _, node in ring if node != self.own]
+            self.rng.shuffle(self.round)
+        while self.round:
+            node = self.round.pop()
+            if self._is_live(node):
+                return node
+        return None
+
+    def _is_live(self, node: str) -> bool:
+        record = self.directory.records.get(node)
+        return record is not None and record.is_alive
+
+    def _set_wake(self) -> None:
+        self.wake_at = self.next_period
+        for probe in self.probes.values():
+            wait = self.period if probe.is_indirect else self.ack_timeout
+            self.wake_at = min(self.wake_at, probe.sent_at + wait)
--- /dev/null
+++ b/src/daisylink/process/_directory.py
@@ -0,0 +1,177 @@
+"""The directory of all nodes that one node knows."""
+
+import bisect
+from collections.abc import Iterable
+from datetime import timedelta
+
+from daisylink.process._records import (
+    POSITION_BITS,
+    MemberRecord,
+    MemberState,
+    hash_position,
+)
+
+BUCKET_BITS = 6
+BUCKETS = 2**BUCKET_BITS
+TOMBSTONE_LIFE = timedelta(hours=24)
+
+
+class Directory:
+    """Records by node, with a digest by bucket and indexes by zone and pool.
+
+    Records of nodes that died or left stay as tombstones, so that late news of an
+    older incarnation cannot bring them back.
+
+    :param own: record of the node that keeps the directory.
+    """
+
+    def __init__(self, own: MemberRecord):
+        self.own = own
+        self.records: dict[str, MemberRecord] = {}
+        self.positions: dict[str, int] = {}
+        self.digests = [0] * BUCKETS
+        self.ended: dict[str, float] = {}
+        self.zone_rings: dict[str, list[tuple[int, str]]] = {}
+        self.pools: dict[str, dict[str, MemberRecord]] = {}
+        self._put(own, 0.0)
+
+    @property
+    def digest(self) -> int:
+        """Return the digest of all live records."""
+        total = 0
+        for value in self.digests:
+            total ^= value
+        return total
+
+    def merge(self, record: MemberRecord, now: float) -> bool:
+        """Take a record if it is newer than the one held.
+
+        News of the own node is never taken; see :meth:`refute`.
+
+        :returns: whether it was taken.
+        """
+        if record.node == self.own.node:
+            return False
+        if not record.overrides(self.records.get(record.node)):
+            return False
+        self._put(record, now)
+        return True
+
+    def change_own(self, record: MemberRecord, now: float) -> MemberRecord:
+        """Replace the own record by one with the next incarnation, and return it."""
+        own = _with_incarnation(record, self.own.incarnation + 1)
+        self.own = own
+        self._put(own, now)
+        return own
+
+    def refute(self, record: MemberRecord, now: float) -> MemberRecord | None:
+        """Answer news of the own node that this node did not make.
+
+        :returns: the own record with an incarnation above the news, or None if the
+            news is older than the own record.
+        """
+        if not record.overrides(self.own):
+            return None
+        own = _with_incarnation(self.own, record.incarnation + 1)
+        self.own = own
+        self._put(own, now)
+        return own
+
+    def purge(self, now: float) -> None:
+        """Forget tombstones past their life."""
+        oldest = now - TOMBSTONE_LIFE.total_seconds()
+        for node in [node for node, since in self.ended.items() if since < oldest]:
+            del self.ended[node]
+            del self.records[node]
+            self.positions.pop(node, None)
+
+    def zone_ring(self, zone: str) -> list[tuple[int, str]]:
+        """Return position and name of a zone's live nodes, in ring order."""
+        return self.zone_rings.get(zone, [])
+
+    def zone_part(self, zone: str, low: int, high: int) -> list[tuple[int, str]]:
+        """Return the live nodes of a zone between two ring positions, inclusive."""
+        ring = self.zone_ring(zone)
+        first = bisect.bisect_left(ring, (low, ""))
+        last = bisect.bisect_left(ring, (high + 1, ""))
+        return ring[first:last]
+
+    def zones(self) -> list[str]:
+        """Return the zones with a live node, sorted."""
+        return sorted(zone for zone, ring in self.zone_rings.items() if ring)
+
+    def rank(self) -> int:
+        """Return how many live nodes of the own zone come before the own node."""
+        ring = self.zone_ring(self.own.zone)
+        return bisect.bisect_left(ring, (self.positions[self.own.node], self.own.node))
+
+    def serving(self, pool: str) -> dict[str, MemberRecord]:
+        """Return the nodes whose backend server takes work for a pool, by name."""
+        return self.pools.get(pool, {})
+
+    def differing(self, buckets: Iterable[int]) -> list[MemberRecord]:
+        """Return the records of each bucket whose digest differs, tombstones too."""
+        wrong = {
+            index
+            for index, (mine, theirs) in enumerate(
+                zip(self.digests, buckets, strict=True)
+            )
+            if mine != theirs
+        }
+        return [
+            record
+            for node, record in self.records.items()
+            if _bucket(self.positions[node]) in wrong
+        ]
+
+    def _put(self, record: MemberRecord, now: float) -> None:
+        old = self.records.get(record.node)
+        if old is not None:
+            self._unindex(old)
+        else:
+            self.positions[record.node] = hash_position(record.node)
+        self.records[record.node] = record
+        if record.state is MemberState.ALIVE:
+            self.ended.pop(record.node, None)
+            self._index(record)
+        else:
+            self.ended[record.node] = now
+
+    def _index(self, record: MemberRecord) -> None:
+        position = self.positions[record.node]
+        self.digests[_bucket(position)] ^= _fingerprint(record)
+        ring = self.zone_rings.setdefault(record.zone, [])
+        bisect.insort(ring, (position, record.node))
+        if record.is_serving:
+            self.pools.setdefault(record.pool, {})[record.node] = record
+
+    def _unindex(self, record: MemberRecord) -> None:
+        if record.state is not MemberState.ALIVE:
+            return
+        position = self.positions[record.node]
+        self.digests[_bucket(position)] ^= _fingerprint(record)
+        ring = self.zone_rings[record.zone]
+        del ring[bisect.bisect_left(ring, (position, record.node))]
+        if record.is_serving:
+            del self.pools[record.pool][record.node]
+
+
+def _bucket(position: int) -> int:
+    return position >> (POSITION_BITS - BUCKET_BITS)
+
+
+def _fingerprint(record: MemberRecord) -> int:
+    return hash_position(f"{record.node}/{record.incarnation}")
+
+
+def _with_incarnation(record: MemberRecord, incarnation: int) -> MemberRecord:
+    return MemberRecord(
+        record.node,
+        record.zone,
+        incarnation,
+        record.state,
+        record.relay,
+        record.pool,
+        record.server,
+        record.slots,
+    )
--- /dev/null
+++ b/src/daisylink/process/_events.py
@@ -0,0 +1,184 @@
+"""Events that the fleet's decision objects take, and actions that they ask for."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from daisylink.errors import ResultCode
+from daisylink.platform import Entry
+from daisylink.process._messages import Message, PullReply, PullRequest
+from daisylink.process._records import MemberRecord
+from daisylink.version import Version
+
+
+@dataclass(frozen=True)
+class Started:
+    """Event: the process runs and its listeners are bound."""
+
+
+@dataclass(frozen=True)
+class TimePassed:
+    """Event: the time asked for by ``wake_at`` has come."""
+
+
+@dataclass(frozen=True)
+class MessageReceived:
+    """Event: a datagram came in."""
+
+    message: Message
+
+
+@dataclass(frozen=True)
+class PullAnswered:
+    """Event: a node answered a pull."""
+
+    address: str
+    reply: PullReply
+
+
+@dataclass(frozen=True)
+class PullFailed:
+    """Event: a node did not answer a pull."""
+
+    address: str
+
+
+@dataclass(frozen=True)
+class ReadKey:
+    """Store call: read a key."""
+
+    key: str
+
+
+@dataclass(frozen=True)
+class WatchKey:
+    """Store call: read a key once it changes."""
+
+    key: str
+    watch_index: int
+    wait: timedelta
+
+
+@dataclass(frozen=True)
+class GrantLease:
+    """Store call: obtain a lease."""
+
+    duration: timedelta
+
+
+@dataclass(frozen=True)
+class RenewLease:
+    """Store call: extend a lease."""
+
+    lease_id: str
+
+
+@dataclass(frozen=True)
+class RevokeLease:
+    """Store call: give a lease up."""
+
+    lease_id: str
+
+
+@dataclass(frozen=True)
+class HoldKey:
+    """Store call: write a key under a lease unless another lease holds it."""
+
+    key: str
+    value: bytes
+    lease_id: str
+
+
+@dataclass(frozen=True)
+class SwapKey:
+    """Store call: write a key if its index is unchanged."""
+
+    key: str
+    value: bytes
+    index: int
+
+
+StoreCall = (
+    ReadKey | WatchKey | GrantLease | RenewLease | RevokeLease | HoldKey | SwapKey
+)
+
+
+@dataclass(frozen=True)
+class StoreAnswered:
+    """Event: the platform answered a call.
+
+    :param result: an entry for reads, a lease identifier, or whether it was done.
+    """
+
+    call: StoreCall
+    result: Entry | str | bool
+
+
+@dataclass(frozen=True)
+class StoreFailed:
+    """Event: the platform did not do a call, or its answer was lost."""
+
+    call: StoreCall
+    code: ResultCode
+
+
+@dataclass(frozen=True)
+class ServerChanged:
+    """Event: the backend server beside the node changed its state."""
+
+    record: MemberRecord
+
+
+@dataclass(frozen=True)
+class StopAsked:
+    """Event: the node is to leave the fleet."""
+
+
+Event = (
+    Started
+    | TimePassed
+    | MessageReceived
+    | PullAnswered
+    | PullFailed
+    | StoreAnswered
+    | StoreFailed
+    | ServerChanged
+    | StopAsked
+)
+
+
+@dataclass(frozen=True)
+class Send:
+    """Action: send a datagram."""
+
+    address: str
+    message: Message
+
+
+@dataclass(frozen=True)
+class Pull:
+    """Action: ask a node for what is missing."""
+
+    address: str
+    request: PullRequest
+
+
+@dataclass(frozen=True)
+class CallStore:
+    """Action: call the platform."""
+
+    call: StoreCall
+
+
+@dataclass(frozen=True)
+class VersionInstalled:
+    """Action: route new requests by this version."""
+
+    version: Version
+
+
+@dataclass(frozen=True)
+class DirectoryChanged:
+    """Action: the directory's records changed."""
+
+
+Action = Send | Pull | CallStore | VersionInstalled | DirectoryChanged
--- /dev/null
+++ b/src/daisylink/process/_gateway.py
@@ -0,0 +1,172 @@
+"""What the requests of one process share: version, choice, limits, connections."""
+
+import asyncio
+from http import HTTPStatus
+from typing import Any
+
+from daisylink.clock import Clock
+from daisylink.connection import CallerConnection, HopPool
+from daisylink.errors import ResultCode
+from daisylink.process._admission import Admission, Limits
+from daisylink.process._chooser import Chooser
+from daisylink.process._metrics import Metrics
+from daisylink.process._records import MemberRecord, ServerState
+from daisylink.process._slot import Slot
+from daisylink.request import Decision, Exchange, Refusal, RequestPlan, RetryBudget
+from daisylink.version import Version
+
+SWEEP_SECONDS = 1.0
+DEFAULT_LIMITS = Limits(slots=8, connections=64, queue=20)
+
+
+class Gateway:
+    """Shared state of the callers' path of one process.
+
+    :param chooser: chooses backend servers.
+    :param slot: state of the own backend server.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        loop: asyncio.AbstractEventLoop,
+        chooser: Chooser,
+        slot: Slot,
+        metrics: Metrics,
+    ):
+        self.now = clock.monotonic
+        self.loop = loop
+        self.chooser = chooser
+        self.slot = slot
+        self.metrics = metrics
+        self.admission = Admission()
+        self.budget = RetryBudget()
+        self.hops = HopPool(self)
+        self.version: Version | None = None
+        self.callers: set[CallerConnection] = set()
+        self.stopping = False
+        self.sweeper = loop.call_later(SWEEP_SECONDS, self._sweep)
+
+    @property
+    def own(self) -> MemberRecord:
+        """Return the node's own record."""
+        return self.chooser.directory.own
+
+    @property
+    def server_address(self) -> str:
+        """Return the own backend server's address."""
+        announcement = self.slot.announcement
+        return announcement.address if announcement is not None else ""
+
+    @property
+    def open_requests(self) -> int:
+        """Return how many requests have no answer yet."""
+        return sum(
+            (caller.current is not None) + len(caller.waiting)
+            for caller in self.callers
+        )
+
+    def make_caller(self) -> CallerConnection:
+        """Return the protocol of a new connection from a caller."""
+        return CallerConnection(self, is_relay=False)
+
+    def make_relay(self) -> CallerConnection:
+        """Return the protocol of a new connection from a node."""
+        return CallerConnection(self, is_relay=True)
+
+    def choose(self, plan: RequestPlan, tried: set[str]) -> MemberRecord | None:
+        """Return the node that a request goes to next, or None."""
+        load = self._own_load()
+        return self.chooser.choose(plan.pool, tried, plan.slots, load, self.now())
+
+    def arrive(self, exchange: Exchange, plan: RequestPlan) -> Decision:
+        """Decide on a request for the own backend server."""
+        return self.admission.arrive(exchange, plan.priority, plan.deadline, self.now())
+
+    def free_slot(self, since: float) -> None:
+        """Free a slot held since a time, and run the requests that waited for it."""
+        now = self.now()
+        for exchange in self.admission.finish(now - since, now):
+            exchange.run_own()
+
+    def update_server(self) -> None:
+        """Open or close admission as the own record says."""
+        own = self.own
+        if own.server is ServerState.SERVING and not self.stopping:
+            self.admission.open(self._find_limits(own))
+            return
+        draining = own.server is ServerState.DRAINING or self.stopping
+        code = ResultCode.REQUEST_DRAINING if draining else ResultCode.REQUEST_NO_SERVER
+        for exchange in self.admission.close(code):
+            exchange.turn_down(code)
+
+    def note_server_unreachable(self) -> None:
+        """Note that the own backend server refused a connection."""
+        self.slot.note_unreachable()
+        self.on_slot_changed()
+
+    def on_slot_changed(self) -> None:
+        """Tell the node that the slot's state changed; set by the node."""
+
+    def load_text(self) -> bytes:
+        """Return the own backend server's load for the load header."""
+        return b"%.3f" % self._own_load()
+
+    def note_load(self, node: str, text: bytes) -> None:
+        """Note the load that a node stated with its answer."""
+        try:
+            self.chooser.note_report(node, float(text), self.now())
+        except ValueError:
+            return
+
+    def note_answered(self, exchange: Exchange) -> None:
+        """Count a request that a backend server answered."""
+        failed = exchange.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        self._count(exchange, "error" if failed else "ok")
+
+    def note_refused(self, exchange: Exchange, refusal: Refusal) -> None:
+        """Count a request that was refused."""
+        self._count(exchange, str(int(refusal.code)))
+
+    def note_cancelled(self, exchange: Exchange) -> None:
+        """Count a request whose caller went away."""
+        self._count(exchange, "cancelled")
+
+    def note_cut(self, exchange: Exchange) -> None:
+        """Count a request whose answer broke off."""
+        self._count(exchange, "cut")
+
+    def close(self) -> None:
+        """Close every connection."""
+        self.sweeper.cancel()
+        for caller in list(self.callers):
+            caller.close()
+        self.hops.close()
+
+    def _count(self, exchange: Exchange, code: str) -> None:
+        if exchange.is_relay:
+            return
+        plan = exchange.plan
+        service = plan.service if plan is not None else ""
+        seconds = self.now() - exchange.started_at
+        self.metrics.note_request(service, code, seconds, exchange.attempt)
+
+    def _own_load(self) -> float:
+        admission = self.admission
+        if not admission.is_open:
+            return 1.0
+        return (admission.in_use + admission.queued) / max(1, admission.capacity)
+
+    def _find_limits(self, own: MemberRecord) -> Limits:
+        pools: dict[str, Any] = self.version.table.pools if self.version else {}
+        pool = pools.get(own.pool)
+        if pool is None:
+            return DEFAULT_LIMITS._replace(slots=own.slots or DEFAULT_LIMITS.slots)
+        return Limits(own.slots or pool.slots, pool.connections, pool.queue)
+
+    def _sweep(self) -> None:
+        now = self.now()
+        for caller in list(self.callers):
+            caller.sweep(now)
+        self.hops.sweep(now)
+        self.sweeper = self.loop.call_later(SWEEP_SECONDS, self._sweep)
--- /dev/null
+++ b/src/daisylink/process/_node.py
@@ -0,0 +1,384 @@
+"""The program in a backend server's slot: decision objects joined to the network."""
+
+import asyncio
+import random
+from collections.abc import Iterable
+
+from daisylink.clock import Clock, SystemClock
+from daisylink.errors import (
+    DaisylinkError,
+    NodeError,
+    PlatformError,
+    ResultCode,
+    SettingError,
+)
+from daisylink.logs import get_logger
+from daisylink.loop import Application
+from daisylink.platform import HttpStore, KeyValueStore
+from daisylink.process._admin import Admin
+from daisylink.process._chooser import Chooser
+from daisylink.process._events import (
+    Action,
+    CallStore,
+    DirectoryChanged,
+    Event,
+    GrantLease,
+    HoldKey,
+    MessageReceived,
+    Pull,
+    PullAnswered,
+    PullFailed,
+    ReadKey,
+    RenewLease,
+    RevokeLease,
+    Send,
+    ServerChanged,
+    Started,
+    StopAsked,
+    StoreAnswered,
+    StoreCall,
+    StoreFailed,
+    SwapKey,
+    TimePassed,
+    VersionInstalled,
+    WatchKey,
+)
+from daisylink.process._fleet import FleetNode, FleetSettings, first_incarnation
+from daisylink.process._gateway import Gateway
+from daisylink.process._messages import (
+    Message,
+    PullReply,
+    PullRequest,
+    SurveyReply,
+    SurveyRequest,
+)
+from daisylink.process._metrics import Metrics
+from daisylink.process._records import MemberRecord
+from daisylink.process._slot import Slot, SlotSettings
+from daisylink.process._survey import Surveyor
+from daisylink.process._transport import ControlClient, ControlServer, DatagramEndpoint
+from daisylink.settings import Address, NodeSettings
+from daisylink.version import Version
+from daisylink.web import WebServer
+
+BACKLOG = 512
+POLL_SECONDS = 0.02
+
+log = get_logger("node")
+
+
+class Node:
+    """One node of the fleet, with its listeners.
+
+    :param store: the platform.
+    :param application: circuits root that the admin listener joins.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        application: Application,
+        store: KeyValueStore,
+        clock: Clock,
+        rng: random.Random,
+        fleet_settings: FleetSettings | None = None,
+        slot_settings: SlotSettings | None = None,
+    ):
+        self.settings = settings
+        self.application = application
+        self.loop = application.loop
+        self.store = store
+        self.clock = clock
+        self.now = clock.monotonic
+        self.rng = rng
+        self.fleet_settings = fleet_settings or FleetSettings()
+        self.slot = Slot(slot_settings or SlotSettings())
+        self.client = ControlClient(self._note_traffic)
+        self.server = ControlServer(
+            self._answer_pull, self._answer_survey, self._note_traffic
+        )
+        self.datagrams = DatagramEndpoint(self._take_message, self._note_traffic)
+        self.listeners: list[asyncio.Server] = []
+        self.tasks: set[asyncio.Task] = set()
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_at = float("inf")
+        self.slot_timer: asyncio.TimerHandle | None = None
+        self.started = False
+        self.stopping = False
+        self.control_bytes = 0
+        self.control_messages = 0
+        self.web: WebServer
+        self.admin: Admin
+        self.metrics: Metrics
+        self.fleet: FleetNode
+        self.gateway: Gateway
+        self.surveyor: Surveyor
+        self.callers_address: Address
+        self.relay_address: Address
+
+    @classmethod
+    def from_config(
+        cls, settings: NodeSettings, application: Application, **parts
+    ) -> "Node":
+        """Build a node with the system's clock and an HTTP client of the platform.
+
+        :param parts: replacements for ``clock``, ``rng``, ``store`` and settings.
+        """
+        parts.setdefault("clock", SystemClock())
+        parts.setdefault("rng", random.Random())
+        parts.setdefault("store", HttpStore(str(settings.platform)))
+        return cls(settings, application, **parts)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the node may take calls."""
+        return self.fleet.is_ready(self.now()) and not self.stopping
+
+    async def start(self) -> None:
+        """Bind the listeners and join the fleet.
+
+        :raises SettingError: if an address cannot be bound.
+        """
+        settings = self.settings
+        zone = settings.zone
+        self.metrics = Metrics(str(settings.control), zone)
+        control = await self._listen_control(settings.control)
+        relay_host = settings.relay.host
+        relay_socket = await self._listen(settings.relay, "relay", self._make_relay)
+        self.relay_address = Address(relay_host, relay_socket)
+        record = MemberRecord(
+            node=str(control),
+            zone=zone,
+            incarnation=first_incarnation(self.clock.now()),
+            relay=str(self.relay_address),
+        )
+        self.fleet = FleetNode(self.fleet_settings, record, settings.peers, self.rng)
+        chooser = Chooser(self.fleet.directory, self.rng)
+        self.gateway = Gateway(self.clock, self.loop, chooser, self.slot, self.metrics)
+        self.gateway.on_slot_changed = self.update_server
+        self.surveyor = Surveyor(self.fleet, self.client)
+        callers = await self._listen(settings.callers, "callers", self._make_caller)
+        self.callers_address = Address(settings.callers.host, callers)
+        self.web = WebServer(self.application, *settings.admin)
+        self.admin = Admin(self, self.web)
+        self.web.start()
+        self._observe()
+        self.started = True
+        self._feed(Started())
+        log.info("started {} in zone {}", record.node, zone)
+
+    async def stop(self) -> None:
+        """Stop as planned: cut no request in flight, within the grace."""
+        log.info("stopping; {} requests open", self.gateway.open_requests)
+        self.stopping = True
+        self.gateway.stopping = True
+        self.slot.leave()
+        self.update_server()
+        await asyncio.sleep(self.settings.drain.total_seconds())
+        for listener in self.listeners:
+            listener.close()
+        end = self.now() + self.settings.grace.total_seconds()
+        while self.gateway.open_requests and self.now() < end:
+            await asyncio.sleep(POLL_SECONDS)
+        self._feed(StopAsked())
+        await asyncio.sleep(POLL_SECONDS)
+        await self.close()
+        log.info("stopped; {} requests cut", self.gateway.open_requests)
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        self.stopping = True
+        for handle in (self.timer, self.slot_timer):
+            if handle is not None:
+                handle.cancel()
+        for listener in self.listeners:
+            listener.close()
+        self.gateway.close()
+        for task in list(self.tasks):
+            task.cancel()
+        self.datagrams.transport.close()
+        await self.server.stop()
+        await self.client.close()
+        self.web.stop()
+        self.metrics.shutdown()
+
+    def update_server(self) -> None:
+        """Bring the own record and admission in line with the slot's state."""
+        now = self.now()
+        self.slot.tick(now)
+        wanted = self.slot.describe(self.fleet.own, now)
+        if wanted != self.fleet.own:
+            log.info("backend server is {}", wanted.server.name.lower())
+            self._feed(ServerChanged(wanted))
+        self.gateway.update_server()
+        if self.slot_timer is not None:
+            self.slot_timer.cancel()
+            self.slot_timer = None
+        if self.slot.wake_at < float("inf"):
+            wait = max(0.0, self.slot.wake_at - now)
+            self.slot_timer = self.loop.call_later(wait, self.update_server)
+
+    # Listeners
+
+    async def _listen_control(self, address: Address) -> Address:
+        """Bind gRPC and datagrams to the same port."""
+        port = await self.server.start(address)
+        bound = Address(address.host, port)
+        try:
+            await self.loop.create_datagram_endpoint(
+                lambda: self.datagrams, local_addr=bound
+            )
+        except OSError as error:
+            await self.server.stop()
+            raise _address_error("control", bound, error) from error
+        return bound
+
+    async def _listen(self, address: Address, setting: str, factory) -> int:
+        try:
+            server = await self.loop.create_server(
+                factory, address.host, address.port, backlog=BACKLOG
+            )
+        except OSError as error:
+            raise _address_error(setting, address, error) from error
+        self.listeners.append(server)
+        return server.sockets[0].getsockname()[1]
+
+    def _make_caller(self) -> asyncio.Protocol:
+        return self.gateway.make_caller()
+
+    def _make_relay(self) -> asyncio.Protocol:
+        return self.gateway.make_relay()
+
+    def _observe(self) -> None:
+        installer = self.fleet.installer
+        directory = self.fleet.directory
+        observe = self.metrics.observe
+        observe("daisylink.version", lambda: installer.number, "Version in force.")
+        observe("daisylink.ready", lambda: int(self.is_ready), "Whether ready.")
+        observe(
+            "daisylink.members",
+            lambda: sum(len(ring) for ring in directory.zone_rings.values()),
+            "Nodes known to run.",
+        )
+        observe(
+            "daisylink.slots.in_use",
+            lambda: self.gateway.admission.in_use,
+            "Slots of the own backend server in use.",
+        )
+        observe(
+            "daisylink.versions.refused",
+            lambda: installer.refused,
+            "Versions that were damaged or not closed.",
+        )
+
+    def _note_traffic(self, direction: str, transport: str, size: int) -> None:
+        self.control_bytes += size
+        self.control_messages += 1
+        labels = {"direction": direction, "transport": transport}
+        self.metrics.control_bytes.add(size, labels)
+        self.metrics.control_messages.add(1, labels)
+
+    # Decisions
+
+    def _feed(self, event: Event) -> None:
+        """Give an event to the decision object and do what it asks."""
+        actions = self.fleet.handle(event, self.now())
+        self._perform(actions)
+        self._set_timer()
+
+    def _perform(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send(address, message):
+                    self.datagrams.send(address, message)
+                case Pull(address, request):
+                    self._spawn(self._pull(address, request))
+                case CallStore(call):
+                    self._spawn(self._call_store(call))
+                case VersionInstalled(version):
+                    self._install(version)
+                case DirectoryChanged():
+                    self.gateway.chooser.note_directory()
+
+    def _install(self, version: Version) -> None:
+        self.gateway.version = version
+        self.surveyor.installed_at = self.clock.now()
+        self.gateway.update_server()
+        log.info("version {} in force", version.number)
+
+    def _set_timer(self) -> None:
+        wake_at = self.fleet.wake_at
+        if self.timer is not None:
+            if self.timer_at <= wake_at and not self.timer.cancelled():
+                return
+            self.timer.cancel()
+        self.timer_at = wake_at
+        wait = max(0.0, wake_at - self.now())
+        self.timer = self.loop.call_later(wait, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self.timer = None
+        self._feed(TimePassed())
+
+    def _take_message(self, message: Message) -> None:
+        if self.started:
+            self._feed(MessageReceived(message))
+
+    def _answer_pull(self, request: PullRequest) -> PullReply:
+        if not self.started:
+            raise NodeError("not started", ResultCode.NODE_NOT_READY)
+        return self.fleet.answer_pull(request, self.now())
+
+    async def _answer_survey(self, request: SurveyRequest) -> SurveyReply:
+        if not self.started:
+            raise NodeError("not started", ResultCode.NODE_NOT_READY)
+        return await self.surveyor.answer(request)
+
+    def _spawn(self, work) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _pull(self, address: str, request: PullRequest) -> None:
+        try:
+            reply = await self.client.pull(address, request)
+        except NodeError:
+            self._feed(PullFailed(address))
+            return
+        self._feed(PullAnswered(address, reply))
+
+    async def _call_store(self, call: StoreCall) -> None:
+        try:
+            result = await self._ask_store(call)
+        except PlatformError as error:
+            log.debug("platform call failed: {}", error)
+            self._feed(StoreFailed(call, ResultCode(error.code)))
+            return
+        self._feed(StoreAnswered(call, result))
+
+    async def _ask_store(self, call: StoreCall):
+        store = self.store
+        match call:
+            case ReadKey(key):
+                return await store.get(key)
+            case WatchKey(key, watch_index, wait):
+                return await store.watch(key, watch_index, wait)
+            case GrantLease(duration):
+                return await store.grant_lease(duration)
+            case RenewLease(lease_id):
+                return await store.renew_lease(lease_id)
+            case RevokeLease(lease_id):
+                await store.revoke_lease(lease_id)
+                return True
+            case HoldKey(key, value, lease_id):
+                return await store.hold(key, value, lease_id)
+            case SwapKey(key, value, index):
+                return await store.put(key, value, index)
+        raise DaisylinkError(f"unknown store call {call}")
+
+
+def _address_error(setting: str, address: Address, error: OSError) -> SettingError:
+    return SettingError(
+        f"{setting}: cannot listen on {address}: {error.strerror}",
+        ResultCode.SETTING_ADDRESS_IN_USE,
+    )
--- /dev/null
+++ b/src/daisylink/process/_ration.py
@@ -0,0 +1,56 @@
+"""Rations large answers, so that a returning herd does not bury one node."""
+
+import random
+from collections import deque
+from datetime import timedelta
+from typing import NamedTuple
+
+ALTERNATES = 3
+SERVED_KEPT = 64
+MILLISECONDS = 1000
+
+
+class RationSettings(NamedTuple):
+    """How many large answers a node gives.
+
+    :param per_second: large answers in a second.
+    :param burst: large answers at once.
+    :param retry: mean time after which a refused node comes back.
+    """
+
+    per_second: float = 20.0
+    burst: int = 8
+    retry: timedelta = timedelta(milliseconds=300)
+
+
+class Ration:
+    """A token bucket for large answers, and the nodes that were served last."""
+
+    def __init__(self, settings: RationSettings, rng: random.Random):
+        self.per_second = settings.per_second
+        self.burst = settings.burst
+        self.retry_ms = settings.retry.total_seconds() * MILLISECONDS
+        self.rng = rng
+        self.tokens = float(settings.burst)
+        self.filled_at = 0.0
+        self.served: deque[str] = deque(maxlen=SERVED_KEPT)
+
+    def admit(self, node: str, now: float) -> bool:
+        """Take a token for a node; return whether there was one."""
+        grown = (now - self.filled_at) * self.per_second
+        self.tokens = min(float(self.burst), self.tokens + grown)
+        self.filled_at = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        self.served.append(node)
+        return True
+
+    def retry_after_ms(self) -> int:
+        """Return when a refused node is to come back."""
+        return round(self.rng.uniform(0.5, 1.5) * self.retry_ms)
+
+    def alternates(self, node: str) -> tuple[str, ...]:
+        """Return nodes served before, which another node can ask instead."""
+        others = [served for served in self.served if served != node]
+        return tuple(self.rng.sample(others, min(ALTERNATES, len(others))))
--- /dev/null
+++ b/src/daisylink/process/_reader.py
@@ -0,0 +1,332 @@
+"""The few nodes of a zone that read the platform for all others.
+
+A reader holds one of the zone's slots, a key under a lease. The lease bounds how many
+nodes call the platform and tells newcomers whom to ask; nothing unsafe follows when a
+reader is paused, lapsed or mistaken, because every node checks what it installs.
+"""
+
+import random
+from datetime import timedelta
+from typing import NamedTuple
+
+import msgspec
+
+from daisylink.errors import VersionError
+from daisylink.platform import Entry
+from daisylink.process._events import (
+    CallStore,
+    GrantLease,
+    HoldKey,
+    ReadKey,
+    RenewLease,
+    RevokeLease,
+    StoreAnswered,
+    StoreCall,
+    StoreFailed,
+    SwapKey,
+    WatchKey,
+)
+from daisylink.process._messages import VersionNews
+from daisylink.version import HEAD_KEY, HeadRecord, decode_head, part_key
+
+ZONES_KEY = "daisylink/zones"
+READER_PREFIX = "daisylink/reader/"
+
+
+class ReaderSettings(NamedTuple):
+    """Number and times of readers.
+
+    :param slots: readers in a zone.
+    :param candidates: first nodes of the zone's ring that may become readers.
+    :param lease: how long a slot lasts without renewal.
+    :param poll: how often a candidate looks for a free slot.
+    :param watch: how long one watch waits.
+    :param zones_interval: how often a reader looks for other zones.
+    :param second_delay: how long a second reader leaves a new version to the first.
+    """
+
+    slots: int = 2
+    candidates: int = 3
+    lease: timedelta = timedelta(seconds=3)
+    poll: timedelta = timedelta(seconds=2)
+    watch: timedelta = timedelta(seconds=10)
+    zones_interval: timedelta = timedelta(seconds=15)
+    second_delay: timedelta = timedelta(milliseconds=300)
+    retry_base: timedelta = timedelta(milliseconds=100)
+    retry_most: timedelta = timedelta(seconds=2)
+
+
+class FetchedSnapshot(NamedTuple):
+    """A version's packed content, read from the platform."""
+
+    news: VersionNews
+    packed: bytes
+
+
+class ReaderResult(NamedTuple):
+    """What a reader makes of an answer of the platform.
+
+    :param calls: further calls.
+    :param record: the accepted version.
+    :param snapshot: the content of an accepted version.
+    :param contacts: nodes that are readers of this or another zone.
+    """
+
+    calls: tuple[CallStore, ...] = ()
+    record: HeadRecord | None = None
+    snapshot: FetchedSnapshot | None = None
+    contacts: tuple[str, ...] = ()
+
+
+def reader_key(zone: str, slot: int) -> str:
+    """Return the key of one reader slot of a zone."""
+    return f"{READER_PREFIX}{zone}/{slot}"
+
+
+class Reader:
+    """Takes and keeps a slot, watches the head and fetches versions.
+
+    :param node: name of the own node.
+    """
+
+    def __init__(
+        self, settings: ReaderSettings, node: str, zone: str, rng: random.Random
+    ):
+        self.settings = settings
+        self.node = node
+        self.zone = zone
+        self.rng = rng
+        self.due = 0.0
+        self.failures = 0
+        self.slot: int | None = None
+        self.wanted_slot = 0
+        self.lease_id: str | None = None
+        self.renewed_at = 0.0
+        self.renew_due = float("inf")
+        self.zones_due = float("inf")
+        self.zones_pause = settings.retry_base
+        self.watch_open = False
+        self.watch_due = float("inf")
+        self.watch_index = 0
+        self.fetching: HeadRecord | None = None
+        self.pieces: list[bytes] = []
+        self.known_zones: frozenset[str] = frozenset()
+
+    @property
+    def is_holding(self) -> bool:
+        """Return whether this node thinks that it holds a slot."""
+        return self.slot is not None
+
+    @property
+    def wake_at(self) -> float:
+        """Return when something is due."""
+        if not self.is_holding:
+            return self.due
+        return min(self.renew_due, self.zones_due, self.watch_due)
+
+    def start(self, now: float) -> None:
+        """Look for a slot after a random delay, so that a herd is spread out."""
+        self.due = now + self.rng.uniform(0, self.settings.poll.total_seconds())
+
+    def tick(
+        self, now: float, rank: int, is_isolated: bool, live_zones: frozenset[str]
+    ) -> list[CallStore]:
+        """Return the calls that are due.
+
+        :param rank: how many live nodes of the zone come before this one.
+        :param is_isolated: whether no other node of the zone answers.
+        :param live_zones: zones with a node known to run.
+        """
+        if self.is_holding:
+            return self._keep_slot(now, is_isolated, live_zones)
+        if now < self.due:
+            return []
+        self.due = now + self._jitter(self.settings.poll)
+        if rank >= self.settings.candidates or is_isolated:
+            return []
+        self.wanted_slot = self.rng.randrange(self.settings.slots)
+        return [CallStore(ReadKey(reader_key(self.zone, self.wanted_slot)))]
+
+    def take_answer(self, answer: StoreAnswered, now: float) -> ReaderResult:
+        """Take an answer of the platform."""
+        self.failures = 0
+        match answer.call, answer.result:
+            case ReadKey(key), Entry() as entry if key.startswith(READER_PREFIX):
+                return self._take_slot_entry(key, entry)
+            case ReadKey(key) | WatchKey(key), Entry() as entry if key == HEAD_KEY:
+                return self._take_head(answer.call, entry, now)
+            case ReadKey(key), Entry() as entry if key == ZONES_KEY:
+                return self._take_zones(entry)
+            case ReadKey(key), Entry() as entry:
+                return self._take_part(key, entry, now)
+            case GrantLease(), str() as lease_id:
+                self.lease_id = lease_id
+                key = reader_key(self.zone, self.wanted_slot)
+                call = HoldKey(key, self.node.encode(), lease_id)
+                return ReaderResult((CallStore(call),))
+            case HoldKey(_, _, lease_id), bool() as done:
+                return self._take_hold(lease_id, done, now)
+            case RenewLease(lease_id), bool() as done if lease_id == self.lease_id:
+                return self._take_renewal(done, now)
+            case _:
+                return ReaderResult()
+
+    def take_failure(self, failure: StoreFailed, now: float) -> None:
+        """Note that the platform did not answer, and come back later."""
+        self.failures += 1
+        delay = self._backoff()
+        match failure.call:
+            case WatchKey() | ReadKey():
+                if self.is_holding and failure.call != ReadKey(ZONES_KEY):
+                    self.fetching = None
+                    self.watch_open = False
+                    self.watch_due = now + delay
+            case RenewLease():
+                self.renew_due = now + delay
+        if not self.is_holding:
+            self.due = max(self.due, now + delay)
+
+    def drop_slot(self, now: float) -> list[CallStore]:
+        """Give the slot up."""
+        lease_id = self.lease_id
+        self.slot = None
+        self.lease_id = None
+        self.fetching = None
+        self.watch_open = False
+        self.due = now + self._jitter(self.settings.poll)
+        return [CallStore(RevokeLease(lease_id))] if lease_id else []
+
+    def _keep_slot(
+        self, now: float, is_isolated: bool, live_zones: frozenset[str]
+    ) -> list[CallStore]:
+        lapsed = now - self.renewed_at > self.settings.lease.total_seconds()
+        if lapsed or is_isolated:
+            return self.drop_slot(now)
+        calls: list[StoreCall] = []
+        if now >= self.renew_due:
+            self.renew_due = float("inf")
+            calls.append(RenewLease(self.lease_id))
+        if now >= self.watch_due and not self.watch_open:
+            calls.append(self._open_watch())
+        if now >= self.zones_due:
+            self.zones_pause = min(self.zones_pause * 2, self.settings.zones_interval)
+            self.zones_due = now + self._jitter(self.zones_pause)
+            self.known_zones = live_zones
+            calls.append(ReadKey(ZONES_KEY))
+        return [CallStore(call) for call in calls]
+
+    def _open_watch(self) -> StoreCall:
+        self.watch_open = True
+        self.watch_due = float("inf")
+        if not self.watch_index:
+            return ReadKey(HEAD_KEY)
+        return WatchKey(HEAD_KEY, self.watch_index, self.settings.watch)
+
+    def _take_slot_entry(self, key: str, entry: Entry) -> ReaderResult:
+        is_wanted = key == reader_key(self.zone, self.wanted_slot)
+        if entry.value is None:
+            if self.is_holding or not is_wanted:
+                return ReaderResult()
+            return ReaderResult((CallStore(GrantLease(self.settings.lease)),))
+        holder = entry.value.decode(errors="replace")
+        return ReaderResult(contacts=() if holder == self.node else (holder,))
+
+    def _take_hold(self, lease_id: str, done: bool, now: float) -> ReaderResult:
+        if lease_id != self.lease_id:
+            return ReaderResult()
+        if not done:
+            self.lease_id = None
+            return ReaderResult((CallStore(RevokeLease(lease_id)),))
+        self.slot = self.wanted_slot
+        self._note_renewal(now)
+        self.zones_due = now
+        self.zones_pause = self.settings.retry_base
+        self.watch_index = 0
+        return ReaderResult((CallStore(self._open_watch()),))
+
+    def _take_renewal(self, done: bool, now: float) -> ReaderResult:
+        if not done:
+            self.drop_slot(now)
+            return ReaderResult()
+        self._note_renewal(now)
+        return ReaderResult()
+
+    def _note_renewal(self, now: float) -> None:
+        self.renewed_at = now
+        self.renew_due = now + self.settings.lease.total_seconds() / 3
+
+    def _take_head(self, call: StoreCall, entry: Entry, now: float) -> ReaderResult:
+        if not self.is_holding:
+            return ReaderResult(record=head_from_entry(entry))
+        self.watch_open = False
+        self.watch_index = entry.watch_index or self.watch_index
+        self.watch_due = now
+        if entry.value is None:
+            pause = self.settings.retry_base if not self.watch_index else timedelta()
+            self.watch_due = now + pause.total_seconds()
+        return ReaderResult(record=head_from_entry(entry))
+
+    def fetch(self, record: HeadRecord) -> list[CallStore]:
+        """Return the first call that reads a version's content."""
+        if self.fetching is not None and self.fetching.number >= record.number:
+            return []
+        self.fetching = record
+        self.pieces = []
+        return [CallStore(ReadKey(part_key(record, 0)))]
+
+    def _take_part(self, key: str, entry: Entry, now: float) -> ReaderResult:
+        record = self.fetching
+        if record is None or key != part_key(record, len(self.pieces)):
+            return ReaderResult()
+        if entry.value is None:
+            self.fetching = None
+            self.watch_index = 0
+            self.watch_due = now + self._backoff()
+            return ReaderResult()
+        self.pieces.append(entry.value)
+        if len(self.pieces) < record.parts:
+            key = part_key(record, len(self.pieces))
+            return ReaderResult((CallStore(ReadKey(key)),))
+        self.fetching = None
+        news = VersionNews(record.number, record.digest, record.accepted_at)
+        return ReaderResult(snapshot=FetchedSnapshot(news, b"".join(self.pieces)))
+
+    def _take_zones(self, entry: Entry) -> ReaderResult:
+        zones = _decode_zones(entry.value)
+        if self.zone not in zones:
+            value = msgspec.json.encode(sorted([*zones, self.zone]))
+            swap = SwapKey(ZONES_KEY, value, entry.index)
+            return ReaderResult((CallStore(swap),))
+        slot = self.rng.randrange(self.settings.slots)
+        missing = sorted(set(zones) - self.known_zones - {self.zone})
+        calls = (CallStore(ReadKey(reader_key(zone, slot))) for zone in missing)
+        return ReaderResult(tuple(calls))
+
+    def _backoff(self) -> float:
+        base = self.settings.retry_base.total_seconds()
+        most = min(
+            self.settings.retry_most.total_seconds(), base * 2 ** min(self.failures, 10)
+        )
+        return self.rng.uniform(0, most)
+
+    def _jitter(self, period: timedelta) -> float:
+        return period.total_seconds() * self.rng.uniform(0.75, 1.25)
+
+
+def head_from_entry(entry: Entry) -> HeadRecord | None:
+    """Return the head record of an entry, or None if absent or damaged."""
+    if entry.value is None:
+        return None
+    try:
+        return decode_head(entry.value)
+    except VersionError:
+        return None
+
+
+def _decode_zones(value: bytes | None) -> list[str]:
+    if value is None:
+        return []
+    try:
+        return msgspec.json.decode(value, type=list[str])
+    except msgspec.MsgspecError:
+        return []
--- /dev/null
+++ b/src/daisylink/process/_readiness.py
@@ -0,0 +1,67 @@
+"""Whether a node has caught up with its peers and the platform."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+WANTED_PEERS = 2
+
+
+class ReadinessSettings(NamedTuple):
+    """How long a fresh node waits for more witnesses.
+
+    :param patience: after this time one answer, of a peer or the platform, is enough.
+    """
+
+    patience: timedelta = timedelta(seconds=3)
+
+
+class Readiness:
+    """Collects what peers and the platform hold.
+
+    A fresh node is ready when its version is at least as new as every version heard
+    of, and it has heard of the platform's and of two peers' versions, or has waited
+    for them in vain.
+    """
+
+    def __init__(self, settings: ReadinessSettings):
+        self.patience = settings.patience.total_seconds()
+        self.started_at = 0.0
+        self.heard: dict[str, int] = {}
+        self.platform_number: int | None = None
+        self.was_ready = False
+
+    def start(self, now: float) -> None:
+        """Begin to wait."""
+        self.started_at = now
+
+    def note_peer(self, node: str, number: int) -> None:
+        """Note the version that a peer holds."""
+        if not self.was_ready:
+            self.heard[node] = max(number, self.heard.get(node, 0))
+
+    def note_platform(self, number: int) -> None:
+        """Note the version that the platform holds, 0 for none."""
+        self.platform_number = max(number, self.platform_number or 0)
+
+    def check(self, number: int, now: float) -> bool:
+        """Return whether the node may take calls; once ready it stays so.
+
+        :param number: number of the version in force.
+        """
+        if not self.was_ready:
+            self.was_ready = self._is_ready(number, now)
+            if self.was_ready:
+                self.heard.clear()
+        return self.was_ready
+
+    def _is_ready(self, number: int, now: float) -> bool:
+        if not number or number < max(self.heard.values(), default=0):
+            return False
+        if number < (self.platform_number or 0):
+            return False
+        waited = now - self.started_at >= self.patience
+        has_platform = self.platform_number is not None
+        has_peers = len(self.heard) >= WANTED_PEERS
+        if waited:
+            return has_platform or bool(self.heard)
+        return has_platform and has_peers
--- /dev/null
+++ b/src/daisylink/process/_spreader.py
@@ -0,0 +1,208 @@
+"""Spreads news over a zone along a tree that each push makes anew.
+
+A push names the part of the zone's ring that its receiver is to cover. The receiver
+splits that part into a few groups, pushes to the first node of each, and so on; every
+node gets the news once. A receiver confirms at once; if no confirmation comes, the
+next node of the group is asked in its place. Nodes that are missed learn from the
+version numbers on pings and repair themselves by a pull.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import NamedTuple
+
+from daisylink.process._directory import Directory
+from daisylink.process._events import Send
+from daisylink.process._messages import (
+    MAX_DATAGRAM_BYTES,
+    Push,
+    PushAck,
+    VersionNews,
+    encode_message,
+)
+from daisylink.process._records import MAX_POSITION, MemberRecord
+
+RECORDS_IN_PUSH = 8
+
+
+class SpreaderSettings(NamedTuple):
+    """Shape and patience of the tree."""
+
+    fanout: int = 8
+    ack_timeout: timedelta = timedelta(milliseconds=250)
+    max_tries: int = 4
+
+
+class News(NamedTuple):
+    """What a push carries."""
+
+    version: VersionNews | None = None
+    records: tuple[MemberRecord, ...] = ()
+
+
+class Part(NamedTuple):
+    """A part of a ring, with the nodes known in it."""
+
+    low: int
+    high: int
+    nodes: tuple[str, ...]
+
+
+@dataclass
+class OpenPush:
+    """A push that waits for its confirmation."""
+
+    part: Part
+    news: News
+    target: str
+    deadline: float
+    tries: int = 1
+
+
+def split_part(
+    members: Sequence[tuple[int, str]], low: int, high: int, fanout: int
+) -> list[Part]:
+    """Split a part of a ring into at most ``fanout`` parts of like size.
+
+    The parts cover every position from ``low`` to ``high``, so that nodes which only
+    the receiver knows are covered too.
+
+    :param members: position and name of the nodes in the part, in ring order.
+    """
+    count = min(fanout, len(members))
+    if not count:
+        return []
+    starts = [index * len(members) // count for index in range(count)]
+    parts = []
+    for number, start in enumerate(starts):
+        is_last = number == count - 1
+        end = len(members) if is_last else starts[number + 1]
+        part_low = low if number == 0 else members[start][0]
+        part_high = high if is_last else members[end][0] - 1
+        nodes = tuple(node for _, node in members[start:end])
+        parts.append(Part(part_low, part_high, nodes))
+    return parts
+
+
+def split_around(directory: Directory, low: int, high: int, fanout: int) -> list[Part]:
+    """Split a part of the own zone's ring into parts that leave out the own node."""
+    own = directory.own
+    position = directory.positions[own.node]
+    below = directory.zone_part(own.zone, low, min(high, position - 1))
+    above = directory.zone_part(own.zone, max(low, position + 1), high)
+    total = len(below) + len(above)
+    if not total:
+        return []
+    share = round(fanout * len(below) / total)
+    share = min(max(share, bool(below)), fanout - bool(above))
+    return [
+        *split_part(below, low, min(high, position - 1), share),
+        *split_part(above, max(low, position + 1), high, fanout - share),
+    ]
+
+
+class Spreader:
+    """Sends pushes and sees to their confirmation.
+
+    :param directory: where the nodes are found.
+    """
+
+    def __init__(
+        self, settings: SpreaderSettings, directory: Directory, rng: random.Random
+    ):
+        self.fanout = settings.fanout
+        self.ack_timeout = settings.ack_timeout.total_seconds()
+        self.max_tries = settings.max_tries
+        self.directory = directory
+        self.rng = rng
+        self.open: dict[int, OpenPush] = {}
+        self.next_id = rng.getrandbits(31)
+
+    @property
+    def wake_at(self) -> float:
+        """Return when the next confirmation is overdue."""
+        return min((push.deadline for push in self.open.values()), default=float("inf"))
+
+    def spread(
+        self,
+        news: News,
+        now: float,
+        low: int = 0,
+        high: int = MAX_POSITION,
+        avoid: Sequence[str] = (),
+    ) -> list[Send]:
+        """Push news to a part of the own zone.
+
+        :param avoid: nodes that are asked last, such as suspects.
+        """
+        sends = []
+        for part in split_around(self.directory, low, high, self.fanout):
+            nodes = tuple(sorted(part.nodes, key=lambda node: node in avoid))
+            sends.append(self._open(part._replace(nodes=nodes), news, now))
+        return sends
+
+    def spread_abroad(self, news: News, now: float) -> list[Send]:
+        """Push news to one node of each other zone, which covers its zone."""
+        own = self.directory.own
+        sends = []
+        for zone in self.directory.zones():
+            if zone == own.zone:
+                continue
+            nodes = tuple(node for _, node in self.directory.zone_ring(zone))
+            part = Part(0, MAX_POSITION, nodes)
+            sends.append(self._open(part, news, now))
+        return sends
+
+    def take_ack(self, ack: PushAck, now: float) -> list[Send]:
+        """Note a confirmation; ask the next node if the receiver does not pass on."""
+        push = self.open.get(ack.push_id)
+        if push is None or push.target != ack.sender:
+            return []
+        if ack.passed_on:
+            del self.open[ack.push_id]
+            return []
+        return self._ask_next(ack.push_id, push, now)
+
+    def tick(self, now: float) -> list[Send]:
+        """Ask the next node wherever a confirmation is overdue."""
+        sends = []
+        for push_id, push in list(self.open.items()):
+            if push.deadline <= now:
+                sends += self._ask_next(push_id, push, now)
+        return sends
+
+    def _ask_next(self, push_id: int, push: OpenPush, now: float) -> list[Send]:
+        del self.open[push_id]
+        index = push.part.nodes.index(push.target) + 1
+        if push.tries >= self.max_tries or index >= len(push.part.nodes):
+            return []
+        return [self._open(push.part, push.news, now, index, push.tries + 1)]
+
+    def _open(
+        self, part: Part, news: News, now: float, index: int = 0, tries: int = 1
+    ) -> Send:
+        self.next_id += 1
+        target = part.nodes[index]
+        deadline = now + self.ack_timeout
+        self.open[self.next_id] = OpenPush(part, news, target, deadline, tries)
+        own = self.directory.own.node
+        push = Push(self.next_id, own, part.low, part.high, news.version, news.records)
+        return Send(target, push)
+
+
+def fit_news(version: VersionNews) -> VersionNews:
+    """Return the news without its delta if that does not fit a datagram."""
+    push = Push(MAX_POSITION, "255.255.255.255:65535", version=version)
+    if len(encode_message(push)) <= MAX_DATAGRAM_BYTES:
+        return version
+    return VersionNews(version.number, version.digest, version.accepted_at)
+
+
+def batch_records(records: Sequence[MemberRecord]) -> list[News]:
+    """Return news of records in batches that fit a datagram."""
+    return [
+        News(records=tuple(records[start : start + RECORDS_IN_PUSH]))
+        for start in range(0, len(records), RECORDS_IN_PUSH)
+    ]
--- /dev/null
+++ b/src/daisylink/process/_survey.py
@@ -0,0 +1,83 @@
+"""Asks a whole zone which versions its nodes route by, along the same kind of tree."""
+
+import asyncio
+from datetime import datetime
+
+from daisylink.errors import NodeError
+from daisylink.process._fleet import FleetNode
+from daisylink.process._messages import Laggard, SurveyReply, SurveyRequest
+from daisylink.process._spreader import Part, split_around
+from daisylink.process._transport import ControlClient
+
+SURVEY_FANOUT = 8
+MAX_LAGGARDS = 16
+UNREACHABLE_NUMBER = -1
+
+
+class Surveyor:
+    """Answers surveys for a part of the own zone.
+
+    :param fleet: the node's decision object.
+    :param client: how other nodes are asked.
+    """
+
+    def __init__(self, fleet: FleetNode, client: ControlClient):
+        self.fleet = fleet
+        self.client = client
+        self.installed_at: datetime | None = None
+
+    async def answer(self, request: SurveyRequest) -> SurveyReply:
+        """Return what the nodes between two ring positions route by, and this one."""
+        directory = self.fleet.directory
+        parts = split_around(directory, request.low, request.high, SURVEY_FANOUT)
+        replies = await asyncio.gather(*(self._ask(part) for part in parts))
+        return merge_replies([self._own_reply(), *replies])
+
+    def _own_reply(self) -> SurveyReply:
+        own = self.fleet.own
+        number = self.fleet.installer.number
+        laggard = Laggard(own.node, number)
+        return SurveyReply(own.zone, {number: 1}, 0, self.installed_at, (laggard,))
+
+    async def _ask(self, part: Part) -> SurveyReply:
+        """Ask the first node of a part that answers; count the others as silent."""
+        zone = self.fleet.own.zone
+        silent: list[Laggard] = []
+        for index, node in enumerate(part.nodes):
+            positions = self.fleet.directory.positions
+            low = part.low if index == 0 else positions.get(node, part.high)
+            try:
+                reply = await self.client.survey(node, SurveyRequest(low, part.high))
+            except NodeError:
+                silent.append(Laggard(node, UNREACHABLE_NUMBER))
+                continue
+            return merge_replies(
+                [reply, SurveyReply(zone, {}, len(silent), None, tuple(silent))]
+            )
+        return SurveyReply(zone, {}, len(silent), None, tuple(silent))
+
+
+def merge_replies(replies: list[SurveyReply]) -> SurveyReply:
+    """Return one answer for several parts of a zone."""
+    counts: dict[int, int] = {}
+    for reply in replies:
+        for number, count in reply.counts.items():
+            counts[number] = counts.get(number, 0) + count
+    newest = max(counts, default=0)
+    times = [
+        reply.last_installed
+        for reply in replies
+        if reply.last_installed is not None
+        and max(reply.counts, default=UNREACHABLE_NUMBER) == newest
+    ]
+    laggards = sorted(
+        (laggard for reply in replies for laggard in reply.laggards),
+        key=lambda laggard: laggard.number,
+    )
+    return SurveyReply(
+        replies[0].zone,
+        counts,
+        sum(reply.unreachable for reply in replies),
+        max(times, default=None),
+        tuple(laggards[:MAX_LAGGARDS]),
+    )
--- /dev/null
+++ b/src/daisylink/process/_transport.py
@@ -0,0 +1,199 @@
+"""Carries control messages: datagrams for small ones, gRPC for pulls and surveys."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import grpc
+import msgspec
+
+from daisylink.errors import NodeError, ResultCode, SettingError
+from daisylink.process._messages import (
+    Message,
+    PullReply,
+    PullRequest,
+    SurveyReply,
+    SurveyRequest,
+    decode_message,
+    encode_message,
+)
+from daisylink.settings import Address
+
+SERVICE = "daisylink.Control"
+PULL = f"/{SERVICE}/Pull"
+SURVEY = f"/{SERVICE}/Survey"
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+MAX_CHANNELS = 16
+CALL_SECONDS = 5.0
+OPTIONS = (
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.so_reuseport", 0),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.enable_retries", 0),
+)
+
+NoteTraffic = Callable[[str, str, int], None]
+
+
+class DatagramEndpoint(asyncio.DatagramProtocol):
+    """Sends and receives small messages.
+
+    :param take_message: called with each message that came in.
+    :param note_traffic: called with direction, transport and size in bytes.
+    """
+
+    def __init__(
+        self, take_message: Callable[[Message], None], note_traffic: NoteTraffic
+    ):
+        self.take_message = take_message
+        self.note_traffic = note_traffic
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """Note the open socket."""
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, _address: Any) -> None:
+        """Decode a datagram; one that does not decode is dropped."""
+        self.note_traffic("in", "datagram", len(data))
+        try:
+            message = decode_message(data)
+        except NodeError:
+            return
+        self.take_message(message)
+
+    def error_received(self, _error: OSError) -> None:
+        """Ignore an unreachable port: pings find dead nodes."""
+
+    def send(self, address: str, message: Message) -> None:
+        """Send a message to ``ip:port``."""
+        data = encode_message(message)
+        self.note_traffic("out", "datagram", len(data))
+        host, _, port = address.rpartition(":")
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.sendto(data, (host, int(port)))
+
+
+class ControlClient:
+    """Calls other nodes over gRPC, on a bounded number of open channels."""
+
+    def __init__(self, note_traffic: NoteTraffic):
+        self.note_traffic = note_traffic
+        self.channels: OrderedDict[str, grpc.aio.Channel] = OrderedDict()
+
+    async def pull(self, address: str, request: PullRequest) -> PullReply:
+        """Ask a node for what is missing.
+
+        :raises NodeError: ``NODE_UNREACHABLE`` if it does not answer.
+        """
+        return await self._call(address, PULL, request, PullReply)
+
+    async def survey(self, address: str, request: SurveyRequest) -> SurveyReply:
+        """Ask a node which versions a part of its zone routes by.
+
+        :raises NodeError: ``NODE_UNREACHABLE`` if it does not answer.
+        """
+        return await self._call(address, SURVEY, request, SurveyReply)
+
+    async def close(self) -> None:
+        """Close all channels."""
+        for channel in self.channels.values():
+            await channel.close()
+        self.channels.clear()
+
+    async def _call(
+        self, address: str, method: str, request: msgspec.Struct, reply_type: type
+    ) -> Any:
+        data = msgspec.msgpack.encode(request)
+        self.note_traffic("out", "grpc", len(data))
+        try:
+            call = (await self._channel(address)).unary_unary(method)
+            answer = await call(data, timeout=CALL_SECONDS)
+            self.note_traffic("in", "grpc", len(answer))
+            return msgspec.msgpack.decode(answer, type=reply_type)
+        except (grpc.aio.AioRpcError, msgspec.MsgspecError) as error:
+            raise NodeError(f"{address} does not answer", None) from error
+
+    async def _channel(self, address: str) -> grpc.aio.Channel:
+        channel = self.channels.pop(address, None)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(address, OPTIONS)
+        self.channels[address] = channel
+        if len(self.channels) > MAX_CHANNELS:
+            _, oldest = self.channels.popitem(last=False)
+            await oldest.close(CALL_SECONDS)
+        return channel
+
+
+class ControlServer:
+    """Answers pulls and surveys of other nodes over gRPC.
+
+    :param answer_pull: returns the answer to a pull.
+    :param answer_survey: returns the answer to a survey.
+    """
+
+    def __init__(
+        self,
+        answer_pull: Callable[[PullRequest], PullReply],
+        answer_survey: Callable[[SurveyRequest], Awaitable[SurveyReply]],
+        note_traffic: NoteTraffic,
+    ):
+        self.answer_pull = answer_pull
+        self.answer_survey = answer_survey
+        self.note_traffic = note_traffic
+        self.server = grpc.aio.server(options=OPTIONS)
+        handlers = {"Pull": self._pull, "Survey": self._survey}
+        self.server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    SERVICE,
+                    {
+                        name: grpc.unary_unary_rpc_method_handler(handler)
+                        for name, handler in handlers.items()
+                    },
+                ),
+            )
+        )
+
+    async def start(self, address: Address) -> int:
+        """Listen; return the port.
+
+        :raises SettingError: ``SETTING_ADDRESS_IN_USE`` if it cannot be bound.
+        """
+        try:
+            port = self.server.add_insecure_port(str(address))
+        except RuntimeError as error:
+            raise SettingError(
+                f"control: cannot listen on {address}",
+                ResultCode.SETTING_ADDRESS_IN_USE,
+            ) from error
+        await self.server.start()
+        return port
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        await self.server.stop(None)
+
+    async def _pull(self, data: bytes, context: grpc.aio.ServicerContext) -> bytes:
+        request = await self._decode(data, PullRequest, context)
+        return self._encode(self.answer_pull(request))
+
+    async def _survey(self, data: bytes, context: grpc.aio.ServicerContext) -> bytes:
+        request = await self._decode(data, SurveyRequest, context)
+        return self._encode(await self.answer_survey(request))
+
+    async def _decode(
+        self, data: bytes, kind: type, context: grpc.aio.ServicerContext
+    ) -> Any:
+        self.note_traffic("in", "grpc", len(data))
+        try:
+            return msgspec.msgpack.decode(data, type=kind)
+        except msgspec.MsgspecError as error:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+
+    def _encode(self, reply: msgspec.Struct) -> bytes:
+        data = msgspec.msgpack.encode(reply)
+        self.note_traffic("out", "grpc", len(data))
+        return data
--- /dev/null
+++ b/src/daisylink/process/_zones.py
@@ -0,0 +1,90 @@
+"""Watches the other zones from the first nodes of the own zone.
+
+The first two nodes of a zone's ring ping the first two of every other zone. The pings
+carry version numbers and directory digests, so a zone that was cut off catches up with
+the first ping that comes through.
+"""
+
+import random
+from datetime import timedelta
+from typing import NamedTuple
+
+from daisylink.process._directory import Directory
+from daisylink.process._events import Send
+from daisylink.process._messages import Ping
+
+
+class ZoneSettings(NamedTuple):
+    """Times of the watch over other zones.
+
+    :param delegates: first nodes of a zone's ring that speak for it.
+    :param silence: after how long without an answer a zone counts as cut off.
+    """
+
+    delegates: int = 2
+    period: timedelta = timedelta(seconds=1)
+    silence: timedelta = timedelta(seconds=5)
+
+
+class ZoneWatch:
+    """Pings other zones and knows which of them answer.
+
+    :param directory: where the nodes of each zone are found.
+    """
+
+    def __init__(
+        self, settings: ZoneSettings, directory: Directory, rng: random.Random
+    ):
+        self.delegates = settings.delegates
+        self.period = settings.period.total_seconds()
+        self.silence = settings.silence.total_seconds()
+        self.directory = directory
+        self.rng = rng
+        self.wake_at = 0.0
+        self.heard_at: dict[str, float] = {}
+
+    @property
+    def is_delegate(self) -> bool:
+        """Return whether the own node speaks for its zone."""
+        return self.directory.rank() < self.delegates
+
+    def start(self, now: float) -> None:
+        """Spread the first ping over a period."""
+        self.wake_at = now + self.rng.uniform(0, self.period)
+
+    def tick(self, now: float, number: int) -> list[Send]:
+        """Return the pings that are due.
+
+        :param number: number of the version in force.
+        """
+        if now < self.wake_at:
+            return []
+        self.wake_at = now + self.period
+        if not self.is_delegate:
+            self.heard_at.clear()
+            return []
+        own = self.directory.own
+        sends = []
+        for zone in self.directory.zones():
+            if zone == own.zone:
+                continue
+            self.heard_at.setdefault(zone, now)
+            ring = self.directory.zone_ring(zone)
+            _, target = self.rng.choice(ring[: self.delegates])
+            ping = Ping(0, own.node, number, self.directory.digest)
+            sends.append(Send(target, ping))
+        return sends
+
+    def note_heard(self, node: str, now: float) -> None:
+        """Note that a node of another zone was heard."""
+        record = self.directory.records.get(node)
+        if record is not None and record.zone != self.directory.own.zone:
+            self.heard_at[record.zone] = now
+
+    def silent_zones(self, now: float) -> frozenset[str]:
+        """Return the zones that have not answered for a while."""
+        return frozenset(
+            zone
+            for zone, heard_at in self.heard_at.items()
+            if now - heard_at > self.silence
+        )
--- /dev/null
+++ b/src/daisylink/request/_attempts.py
@@ -0,0 +1,132 @@
+"""Decides, for one request, whether to try, try again or give up."""
+
+from dataclasses import dataclass
+
+from daisylink.errors import ResultCode
+from daisylink.request._outcome import Refusal, refuse
+from daisylink.request._plan import RequestPlan
+
+MAX_ATTEMPTS = 4
+DEFAULT_RETRY_MS = 500
+
+
+@dataclass(frozen=True)
+class Begin:
+    """Event: the request was planned."""
+
+
+@dataclass(frozen=True)
+class TurnedDown:
+    """Event: the next hop certainly did not run the request."""
+
+    code: ResultCode
+    retry_ms: int = 0
+
+
+@dataclass(frozen=True)
+class Lost:
+    """Event: the next hop went away, and may have run the request."""
+
+
+@dataclass(frozen=True)
+class DeadlinePassed:
+    """Event: the deadline has passed.
+
+    :param may_have_run: whether a hop may have begun the request.
+    """
+
+    may_have_run: bool
+
+
+@dataclass(frozen=True)
+class NoServer:
+    """Event: there is no backend server left to try."""
+
+
+Event = Begin | TurnedDown | Lost | DeadlinePassed | NoServer
+
+
+@dataclass(frozen=True)
+class Try:
+    """Action: choose a backend server and send the request."""
+
+
+@dataclass(frozen=True)
+class GiveUp:
+    """Action: answer the caller at once."""
+
+    refusal: Refusal
+
+
+Action = Try | GiveUp
+
+
+class RetryBudget:
+    """Bounds retries to a share of first attempts.
+
+    :param ratio: retries earned by a first attempt.
+    :param burst: retries that can be saved up.
+    """
+
+    def __init__(self, ratio: float = 0.2, burst: float = 10.0):
+        self.ratio = ratio
+        self.burst = burst
+        self.tokens = burst
+
+    def earn(self) -> None:
+        """Count a first attempt."""
+        self.tokens = min(self.burst, self.tokens + self.ratio)
+
+    def spend(self) -> bool:
+        """Take a retry from the budget; return whether there was one."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class Attempts:
+    """The attempts of one request.
+
+    An idempotent request is tried again after any loss, another one only when it
+    certainly was not run; both within the deadline and under the budget.
+
+    :param budget: the node's budget of retries.
+    """
+
+    def __init__(self, plan: RequestPlan, budget: RetryBudget):
+        self.plan = plan
+        self.budget = budget
+        self.count = 0
+        self.last = refuse(ResultCode.REQUEST_NO_SERVER, DEFAULT_RETRY_MS)
+
+    def handle(self, event: Event, replayable: bool = True) -> Action:
+        """Take an event and return what is to be done.
+
+        :param replayable: whether the request can be sent again from its start.
+        """
+        match event:
+            case Begin():
+                self.budget.earn()
+                self.count = 1
+                return Try()
+            case TurnedDown(code, retry_ms):
+                self.last = refuse(code, retry_ms or DEFAULT_RETRY_MS)
+                return self._try_again(replayable)
+            case Lost():
+                self.last = refuse(ResultCode.REQUEST_ANSWER_LOST)
+                return self._try_again(replayable and self.plan.idempotent)
+            case DeadlinePassed(may_have_run):
+                if may_have_run:
+                    return GiveUp(refuse(ResultCode.REQUEST_DEADLINE_UNKNOWN))
+                return GiveUp(
+                    refuse(ResultCode.REQUEST_DEADLINE_NOT_RUN, DEFAULT_RETRY_MS)
+                )
+            case NoServer():
+                return GiveUp(self.last)
+
+    def _try_again(self, allowed: bool) -> Action:
+        if not allowed or self.count >= MAX_ATTEMPTS or not self.budget.spend():
+            return GiveUp(self.last)
+        self.count += 1
+        return Try()
--- /dev/null
+++ b/src/daisylink/request/_exchange.py
@@ -0,0 +1,492 @@
+"""One request from its head to its answer.
+
+An :class:`Exchange` joins a caller's connection with the connection to the next hop.
+It asks the decision objects what to do and moves bytes; it decides nothing itself.
+"""
+
+import asyncio
+from http import HTTPStatus
+from typing import Any
+
+from daisylink.errors import ResultCode
+from daisylink.request._attempts import (
+    Action,
+    Attempts,
+    Begin,
+    DeadlinePassed,
+    GiveUp,
+    Lost,
+    NoServer,
+    Try,
+    TurnedDown,
+)
+from daisylink.request._decision import Admitted, Queued, Refused
+from daisylink.request._head import (
+    DEADLINE_HEADER,
+    DEPTH_HEADER,
+    HOP_HEADER,
+    LOAD_HEADER,
+    OWN_PREFIX,
+    SHED_HEADER,
+    Header,
+    Hop,
+    RequestHead,
+    build_hop_head,
+    encode_hop,
+    find_dropped,
+)
+from daisylink.request._outcome import (
+    CODE_HEADER,
+    OUTCOME_HEADER,
+    RETRY_HEADER,
+    Outcome,
+    Refusal,
+    encode_refusal,
+    refuse,
+)
+from daisylink.request._plan import RequestPlan, plan_relayed, plan_request
+
+REPLAY_BYTES = 64 * 1024
+HOP_MARGIN_MS = 5
+MILLISECONDS = 1000
+LAST_CHUNK = b"0\r\n\r\n"
+PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+class Exchange:
+    """One request and its answer.
+
+    :param gateway: the process's :class:`~daisylink.process.Gateway`.
+    :param caller: connection that the request came on.
+    :param keep_alive: whether the caller's connection stays open.
+    """
+
+    def __init__(
+        self,
+        gateway: Any,
+        caller: Any,
+        head: RequestHead,
+        keep_alive: bool,
+        is_old_http: bool,
+    ):
+        self.gateway = gateway
+        self.caller = caller
+        self.head = head
+        self.keep_alive = keep_alive
+        self.is_old_http = is_old_http
+        self.is_relay = head.hop is not None
+        self.started_at = gateway.now()
+        self.plan: RequestPlan | None = None
+        self.attempts: Attempts | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.tried: set[str] = set()
+        self.target = ""
+        self.attempt = 0
+        self.hop: Any = None
+        self.is_connecting = False
+        self.slot_since: float | None = None
+        self.is_queued = False
+        self.head_sent = False
+        self.body: list[bytes] = []
+        self.body_bytes = 0
+        self.kept_bytes = 0
+        self.replayable = True
+        self.body_done = False
+        self.continued = False
+        self.swallowed: Refusal | None = None
+        self.answering = False
+        self.status = 0
+        self.answer_chunked = False
+        self.out: list[bytes] = []
+        self.done = False
+
+    # From the caller
+
+    def start(self) -> None:
+        """Plan the request and make the first attempt."""
+        now = self.gateway.now()
+        if self.is_relay:
+            plan = plan_relayed(self.head, now)
+        else:
+            plan = plan_request(self.head, self.gateway.version, now)
+        if isinstance(plan, Refusal):
+            self._answer_refusal(plan)
+            return
+        self.plan = plan
+        if plan.deadline <= now:
+            self._answer_refusal(refuse(ResultCode.REQUEST_DEADLINE_NOT_RUN))
+            return
+        if self.body_bytes > plan.body_limit:
+            self._answer_refusal(refuse(ResultCode.REQUEST_BODY_TOO_LARGE))
+            return
+        self.attempts = Attempts(plan, self.gateway.budget)
+        self.timer = self.gateway.loop.call_later(
+            plan.deadline - now, self._on_deadline
+        )
+        self._act(self.attempts.handle(Begin()))
+
+    def take_body(self, data: bytes) -> None:
+        """Take a piece of the request's body."""
+        if self.done:
+            return
+        self.body_bytes += len(data)
+        if self.plan is not None and self.body_bytes > self.plan.body_limit:
+            self.fail(ResultCode.REQUEST_BODY_TOO_LARGE)
+            return
+        if self.head.length is None:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        if self.hop is not None:
+            self.hop.push(data)
+        if self.replayable or self.hop is None:
+            self.body.append(data)
+            self.kept_bytes += len(data)
+            self._trim_body()
+
+    def end_body(self) -> None:
+        """Note the end of the request's body."""
+        self.body_done = True
+        if self.done or self.head.length is not None:
+            return
+        if self.hop is not None:
+            self.hop.push(LAST_CHUNK)
+        self.body.append(LAST_CHUNK)
+
+    def flush_body(self) -> None:
+        """Write to the next hop what :meth:`take_body` collected."""
+        if self.hop is not None:
+            self.hop.flush()
+
+    @property
+    def wants_body(self) -> bool:
+        """Return whether more of the body may be read now."""
+        return self.hop is not None or self.kept_bytes < REPLAY_BYTES
+
+    def fail(self, code: ResultCode) -> None:
+        """Give the request up for a fault of its caller."""
+        if self.done:
+            return
+        if self.answering:
+            self.abort()
+            return
+        refusal = refuse(code)
+        if self.head_sent:
+            refusal = refusal._replace(outcome=Outcome.UNKNOWN)
+        self.keep_alive = False
+        self._answer_refusal(refusal)
+
+    def cancel(self) -> None:
+        """Stop: the caller has gone."""
+        if self.done:
+            return
+        self.done = True
+        self._release()
+        self.gateway.note_cancelled(self)
+
+    def abort(self) -> None:
+        """Cut the caller off: the rest of its answer is lost."""
+        if self.done:
+            return
+        self.done = True
+        self._release()
+        self.gateway.note_cut(self)
+        self.caller.cut()
+
+    # Attempts
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case Try():
+                self._try()
+            case GiveUp(refusal):
+                self._answer_refusal(refusal)
+
+    def _try(self) -> None:
+        self.attempt += 1
+        gateway = self.gateway
+        own = gateway.own
+        if self.is_relay:
+            if own.pool != self.plan.pool:
+                self._turn_down(ResultCode.REQUEST_WRONG_NODE)
+                return
+            self._try_own()
+            return
+        record = gateway.choose(self.plan, self.tried)
+        if record is None:
+            self._act(self.attempts.handle(NoServer()))
+            return
+        self.target = record.node
+        gateway.chooser.begin(record.node)
+        if record.node == own.node:
+            self._try_own()
+        else:
+            self._connect(record.relay)
+
+    def _try_own(self) -> None:
+        gateway = self.gateway
+        plan = self.plan
+        match gateway.arrive(self, plan):
+            case Admitted():
+                self.run_own()
+            case Queued():
+                self.is_queued = True
+            case Refused(code, retry_ms):
+                self._turn_down(code, retry_ms)
+
+    def run_own(self) -> None:
+        """Send the request to the own backend server: a slot is held for it."""
+        self.is_queued = False
+        self.slot_since = self.gateway.now()
+        if self.head.expects_continue and not self.continued:
+            self.send_continue()
+        self._connect(self.gateway.server_address)
+
+    def turn_down(self, code: ResultCode, retry_ms: int = 0) -> None:
+        """Take the request out of the own queue."""
+        self.is_queued = False
+        self._turn_down(code, retry_ms)
+
+    def _connect(self, address: str) -> None:
+        hop = self.gateway.hops.take(address)
+        if hop is not None:
+            self._attach(hop)
+            return
+        self.is_connecting = True
+        self.gateway.hops.open(address, self, self.attempt)
+
+    def take_connection(self, hop: Any, attempt: int) -> bool:
+        """Use a new connection, if the attempt that asked for it still stands."""
+        if self.done or attempt != self.attempt or not self.is_connecting:
+            return False
+        self.is_connecting = False
+        self._attach(hop)
+        return True
+
+    def take_connect_failure(self, attempt: int) -> None:
+        """Note that no connection could be opened."""
+        if self.done or attempt != self.attempt or not self.is_connecting:
+            return
+        self.is_connecting = False
+        if self.slot_since is not None:
+            self.gateway.note_server_unreachable()
+        self._note_failure()
+        self._turn_down(ResultCode.REQUEST_CONNECT_FAILED)
+
+    def _attach(self, hop: Any) -> None:
+        self.hop = hop
+        self.head_sent = True
+        self.swallowed = None
+        hop.begin(self, self.head.method == b"HEAD")
+        hop.push(self._make_hop_head())
+        for piece in self.body:
+            hop.push(piece)
+        hop.flush()
+        self._trim_body()
+        self.caller.resume()
+
+    def _make_hop_head(self) -> bytes:
+        left = self.plan.deadline - self.gateway.now()
+        left_ms = max(1, round(left * MILLISECONDS))
+        depth = self.head.depth
+        if self.slot_since is not None:
+            extra = [
+                (DEADLINE_HEADER, b"%d" % left_ms),
+                (DEPTH_HEADER, b"%d" % (depth + 1)),
+            ]
+            return build_hop_head(self.head, extra)
+        plan = self.plan
+        left_ms = max(1, left_ms - HOP_MARGIN_MS)
+        hop = Hop(plan.pool, left_ms, plan.idempotent, plan.priority)
+        extra = [(HOP_HEADER, encode_hop(hop)), (DEPTH_HEADER, b"%d" % depth)]
+        expect = self.head.expects_continue and not self.continued
+        return build_hop_head(self.head, extra, expect)
+
+    def _trim_body(self) -> None:
+        """Drop the kept body once it is too long to be sent again."""
+        if self.hop is not None and self.kept_bytes > REPLAY_BYTES:
+            self.replayable = False
+            self.body.clear()
+
+    def _turn_down(self, code: ResultCode, retry_ms: int = 0) -> None:
+        """Note a certain refusal and go on."""
+        if self.target:
+            self.tried.add(self.target)
+        self._end_attempt()
+        self.head_sent = False
+        if self.is_relay:
+            self._answer_refusal(refuse(code, retry_ms))
+            return
+        self._act(self.attempts.handle(TurnedDown(code, retry_ms), self.replayable))
+
+    def _lose(self) -> None:
+        """Note that the next hop may have run the request, and go on."""
+        if self.target:
+            self.tried.add(self.target)
+        self._note_failure()
+        self._end_attempt()
+        if self.is_relay:
+            self._answer_refusal(refuse(ResultCode.REQUEST_ANSWER_LOST))
+            return
+        self._act(self.attempts.handle(Lost(), self.replayable))
+
+    def _note_failure(self) -> None:
+        if self.target:
+            self.gateway.chooser.note_failure(self.target, self.gateway.now())
+
+    def _end_attempt(self) -> None:
+        """Give back what the attempt held."""
+        if self.target:
+            self.gateway.chooser.end(self.target)
+            self.target = ""
+        if self.is_queued:
+            self.is_queued = False
+            self.gateway.admission.withdraw(self)
+        hop, self.hop = self.hop, None
+        if hop is not None:
+            hop.drop()
+        self.is_connecting = False
+        slot_since, self.slot_since = self.slot_since, None
+        if slot_since is not None:
+            self.gateway.free_slot(slot_since)
+
+    def _on_deadline(self) -> None:
+        if self.answering or self.done:
+            return
+        self._note_failure()
+        self._act(self.attempts.handle(DeadlinePassed(self.head_sent)))
+
+    # From the next hop
+
+    def send_continue(self) -> None:
+        """Tell the caller to send its body."""
+        if self.head.expects_continue and not self.continued and not self.answering:
+            self.continued = True
+            self.caller.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def take_answer_head(
+        self, status: int, headers: list[Header], length: int | None, bodiless: bool
+    ) -> None:
+        """Take the head of the next hop's answer.
+
+        :param length: length of the body in bytes, None if not stated.
+        :param bodiless: whether the answer has no body.
+        """
+        self.swallowed = self._find_refusal(status, headers)
+        if self.swallowed is not None:
+            return
+        self.answering = True
+        self.status = status
+        lines = [b"HTTP/1.1 %d %b" % (status, PHRASES.get(status, b""))]
+        dropped = find_dropped(headers)
+        for name, value in headers:
+            if name not in dropped and not name.startswith(OWN_PREFIX):
+                lines.append(name + b": " + value)
+        if length is not None:
+            lines.append(b"content-length: %d" % length)
+        elif not bodiless and not self.is_old_http:
+            self.answer_chunked = True
+            lines.append(b"transfer-encoding: chunked")
+        elif not bodiless:
+            self.keep_alive = False
+        if self.is_relay:
+            lines.append(LOAD_HEADER + b": " + self.gateway.load_text())
+        if not self.keeps_caller:
+            lines.append(b"connection: close")
+        self.out.append(b"\r\n".join(lines) + b"\r\n\r\n")
+
+    @property
+    def keeps_caller(self) -> bool:
+        """Return whether the caller's connection stays open after the answer."""
+        if self.head.expects_continue and not self.continued and not self.body_done:
+            return False
+        return self.keep_alive and not self.gateway.stopping
+
+    def _find_refusal(self, status: int, headers: list[Header]) -> Refusal | None:
+        """Return the refusal that an answer stands for, if it is one."""
+        if self.slot_since is not None:
+            is_shed = status == HTTPStatus.SERVICE_UNAVAILABLE and any(
+                name == SHED_HEADER and value == b"not-run" for name, value in headers
+            )
+            return refuse(ResultCode.REQUEST_SHED_BY_SERVER) if is_shed else None
+        values = {name: value for name, value in headers if name.startswith(OWN_PREFIX)}
+        load = values.get(LOAD_HEADER)
+        if load is not None:
+            self.gateway.note_load(self.target, load)
+        if CODE_HEADER not in values:
+            return None
+        return Refusal(
+            ResultCode(int(values[CODE_HEADER])),
+            Outcome(values[OUTCOME_HEADER].decode()),
+            int(values.get(RETRY_HEADER, b"0")),
+        )
+
+    def take_answer_body(self, data: bytes) -> None:
+        """Take a piece of the answer's body."""
+        if self.swallowed is not None:
+            return
+        if self.answer_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self.out.append(data)
+
+    def flush_answer(self) -> None:
+        """Write to the caller what came from the next hop."""
+        if self.out and not self.done:
+            data = b"".join(self.out)
+            self.out.clear()
+            self.caller.write(data)
+
+    def end_answer(self, hop: Any, reusable: bool) -> None:
+        """Note the whole answer."""
+        if reusable and self.body_done:
+            self.hop = None
+            self.gateway.hops.give_back(hop)
+        refusal = self.swallowed
+        if refusal is not None:
+            self._take_refusal(refusal)
+            return
+        if self.target:
+            self.gateway.chooser.note_success(self.target)
+        if self.answer_chunked:
+            self.caller.write(LAST_CHUNK)
+        self.gateway.note_answered(self)
+        self._finish()
+
+    def _take_refusal(self, refusal: Refusal) -> None:
+        if refusal.outcome is Outcome.NOT_RUN:
+            self._turn_down(refusal.code, refusal.retry_ms)
+        else:
+            self._lose()
+
+    def lose_hop(self) -> None:
+        """Note that the next hop's connection was lost before the whole answer."""
+        self.hop = None
+        if self.done:
+            return
+        if self.answering:
+            self._note_failure()
+            self.abort()
+        else:
+            self._lose()
+
+    # The end
+
+    def _answer_refusal(self, refusal: Refusal) -> None:
+        close = not self.keeps_caller
+        data = encode_refusal(refusal, close)
+        if self.head.method == b"HEAD":
+            data = data[: data.index(b"\r\n\r\n") + 4]
+        self.caller.write(data)
+        self.gateway.note_refused(self, refusal)
+        self._finish()
+
+    def _finish(self) -> None:
+        if self.done:
+            return
+        self.done = True
+        self._release()
+        self.caller.finish(self, self.keeps_caller)
+
+    def _release(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.body.clear()
+        self._end_attempt()
--- /dev/null
+++ b/src/daisylink/request/_head.py
@@ -0,0 +1,170 @@
+"""The head of a request, and the heads that are made of it for the next hop."""
+
+from typing import NamedTuple
+
+from daisylink.errors import RequestError, ResultCode
+from daisylink.version import Priority
+
+DEADLINE_HEADER = b"daisylink-deadline-ms"
+DEPTH_HEADER = b"daisylink-depth"
+HOP_HEADER = b"daisylink-hop"
+LOAD_HEADER = b"daisylink-load"
+SHED_HEADER = b"daisylink-shed"
+OWN_PREFIX = b"daisylink-"
+MAX_DEADLINE_DIGITS = 9
+
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+Header = tuple[bytes, bytes]
+
+
+class RequestHead(NamedTuple):
+    """Request line and headers as they came.
+
+    :param headers: names in lower case, without those of the connection.
+    :param length: length of the body in bytes, None if chunked.
+    """
+
+    method: bytes
+    target: bytes
+    host: str
+    headers: tuple[Header, ...]
+    length: int | None
+    expects_continue: bool
+    deadline_ms: int | None
+    depth: int
+    hop: "Hop | None"
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+class Hop(NamedTuple):
+    """What an entry node tells the node beside the chosen backend server."""
+
+    pool: str
+    deadline_ms: int
+    idempotent: bool
+    priority: Priority
+
+
+def parse_head(
+    method: bytes, target: bytes, headers: list[Header], is_relay: bool
+) -> RequestHead:
+    """Check the parts of a head and sort out the headers that end here.
+
+    :param headers: names in lower case.
+    :param is_relay: whether another node sent it, whose own headers count.
+    :raises RequestError: if the head is ambiguous or names no host.
+    """
+    dropped = find_dropped(headers)
+    host = length = deadline = depth = hop = None
+    chunked = expects = False
+    kept: list[Header] = []
+    for name, value in headers:
+        if name == b"host":
+            if host is not None:
+                raise RequestError("two Host headers")
+            host = value
+        elif name == b"content-length":
+            length = int(value)
+        elif name == b"transfer-encoding":
+            chunked = True
+        elif name == b"expect":
+            expects = value.lower() == b"100-continue"
+        elif name.startswith(OWN_PREFIX):
+            if name == DEADLINE_HEADER:
+                deadline = _parse_number(value)
+            elif name == DEPTH_HEADER:
+                depth = _parse_number(value)
+            elif name == HOP_HEADER and is_relay:
+                hop = decode_hop(value)
+            continue
+        kept.append((name, value))
+    if host is None:
+        raise RequestError("no Host header")
+    if is_relay and hop is None:
+        raise RequestError("no hop header")
+    return RequestHead(
+        method,
+        target,
+        host.decode("latin-1"),
+        tuple(item for item in kept if item[0] not in dropped),
+        None if chunked else length or 0,
+        expects,
+        deadline,
+        depth or 0,
+        hop,
+    )
+
+
+def build_hop_head(
+    head: RequestHead, extra: list[Header], expect: bool = False
+) -> bytes:
+    """Return the bytes of the request's head for the next hop.
+
+    :param extra: headers that this node adds.
+    :param expect: whether the next hop is to say when it wants the body.
+    """
+    lines = [head.method + b" " + head.target + b" HTTP/1.1"]
+    lines += [name + b": " + value for name, value in head.headers]
+    lines += [name + b": " + value for name, value in extra]
+    if head.length is None:
+        lines.append(b"transfer-encoding: chunked")
+    elif head.length or head.method not in (b"GET", b"HEAD"):
+        lines.append(b"content-length: %d" % head.length)
+    if expect:
+        lines.append(b"expect: 100-continue")
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def encode_hop(hop: Hop) -> bytes:
+    """Return the value of the hop header."""
+    kind = "i" if hop.idempotent else "n"
+    return f"{hop.pool} {hop.deadline_ms} {kind} {hop.priority.value}".encode()
+
+
+def decode_hop(value: bytes) -> Hop:
+    """Decode the value of the hop header.
+
+    :raises RequestError: if it is not one.
+    """
+    try:
+        pool, deadline_ms, kind, priority = value.decode("ascii").split(" ")
+        return Hop(pool, int(deadline_ms), kind == "i", Priority(priority))
+    except ValueError as error:
+        raise RequestError("bad hop header") from error
+
+
+def find_dropped(headers: list[Header]) -> frozenset[bytes]:
+    """Return the names of headers that concern one connection only."""
+    dropped = CONNECTION_HEADERS
+    for name, value in headers:
+        if name == b"connection":
+            named = (item.strip().lower() for item in value.split(b","))
+            dropped = dropped.union(
+                item for item in named if item not in (b"host", b"")
+            )
+    return dropped
+
+
+def _parse_number(value: bytes) -> int:
+    if not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
+        raise RequestError("bad number in a header", ResultCode.REQUEST_MALFORMED)
+    return int(value)
--- /dev/null
+++ b/src/daisylink/request/_outcome.py
@@ -0,0 +1,90 @@
+"""Refusals: the answers that daisylink itself gives instead of a backend server's."""
+
+from enum import StrEnum
+from http import HTTPStatus
+from typing import NamedTuple
+
+import msgspec
+
+from daisylink.errors import CODE_TABLE, ResultCode
+
+CODE_HEADER = b"daisylink-code"
+OUTCOME_HEADER = b"daisylink-outcome"
+RETRY_HEADER = b"daisylink-retry-after-ms"
+MILLISECONDS = 1000
+
+
+class Outcome(StrEnum):
+    """Whether a refused request was run."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+STATUS_BY_CODE: dict[ResultCode, HTTPStatus] = {
+    ResultCode.REQUEST_MALFORMED: HTTPStatus.BAD_REQUEST,
+    ResultCode.REQUEST_HEAD_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    ResultCode.REQUEST_BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    ResultCode.REQUEST_CALLER_TOO_SLOW: HTTPStatus.REQUEST_TIMEOUT,
+    ResultCode.REQUEST_NO_ROUTE: HTTPStatus.NOT_FOUND,
+    ResultCode.REQUEST_METHOD: HTTPStatus.METHOD_NOT_ALLOWED,
+    ResultCode.REQUEST_DEADLINE_NOT_RUN: HTTPStatus.GATEWAY_TIMEOUT,
+    ResultCode.REQUEST_DEADLINE_UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
+    ResultCode.REQUEST_ANSWER_LOST: HTTPStatus.BAD_GATEWAY,
+    ResultCode.REQUEST_TOO_DEEP: HTTPStatus.LOOP_DETECTED,
+}
+UNKNOWN_CODES = frozenset(
+    {ResultCode.REQUEST_DEADLINE_UNKNOWN, ResultCode.REQUEST_ANSWER_LOST}
+)
+
+
+class Refusal(NamedTuple):
+    """A final answer that no backend server gave.
+
+    :param retry_ms: when the caller may come back, 0 if it need not.
+    """
+
+    code: ResultCode
+    outcome: Outcome
+    retry_ms: int = 0
+
+    @property
+    def status(self) -> HTTPStatus:
+        """Return the HTTP status that goes with the code."""
+        return STATUS_BY_CODE.get(self.code, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def refuse(code: ResultCode, retry_ms: int = 0) -> Refusal:
+    """Return the refusal of a code, with the outcome that the code stands for."""
+    is_unknown = code in UNKNOWN_CODES
+    return Refusal(code, Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN, retry_ms)
+
+
+def encode_refusal(refusal: Refusal, close: bool) -> bytes:
+    """Return the HTTP/1.1 answer of a refusal.
+
+    :param close: whether the connection closes after it.
+    """
+    body = msgspec.json.encode(
+        {
+            "code": int(refusal.code),
+            "outcome": refusal.outcome.value,
+            "message": CODE_TABLE[refusal.code].meaning,
+            "retry_after_ms": refusal.retry_ms,
+        }
+    )
+    status = refusal.status
+    lines = [
+        b"HTTP/1.1 %d %s" % (status, status.phrase.encode()),
+        b"content-type: application/json",
+        b"content-length: %d" % len(body),
+        b"%s: %d" % (CODE_HEADER, refusal.code),
+        b"%s: %s" % (OUTCOME_HEADER, refusal.outcome.value.encode()),
+    ]
+    if refusal.retry_ms:
+        seconds = -(-refusal.retry_ms // MILLISECONDS)
+        lines.append(b"retry-after: %d" % seconds)
+        lines.append(b"%s: %d" % (RETRY_HEADER, refusal.retry_ms))
+    if close:
+        lines.append(b"connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- /dev/null
+++ b/src/daisylink/settings.py
@@ -0,0 +1,99 @@
+"""Settings of the programs, checked as a whole before anything starts."""
+
+import ipaddress
+import re
+from datetime import timedelta
+from typing import NamedTuple
+
+from daisylink.errors import SettingError
+
+ZONE_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,30}[a-z0-9])?")
+MAX_PORT = 65535
+
+
+class Address(NamedTuple):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def from_text(cls, text: str, setting: str) -> "Address":
+        """Parse ``ip:port``.
+
+        :param setting: name of the setting, for the error.
+        :raises SettingError: if it is not an IP number and a port.
+        """
+        host, _, port = text.rpartition(":")
+        try:
+            ipaddress.ip_address(host)
+        except ValueError as error:
+            message = f"{setting}: {text!r} is not ip:port"
+            raise SettingError(message) from error
+        if not port.isdigit() or int(port) > MAX_PORT:
+            raise SettingError(f"{setting}: {port!r} is not a port")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class NodeSettings(NamedTuple):
+    """Settings of ``daisylink-node``.
+
+    :param zone: availability zone of the instance.
+    :param callers: where callers' requests come in.
+    :param relay: where other nodes' requests come in; its IP number is told to them.
+    :param control: where other nodes' control messages come in, datagrams and gRPC.
+    :param admin: where the own backend server and operators talk to the node.
+    :param platform: address of the platform's key-value service.
+    :param peers: control addresses to ask first; needed only when the platform is out.
+    :param grace: how long a planned stop waits for requests in flight.
+    :param drain: how long a planned stop goes on serving after it has told the fleet.
+    """
+
+    zone: str
+    callers: Address
+    relay: Address
+    control: Address
+    admin: Address
+    platform: Address
+    peers: tuple[str, ...] = ()
+    grace: timedelta = timedelta(seconds=20)
+    drain: timedelta = timedelta(seconds=1)
+
+    @classmethod
+    def from_config(cls, config: dict[str, str | float | None]) -> "NodeSettings":
+        """Check and convert the values of flags and environment variables.
+
+        :raises SettingError: naming the first setting that is not valid.
+        """
+        zone = str(config["zone"] or "")
+        if not ZONE_PATTERN.fullmatch(zone):
+            raise SettingError(f"zone: {zone!r} is not an availability zone's name")
+        names = ("callers", "relay", "control", "admin", "platform")
+        addresses = {name: Address.from_text(str(config[name]), name) for name in names}
+        peers = [item for item in str(config["peers"] or "").split(",") if item]
+        for peer in peers:
+            Address.from_text(peer, "peers")
+        return cls(
+            zone=zone,
+            peers=tuple(peers),
+            grace=parse_seconds(config["grace"], "grace"),
+            drain=parse_seconds(config["drain"], "drain"),
+            **addresses,
+        )
+
+
+def parse_seconds(value: float | str | None, setting: str) -> timedelta:
+    """Return a duration given in seconds.
+
+    :raises SettingError: if it is not a number from 0 to 3600.
+    """
+    try:
+        seconds = float(value or 0)
+    except ValueError as error:
+        raise SettingError(f"{setting}: {value!r} is not a number") from error
+    if not 0 <= seconds <= 3600:
+        raise SettingError(f"{setting}: {seconds:g} s is not from 0 to 3600 s")
+    return timedelta(seconds=seconds)
--- /dev/null
+++ b/src/daisylink/standin/__init__.py
@@ -0,0 +1,20 @@
+"""Stand-ins for the outside systems: the platform, backend servers and callers."""
+
+from daisylink.standin._backend import BackendServer, BackendSettings
+from daisylink.standin._caller import Answer, Caller
+from daisylink.standin._fleet import LocalFleet, Place
+from daisylink.standin._platform import PlatformServer, PlatformSettings
+from daisylink.standin._store import MemoryStore, StoreFaults
+
+__all__ = [
+    "Answer",
+    "BackendServer",
+    "BackendSettings",
+    "Caller",
+    "LocalFleet",
+    "MemoryStore",
+    "Place",
+    "PlatformServer",
+    "PlatformSettings",
+    "StoreFaults",
+]
--- /dev/null
+++ b/src/daisylink/standin/_backend.py
@@ -0,0 +1,362 @@
+"""Stand-in backend server: runs requests in slots and misbehaves when told to."""
+
+import asyncio
+import hashlib
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+import httptools
+import httpx
+import msgspec
+
+from daisylink.logs import get_logger
+
+ANNOUNCE_SECONDS = 1.5
+ANNOUNCE_TIMEOUT_SECONDS = 1.0
+MILLISECONDS = 1000
+KEPT_REPORTS = 600
+ID_HEADER = b"x-request-id"
+SLEEP_HEADER = b"x-standin-sleep-ms"
+CRASH_HEADER = b"x-standin-crash"
+SIZE_HEADER = b"x-standin-answer-bytes"
+DEADLINE_HEADER = b"daisylink-deadline-ms"
+PIECE_BYTES = 16 * 1024
+
+log = get_logger("backend")
+
+
+class BackendSettings(NamedTuple):
+    """Settings of the stand-in.
+
+    :param admin: admin address of the node in its slot, empty for none.
+    :param service_ms: time that a request takes.
+    :param cold_ms: time after the start during which it only says "starting".
+    """
+
+    pool: str
+    host: str = "127.0.0.1"
+    port: int = 0
+    admin: str = ""
+    slots: int = 10
+    connections: int = 110
+    service_ms: float = 0.0
+    cold_ms: float = 0.0
+
+
+class Behaviour(msgspec.Struct):
+    """Switches of the stand-in.
+
+    :param shed: refuse requests beyond the slots, unrun.
+    :param health_lag_ms: age of what health and load show.
+    :param false_load: load shown whatever the truth, if not negative.
+    :param renew: whether it goes on announcing itself.
+    """
+
+    shed: bool = True
+    healthy: bool = True
+    health_lag_ms: int = 0
+    false_load: float = -1.0
+    renew: bool = True
+    service_ms: float = 0.0
+
+
+class LoadReport(NamedTuple):
+    """Load at a time."""
+
+    at: float
+    load: float
+    healthy: bool
+
+
+class BackendServer:
+    """The stand-in and its connections.
+
+    :param crash: called when a request is to crash the process.
+    """
+
+    def __init__(self, settings: BackendSettings, crash: Callable[[], None]):
+        self.settings = settings
+        self.crash = crash
+        self.behaviour = Behaviour(service_ms=settings.service_ms)
+        self.loop = asyncio.get_running_loop()
+        self.connections: set[BackendConnection] = set()
+        self.in_use = 0
+        self.runs: Counter[str] = Counter()
+        self.finished: Counter[str] = Counter()
+        self.cancelled = 0
+        self.shed = 0
+        self.reports: deque[LoadReport] = deque(maxlen=KEPT_REPORTS)
+        self.draining = False
+        self.started_at = self.loop.time()
+        self.server: asyncio.Server | None = None
+        self.announcer: asyncio.Task | None = None
+        self.client = httpx.AsyncClient(
+            timeout=ANNOUNCE_TIMEOUT_SECONDS, trust_env=False
+        )
+
+    @property
+    def address(self) -> str:
+        """Return the address listened on as ``ip:port``."""
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    @property
+    def state(self) -> str:
+        """Return the state that announcements give."""
+        if self.draining:
+            return "draining"
+        age_ms = (self.loop.time() - self.started_at) * MILLISECONDS
+        return "starting" if age_ms < self.settings.cold_ms else "serving"
+
+    async def start(self) -> None:
+        """Listen, and announce to the node in the slot."""
+        self.server = await self.loop.create_server(
+            lambda: BackendConnection(self), self.settings.host, self.settings.port
+        )
+        if self.settings.admin:
+            self.announcer = self.loop.create_task(self._announce_on())
+        log.info("serving {} on {}", self.settings.pool, self.address)
+
+    async def drain(self) -> None:
+        """Tell the node that no new work is wanted."""
+        self.draining = True
+        await self.announce()
+
+    async def leave(self) -> None:
+        """Finish what runs, then leave."""
+        await self.drain()
+        while self.in_use:
+            await asyncio.sleep(0.01)
+        await self._call("DELETE", "/v1/server")
+        await self.close()
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        self.kill()
+        await self.client.aclose()
+
+    def kill(self) -> None:
+        """Cut every connection and stop listening, as a crash does."""
+        if self.announcer is not None:
+            self.announcer.cancel()
+        self.server.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
+
+    async def announce(self) -> None:
+        """Announce once."""
+        settings = self.settings
+        body = {
+            "address": self.address,
+            "pool": settings.pool,
+            "slots": settings.slots,
+            "state": self.state,
+        }
+        await self._call("PUT", "/v1/server", msgspec.json.encode(body))
+
+    def note_load(self) -> None:
+        """Remember the load for the lagging endpoints."""
+        load = self.in_use / self.settings.slots
+        report = LoadReport(self.loop.time(), load, self.behaviour.healthy)
+        self.reports.append(report)
+
+    def show_report(self) -> LoadReport:
+        """Return the load as the lagging, perhaps false, endpoints show it."""
+        behaviour = self.behaviour
+        cutoff = self.loop.time() - behaviour.health_lag_ms / MILLISECONDS
+        shown = LoadReport(cutoff, 0.0, True)
+        if not behaviour.health_lag_ms:
+            load = self.in_use / self.settings.slots
+            shown = LoadReport(cutoff, load, behaviour.healthy)
+        for report in self.reports:
+            if report.at <= cutoff:
+                shown = report
+        if behaviour.false_load >= 0:
+            shown = shown._replace(load=behaviour.false_load)
+        return shown
+
+    async def _announce_on(self) -> None:
+        while True:
+            if self.behaviour.renew:
+                await self.announce()
+            await asyncio.sleep(ANNOUNCE_SECONDS)
+
+    async def _call(self, method: str, path: str, body: bytes = b"") -> None:
+        if not self.settings.admin:
+            return
+        url = f"http://{self.settings.admin}{path}"
+        try:
+            await self.client.request(method, url, content=body)
+        except httpx.HTTPError as error:
+            log.debug("node does not answer: {}", type(error).__name__)
+
+
+class BackendConnection(asyncio.Protocol):
+    """One connection to the stand-in; one request at a time."""
+
+    def __init__(self, backend: BackendServer):
+        self.backend = backend
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.headers: dict[bytes, bytes] = {}
+        self.url = b""
+        self.received = 0
+        self.hash = hashlib.sha256()
+        self.timer: asyncio.TimerHandle | None = None
+        self.is_running = False
+        self.writable = asyncio.Event()
+        self.writable.set()
+        self.writer: asyncio.Task | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Note the connection; one too many is cut."""
+        self.transport = transport
+        if len(self.backend.connections) >= self.backend.settings.connections:
+            transport.abort()
+            return
+        self.backend.connections.add(self)
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        """Cancel the request that runs."""
+        self.backend.connections.discard(self)
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.writer is not None:
+            self.writer.cancel()
+        if self.is_running:
+            self.backend.cancelled += 1
+            self._free()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abort()
+
+    def pause_writing(self) -> None:
+        """Wait: the reader is slow."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Go on writing."""
+        self.writable.set()
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self.headers = {}
+        self.url = b""
+        self.received = 0
+        self.hash = hashlib.sha256()
+
+    def on_url(self, url: bytes) -> None:
+        """Take a piece of the target."""
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self.headers[name.lower()] = value
+
+    def on_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        self.received += len(data)
+        self.hash.update(data)
+
+    def on_message_complete(self) -> None:
+        """Run the request."""
+        if self.url.startswith((b"/standin/", b"/health", b"/load")):
+            self._answer_own(self.parser.get_method())
+        else:
+            self._run()
+
+    def _run(self) -> None:
+        backend = self.backend
+        if CRASH_HEADER in self.headers:
+            backend.runs[self._request_id()] += 1
+            backend.crash()
+            return
+        full = backend.in_use >= backend.settings.slots
+        if full and backend.behaviour.shed:
+            backend.shed += 1
+            self._write(503, b"", b"daisylink-shed: not-run\r\nretry-after: 1\r\n")
+            return
+        backend.in_use += 1
+        self.is_running = True
+        backend.runs[self._request_id()] += 1
+        backend.note_load()
+        sleep_ms = float(self.headers.get(SLEEP_HEADER, backend.behaviour.service_ms))
+        deadline_ms = float(self.headers.get(DEADLINE_HEADER, b"inf"))
+        if deadline_ms < sleep_ms:
+            self._later(deadline_ms, self._expire)
+        elif sleep_ms:
+            self._later(sleep_ms, self._finish)
+        else:
+            self._finish()
+
+    def _later(self, milliseconds: float, call: Callable[[], None]) -> None:
+        loop = self.backend.loop
+        self.timer = loop.call_later(milliseconds / MILLISECONDS, call)
+
+    def _expire(self) -> None:
+        self._free()
+        self._write(504, b"deadline passed")
+
+    def _finish(self) -> None:
+        request_id = self._request_id()
+        self.backend.finished[request_id] += 1
+        self._free()
+        size = int(self.headers.get(SIZE_HEADER, b"0"))
+        if size:
+            self.writer = self.backend.loop.create_task(self._write_long(size))
+            return
+        digest = self.hash.hexdigest() if self.received else ""
+        body = f'{{"id":"{request_id}","bytes":{self.received},"sha256":"{digest}"}}'
+        self._write(200, body.encode())
+
+    async def _write_long(self, size: int) -> None:
+        self.transport.write(
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n%b\r\n"
+            % self._id_header()
+        )
+        piece = bytes(PIECE_BYTES)
+        while size:
+            count = min(size, PIECE_BYTES)
+            self.transport.write(b"%x\r\n%b\r\n" % (count, piece[:count]))
+            size -= count
+            await self.writable.wait()
+        self.transport.write(b"0\r\n\r\n")
+
+    def _free(self) -> None:
+        self.is_running = False
+        self.backend.in_use -= 1
+        self.backend.note_load()
+
+    def _request_id(self) -> str:
+        return self.headers.get(ID_HEADER, b"").decode("latin-1")
+
+    def _id_header(self) -> bytes:
+        request_id = self.headers.get(ID_HEADER)
+        return b"x-request-id: %b\r\n" % request_id if request_id else b""
+
+    def _write(self, status: int, body: bytes, extra: bytes = b"") -> None:
+        self.transport.write(
+            b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n%b%b\r\n%b"
+            % (status, len(body), extra, self._id_header(), body)
+        )
+
+    def _answer_own(self, method: bytes) -> None:
+        backend = self.backend
+        match self.url:
+            case b"/health":
+                healthy = backend.show_report().healthy
+                self._write(200 if healthy else 503, b"")
+            case b"/load":
+                self._write(200, b"%.3f" % backend.show_report().load)
+            case b"/standin/runs":
+                self._write(200, msgspec.json.encode(dict(backend.runs)))
+            case b"/standin/drain" if method == b"POST":
+                backend.loop.create_task(backend.drain())
+                self._write(200, b"")
+            case _:
+                self._write(404, b"")
--- /dev/null
+++ b/src/daisylink/standin/_caller.py
@@ -0,0 +1,111 @@
+"""Stand-in caller: a small HTTP/1.1 client for the demo, the tests and the benches."""
+
+import asyncio
+from typing import NamedTuple
+
+import httptools
+
+READ_BYTES = 64 * 1024
+
+
+class Answer(NamedTuple):
+    """An answer; ``complete`` is false if the connection closed before its end."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+
+    @property
+    def code(self) -> int:
+        """Return the result code of a refusal, 0 for a server's answer."""
+        return int(self.headers.get("daisylink-code", "0"))
+
+    @property
+    def outcome(self) -> str:
+        """Return whether a refused request was run: ``not-run`` or ``unknown``."""
+        return self.headers.get("daisylink-outcome", "")
+
+
+class _Collector:
+    """Callbacks that gather one answer."""
+
+    def __init__(self):
+        self.headers: dict[str, str] = {}
+        self.body: list[bytes] = []
+        self.complete = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode().lower()] = value.decode("latin-1")
+
+    def on_body(self, data: bytes) -> None:
+        self.body.append(data)
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+
+class Caller:
+    """A caller with one kept-alive connection to a node.
+
+    :param address: ``ip:port`` of the node's callers' listener.
+    """
+
+    def __init__(self, address: str):
+        self.address = address
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        host: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Send a request and return its answer.
+
+        :raises OSError: if no connection can be opened.
+        """
+        lines = [f"{method} {path} HTTP/1.1", f"host: {host}"]
+        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+        if body or method not in ("GET", "HEAD"):
+            lines.append(f"content-length: {len(body)}")
+        return await self.send(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+    async def send(self, data: bytes) -> Answer:
+        """Send bytes and return the answer to them."""
+        if self.writer is None or self.writer.is_closing():
+            await self._connect()
+        self.writer.write(data)
+        return await self.read_answer()
+
+    async def read_answer(self) -> Answer:
+        """Return the next answer on the connection."""
+        collector = _Collector()
+        parser = httptools.HttpResponseParser(collector)
+        while not collector.complete:
+            try:
+                data = await self.reader.read(READ_BYTES)
+            except OSError:
+                data = b""
+            if not data:
+                break
+            parser.feed_data(data)
+        status = parser.get_status_code() if collector.headers else 0
+        keeps = collector.complete and collector.headers.get("connection") != "close"
+        if not keeps:
+            self.close()
+        body = b"".join(collector.body)
+        return Answer(status, collector.headers, body, collector.complete)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.writer is not None:
+            self.writer.close()
+        self.writer = None
+
+    async def _connect(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self.reader, self.writer = await asyncio.open_connection(host, int(port))
--- /dev/null
+++ b/src/daisylink/standin/_fleet.py
@@ -0,0 +1,130 @@
+"""A whole small fleet on one loop in one process, for the demo and the tests."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+from typing import NamedTuple
+
+from daisylink.loop import Application
+from daisylink.process import FleetSettings, Node, ServerState
+from daisylink.settings import Address, NodeSettings
+from daisylink.standin._backend import BackendServer, BackendSettings
+from daisylink.standin._platform import PlatformServer, PlatformSettings
+
+LOCAL_HOST = "127.0.0.1"
+ANY_PORT = Address(LOCAL_HOST, 0)
+POLL_SECONDS = 0.01
+
+
+class Place(NamedTuple):
+    """Where a backend server stands and what it runs."""
+
+    zone: str
+    pool: str
+
+
+class LocalFleet:
+    """The stand-in platform, nodes and backend servers.
+
+    :param seed: seed of the nodes' random numbers.
+    """
+
+    def __init__(
+        self,
+        application: Application,
+        seed: int = 0,
+        fleet_settings: FleetSettings | None = None,
+    ):
+        self.application = application
+        self.rng = random.Random(seed)
+        self.fleet_settings = fleet_settings
+        self.platform = PlatformServer.from_config(application, PlatformSettings())
+        self.nodes: list[Node] = []
+        self.backends: list[BackendServer] = []
+
+    async def start(self, places: Sequence[Place], **backend: float) -> None:
+        """Start the platform, and a node and a backend server at each place.
+
+        :param backend: settings of all backend servers.
+        """
+        self.platform.start()
+        await asyncio.gather(*(self.add(place, **backend) for place in places))
+
+    async def add(self, place: Place, peers: tuple[str, ...] = (), **backend) -> Node:
+        """Start a node with a backend server beside it."""
+        node = await self.add_node(place.zone, peers)
+        settings = BackendSettings(place.pool, admin=_admin(node), **backend)
+        server = BackendServer(settings, crash=lambda: server.kill())
+        await server.start()
+        self.backends.append(server)
+        return node
+
+    async def add_node(self, zone: str, peers: tuple[str, ...] = ()) -> Node:
+        """Start a node alone."""
+        settings = NodeSettings(
+            zone=zone,
+            callers=ANY_PORT,
+            relay=ANY_PORT,
+            control=ANY_PORT,
+            admin=ANY_PORT,
+            platform=Address.from_text(self.platform.address, "platform"),
+            peers=peers,
+            grace=timedelta(seconds=5),
+            drain=timedelta(milliseconds=200),
+        )
+        rng = random.Random(self.rng.getrandbits(64))
+        node = Node.from_config(
+            settings, self.application, rng=rng, fleet_settings=self.fleet_settings
+        )
+        await node.start()
+        self.nodes.append(node)
+        return node
+
+    async def wait_for(
+        self, condition: Callable[[], bool], seconds: float = 20.0
+    ) -> None:
+        """Wait until a condition holds.
+
+        :raises TimeoutError: if it does not hold in time.
+        """
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def wait_for_version(self, number: int, seconds: float = 20.0) -> None:
+        """Wait until every node routes by a version or a newer one."""
+        await self.wait_for(
+            lambda: all(node.fleet.installer.number >= number for node in self.nodes),
+            seconds,
+        )
+
+    async def wait_for_servers(self, seconds: float = 20.0) -> None:
+        """Wait until every node knows every backend server and is ready."""
+        await self.wait_for(self._is_whole, seconds)
+
+    def _is_whole(self) -> bool:
+        count = len(self.backends)
+        return all(
+            node.is_ready
+            and sum(
+                record.server is ServerState.SERVING and record.is_alive
+                for record in node.fleet.directory.records.values()
+            )
+            == count
+            for node in self.nodes
+        )
+
+    async def close(self) -> None:
+        """Stop everything at once."""
+        for backend in self.backends:
+            await backend.close()
+        for node in self.nodes:
+            await node.close()
+        for node in self.nodes:
+            await node.store.close()
+        self.platform.stop()
+
+
+def _admin(node: Node) -> str:
+    return f"{node.web.host}:{node.web.port}"
--- /dev/null
+++ b/src/daisylink/standin/_platform.py
@@ -0,0 +1,197 @@
+"""Stand-in of the platform's key-value service, over HTTP.
+
+It speaks the part of Consul's published KV and session API that daisylink uses.
+"""
+
+import asyncio
+import base64
+from datetime import timedelta
+from typing import NamedTuple
+
+import msgspec
+
+from daisylink.clock import Clock, SystemClock
+from daisylink.errors import DaisylinkError, PlatformError, ResultCode
+from daisylink.loop import Application
+from daisylink.standin._store import (
+    DEFAULT_READS_PER_SECOND,
+    DEFAULT_WRITES_PER_SECOND,
+    MemoryStore,
+    StoreFaults,
+)
+from daisylink.web import WebReply, WebRequest, WebServer
+
+KV_PATH = "/v1/kv/"
+WATCH_POLL_SECONDS = 0.25
+MAX_WATCH_SECONDS = 60.0
+MILLISECONDS = 1000
+STATUS_BY_CODE = {
+    ResultCode.PLATFORM_LIMITED: 429,
+    ResultCode.PLATFORM_VALUE_TOO_LARGE: 413,
+}
+
+
+class PlatformSettings(NamedTuple):
+    """Where the stand-in listens, and its limits."""
+
+    host: str = "127.0.0.1"
+    port: int = 0
+    reads_per_second: int = DEFAULT_READS_PER_SECOND
+    writes_per_second: int = DEFAULT_WRITES_PER_SECOND
+
+
+class PlatformServer:
+    """The stand-in's HTTP listener.
+
+    :param store: its state.
+    :param web: listener that it answers on.
+    """
+
+    def __init__(self, store: MemoryStore, web: WebServer):
+        self.store = store
+        self.web = web
+        self.faults = StoreFaults()
+        self.changed = asyncio.Event()
+        routes = (
+            ("GET", KV_PATH, self._read),
+            ("PUT", KV_PATH, self._put),
+            ("DELETE", KV_PATH, self._delete),
+            ("PUT", "/v1/session/create", self._grant),
+            ("PUT", "/v1/session/renew/", self._renew),
+            ("PUT", "/v1/session/destroy/", self._revoke),
+        )
+        for method, path, answer in routes:
+            web.add_route(method, path, self._guard(answer, method != "GET"))
+        web.add_route("PUT", "/standin/faults", self._set_faults)
+        web.add_route("GET", "/standin/counters", self._show_counters)
+
+    @classmethod
+    def from_config(
+        cls,
+        application: Application,
+        settings: PlatformSettings,
+        clock: Clock | None = None,
+    ) -> "PlatformServer":
+        """Build the stand-in from its settings."""
+        store = MemoryStore(
+            clock or SystemClock(),
+            settings.reads_per_second,
+            settings.writes_per_second,
+        )
+        return cls(store, WebServer(application, settings.host, settings.port))
+
+    @property
+    def address(self) -> str:
+        """Return the address listened on as ``ip:port``."""
+        return f"{self.web.host}:{self.web.port}"
+
+    def start(self) -> None:
+        """Begin to answer."""
+        self.web.start()
+
+    def stop(self) -> None:
+        """Close the listener."""
+        self.web.stop()
+
+    def _guard(self, answer, is_write: bool):
+        """Wrap a handler in the outage, slowness and lost-answer switches."""
+
+        async def guarded(request: WebRequest) -> WebReply:
+            if self.faults.outage:
+                self.store.counters["refused"] += 1
+                return WebReply.from_error(PlatformError("outage"), 503)
+            if self.faults.slow_ms:
+                await asyncio.sleep(self.faults.slow_ms / MILLISECONDS)
+            try:
+                reply = await answer(request)
+            except DaisylinkError as error:
+                return WebReply.from_error(error, STATUS_BY_CODE.get(error.code, 400))
+            if is_write:
+                self.changed.set()
+                self.changed = asyncio.Event()
+            if is_write and self.faults.lose_answers > 0:
+                self.faults.lose_answers -= 1
+                return WebReply(drop=True)
+            return reply
+
+        return guarded
+
+    async def _read(self, request: WebRequest) -> WebReply:
+        key = request.path.removeprefix(KV_PATH)
+        kind = "watch" if "index" in request.query else "get"
+        self.store.count_read(kind)
+        if kind == "watch":
+            await self._wait_for_change(key, request)
+            if self.faults.outage:
+                raise PlatformError("outage")
+        entry = self.store.get(key)
+        if entry is None:
+            index = str(self.store.index)
+            return WebReply(404, headers=(("X-Consul-Index", index),))
+        item = {
+            "Key": key,
+            "Value": base64.b64encode(entry.value).decode(),
+            "ModifyIndex": entry.index,
+            "Session": entry.lease_id,
+        }
+        reply = WebReply.from_object([item])
+        self.store.count_bytes(kind, len(reply.body))
+        return reply._replace(headers=(("X-Consul-Index", str(entry.index)),))
+
+    async def _wait_for_change(self, key: str, request: WebRequest) -> None:
+        seen = int(request.query["index"])
+        wait_ms = int(request.query.get("wait", "0ms").removesuffix("ms"))
+        loop = asyncio.get_running_loop()
+        end = loop.time() + min(MAX_WATCH_SECONDS, wait_ms / MILLISECONDS)
+        while loop.time() < end and not self.faults.outage:
+            entry = self.store.get(key)
+            if entry is not None and entry.index != seen:
+                return
+            pause = min(WATCH_POLL_SECONDS, max(0.0, end - loop.time()))
+            changed = asyncio.create_task(self.changed.wait())
+            await asyncio.wait([changed], timeout=pause)
+            changed.cancel()
+
+    async def _put(self, request: WebRequest) -> WebReply:
+        key = request.path.removeprefix(KV_PATH)
+        self.store.count_write("put")
+        self.store.count_bytes("put", len(request.body))
+        if "acquire" in request.query:
+            done = self.store.hold(key, request.body, request.query["acquire"])
+        else:
+            index = request.query.get("cas")
+            wanted = int(index) if index is not None else None
+            done = self.store.put(key, request.body, wanted)
+        return WebReply.from_object(done)
+
+    async def _delete(self, request: WebRequest) -> WebReply:
+        self.store.count_write("delete")
+        self.store.delete(request.path.removeprefix(KV_PATH))
+        return WebReply.from_object(True)
+
+    async def _grant(self, request: WebRequest) -> WebReply:
+        self.store.count_write("lease")
+        ttl = float(msgspec.json.decode(request.body)["TTL"].removesuffix("s"))
+        lease_id = self.store.grant_lease(timedelta(seconds=ttl))
+        return WebReply.from_object({"ID": lease_id})
+
+    async def _renew(self, request: WebRequest) -> WebReply:
+        self.store.count_write("lease")
+        held = self.store.renew_lease(request.path.rpartition("/")[2])
+        return WebReply.from_object(held, 200 if held else 404)
+
+    async def _revoke(self, request: WebRequest) -> WebReply:
+        self.store.count_write("lease")
+        self.store.revoke_lease(request.path.rpartition("/")[2])
+        return WebReply.from_object(True)
+
+    def _set_faults(self, request: WebRequest) -> WebReply:
+        try:
+            self.faults = msgspec.json.decode(request.body, type=StoreFaults)
+        except msgspec.MsgspecError as error:
+            fault = DaisylinkError(str(error), ResultCode.SETTING_INVALID)
+            return WebReply.from_error(fault, 400)
+        return WebReply.from_object(self.faults)
+
+    def _show_counters(self, _request: WebRequest) -> WebReply:
+        return WebReply.from_object(dict(self.store.counters))
--- /dev/null
+++ b/src/daisylink/standin/_store.py
@@ -0,0 +1,184 @@
+"""Keys, leases, limits and counters of the stand-in key-value service, without I/O."""
+
+from collections import Counter
+from datetime import timedelta
+from itertools import count
+from typing import NamedTuple
+
+import msgspec
+
+from daisylink.clock import Clock
+from daisylink.errors import PlatformError, ResultCode
+
+MAX_VALUE_BYTES = 1024 * 1024
+DEFAULT_READS_PER_SECOND = 2000
+DEFAULT_WRITES_PER_SECOND = 300
+
+
+class StoreFaults(msgspec.Struct):
+    """Switches of the stand-in.
+
+    :param outage: refuse every call.
+    :param slow_ms: delay of each answer.
+    :param lose_answers: how many of the next writes take effect unanswered.
+    """
+
+    outage: bool = False
+    slow_ms: int = 0
+    lose_answers: int = 0
+
+
+class StoredEntry(NamedTuple):
+    """A value with its index and the lease that holds it, if any."""
+
+    value: bytes
+    index: int
+    lease_id: str | None = None
+
+
+class Lease(NamedTuple):
+    """A lease and when it lapses, in seconds of the monotonic clock."""
+
+    duration: float
+    expires: float
+
+
+class RateLimit:
+    """Admits a number of calls in each second.
+
+    :param per_second: calls in a second.
+    """
+
+    def __init__(self, per_second: int):
+        self.per_second = per_second
+        self.second = -1
+        self.used = 0
+
+    def admit(self, now: float) -> bool:
+        """Count a call; return whether it is within the limit."""
+        if int(now) != self.second:
+            self.second = int(now)
+            self.used = 0
+        self.used += 1
+        return self.used <= self.per_second
+
+
+class MemoryStore:
+    """The key-value service's state.
+
+    :param clock: source of time for leases and limits.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        reads_per_second: int = DEFAULT_READS_PER_SECOND,
+        writes_per_second: int = DEFAULT_WRITES_PER_SECOND,
+    ):
+        self.clock = clock
+        self.entries: dict[str, StoredEntry] = {}
+        self.leases: dict[str, Lease] = {}
+        self.reads = RateLimit(reads_per_second)
+        self.writes = RateLimit(writes_per_second)
+        self.counters: Counter[str] = Counter()
+        self.index = 0
+        self.lease_numbers = count(1)
+
+    def count_read(self, kind: str) -> None:
+        """Count a read.
+
+        :raises PlatformError: ``PLATFORM_LIMITED`` over the limit.
+        """
+        self._count(kind, self.reads)
+
+    def count_write(self, kind: str) -> None:
+        """Count a write.
+
+        :raises PlatformError: ``PLATFORM_LIMITED`` over the limit.
+        """
+        self._count(kind, self.writes)
+
+    def count_bytes(self, kind: str, size: int) -> None:
+        """Count bytes of a kind of call."""
+        self.counters[f"{kind}_bytes"] += size
+
+    def get(self, key: str) -> StoredEntry | None:
+        """Return a key's entry."""
+        self.expire_leases()
+        return self.entries.get(key)
+
+    def put(self, key: str, value: bytes, index: int | None) -> bool:
+        """Write a key, if its index is still ``index``.
+
+        :raises PlatformError: ``PLATFORM_VALUE_TOO_LARGE`` past the limit.
+        """
+        self._check_size(value)
+        entry = self.get(key)
+        if index is not None and index != (entry.index if entry else 0):
+            return False
+        self._set(key, value, None)
+        return True
+
+    def hold(self, key: str, value: bytes, lease_id: str) -> bool:
+        """Write a key under a lease, unless another lease holds it."""
+        self._check_size(value)
+        entry = self.get(key)
+        if lease_id not in self.leases:
+            return False
+        if entry is not None and entry.lease_id not in (None, lease_id):
+            return False
+        self._set(key, value, lease_id)
+        return True
+
+    def delete(self, key: str) -> None:
+        """Delete a key."""
+        if self.entries.pop(key, None) is not None:
+            self.index += 1
+
+    def grant_lease(self, duration: timedelta) -> str:
+        """Return a new lease."""
+        lease_id = f"lease-{next(self.lease_numbers)}"
+        seconds = duration.total_seconds()
+        self.leases[lease_id] = Lease(seconds, self.clock.monotonic() + seconds)
+        return lease_id
+
+    def renew_lease(self, lease_id: str) -> bool:
+        """Extend a lease; return whether it was still held."""
+        self.expire_leases()
+        lease = self.leases.get(lease_id)
+        if lease is None:
+            return False
+        expires = self.clock.monotonic() + lease.duration
+        self.leases[lease_id] = lease._replace(expires=expires)
+        return True
+
+    def revoke_lease(self, lease_id: str) -> None:
+        """End a lease and delete its keys."""
+        self.leases.pop(lease_id, None)
+        held = [
+            key for key, entry in self.entries.items() if entry.lease_id == lease_id
+        ]
+        for key in held:
+            self.delete(key)
+
+    def expire_leases(self) -> None:
+        """End the leases that have lapsed."""
+        now = self.clock.monotonic()
+        lapsed = [name for name, lease in self.leases.items() if lease.expires <= now]
+        for lease_id in lapsed:
+            self.revoke_lease(lease_id)
+
+    def _set(self, key: str, value: bytes, lease_id: str | None) -> None:
+        self.index += 1
+        self.entries[key] = StoredEntry(value, self.index, lease_id)
+
+    def _count(self, kind: str, limit: RateLimit) -> None:
+        self.counters[kind] += 1
+        if not limit.admit(self.clock.monotonic()):
+            self.counters["limited"] += 1
+            raise PlatformError("rate limit reached", ResultCode.PLATFORM_LIMITED)
+
+    def _check_size(self, value: bytes) -> None:
+        if len(value) > MAX_VALUE_BYTES:
+            message = f"value has {len(value)} bytes, limit is {MAX_VALUE_BYTES}"
+            raise PlatformError(message, ResultCode.PLATFORM_VALUE_TOO_LARGE)
--- /dev/null
+++ b/src/daisylink/version/_routes.py
@@ -0,0 +1,73 @@
+"""The table that finds a request's route in one version."""
+
+from typing import NamedTuple
+
+from daisylink.version._content import Content
+from daisylink.version._rows import Pool, Route, Service
+
+ANY_HOST = ""
+
+
+class RouteEntry(NamedTuple):
+    """A route with the service and pool that it leads to."""
+
+    route: Route
+    service: Service
+    pool: Pool
+
+    @property
+    def deadline_ms(self) -> int:
+        """Return the route's deadline, or its service's if the route has none."""
+        return self.route.deadline_ms or self.service.deadline_ms
+
+
+class RouteTable:
+    """Finds the route with the longest path prefix for a host.
+
+    A prefix matches whole path segments: ``/map`` matches ``/map`` and ``/map/7``
+    but not ``/maps``.
+    """
+
+    def __init__(
+        self, entries: dict[str, dict[str, RouteEntry]], pools: dict[str, Pool]
+    ):
+        self.entries = entries
+        self.pools = pools
+
+    @classmethod
+    def from_content(cls, content: Content) -> "RouteTable":
+        """Build the table of a closed content."""
+        pools = {pool.name: pool for pool in content.pools}
+        services = {service.name: service for service in content.services}
+        entries: dict[str, dict[str, RouteEntry]] = {}
+        for route in content.routes:
+            service = services[route.service]
+            entry = RouteEntry(route, service, pools[service.pool])
+            entries.setdefault(route.host, {})[route.prefix] = entry
+        return cls(entries, pools)
+
+    def find_route(self, host: str, path: str) -> RouteEntry | None:
+        """Return the entry that serves host and path, if any.
+
+        :param host: value of the Host header; a port is ignored.
+        :param path: path without its query, starting with a slash.
+        """
+        name = host.partition(":")[0].lower()
+        return self._find_prefix(name, path) or self._find_prefix(ANY_HOST, path)
+
+    def _find_prefix(self, host: str, path: str) -> RouteEntry | None:
+        prefixes = self.entries.get(host)
+        if not prefixes:
+            return None
+        prefix = path
+        while prefix:
+            entry = prefixes.get(prefix)
+            if entry is not None:
+                return entry
+            prefix = prefix.rstrip("/") if prefix.endswith("/") else _parent(prefix)
+        return prefixes.get("/")
+
+
+def _parent(path: str) -> str:
+    """Return the path without its last segment."""
+    return path.rpartition("/")[0]
--- /dev/null
+++ b/src/daisylink/web.py
@@ -0,0 +1,161 @@
+"""A small web server on circuits.web for operators and backend servers.
+
+Handlers get a :class:`WebRequest` and return a :class:`WebReply`, at once or from a
+coroutine. A path is matched whole or, when it ends in a slash, as a prefix.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from itertools import count
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs
+
+import msgspec
+from circuits import BaseComponent, handler
+from circuits.net.events import close
+from circuits.net.sockets import TCPServer
+from circuits.web.events import response
+from circuits.web.http import HTTP
+
+from daisylink.errors import DaisylinkError, ResultCode, SettingError
+from daisylink.loop import Application
+
+JSON_TYPE = "application/json"
+
+_numbers = count(1)
+
+
+class WebRequest(NamedTuple):
+    """A request to an admin or platform listener."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    body: bytes
+
+
+class WebReply(NamedTuple):
+    """An answer; ``drop`` closes the connection without one."""
+
+    status: int = 200
+    body: bytes = b""
+    content_type: str = JSON_TYPE
+    headers: tuple[tuple[str, str], ...] = ()
+    drop: bool = False
+
+    @classmethod
+    def from_object(cls, value: Any, status: int = 200) -> "WebReply":
+        """Return a JSON answer."""
+        return cls(status, msgspec.json.encode(value))
+
+    @classmethod
+    def from_error(cls, error: DaisylinkError, status: int) -> "WebReply":
+        """Return a JSON answer that carries an error's code."""
+        body = {"code": int(error.code), "message": error.message}
+        return cls.from_object(body, status)
+
+
+WebHandler = Callable[[WebRequest], WebReply | Coroutine[Any, Any, WebReply]]
+
+
+class WebServer(BaseComponent):
+    """An HTTP listener with a table of handlers by method and path.
+
+    :param host: IP number to listen on.
+    :param port: port to listen on, 0 for a free one.
+    :raises SettingError: ``SETTING_ADDRESS_IN_USE`` if the address cannot be bound.
+    """
+
+    secure = False
+
+    def __init__(self, application: Application, host: str, port: int):
+        super().__init__(channel=f"web-{next(_numbers)}")
+        self.application = application
+        self.handlers: dict[tuple[str, str], WebHandler] = {}
+        self.tasks: set[asyncio.Task] = set()
+        try:
+            self.server = TCPServer((host, port), channel=self.channel)
+        except OSError as error:
+            raise SettingError(
+                f"cannot listen on {host}:{port}: {error.strerror}",
+                ResultCode.SETTING_ADDRESS_IN_USE,
+            ) from error
+        self.server.register(self)
+        HTTP(self, channel=self.channel).register(self)
+
+    @property
+    def host(self) -> str:
+        """Return the IP number listened on."""
+        return self.server.host
+
+    @property
+    def port(self) -> int:
+        """Return the port listened on."""
+        return self.server.port
+
+    def start(self) -> None:
+        """Begin to answer."""
+        self.register(self.application)
+        self.application.poller.wake()
+
+    def stop(self) -> None:
+        """Close the listener and its connections."""
+        self.fire(close(), self.channel)
+        self.application.poller.wake()
+
+    def add_route(self, method: str, path: str, answer: WebHandler) -> None:
+        """Answer a method on a path with a handler."""
+        self.handlers[method, path] = answer
+
+    @handler("request")
+    def _on_request(self, event, req, res, *_args):
+        request = WebRequest(
+            req.method,
+            req.path,
+            {name: values[-1] for name, values in parse_qs(req.qs).items()},
+            req.body.read(),
+        )
+        answer = self._find_handler(request)
+        reply = answer(request) if answer else _not_found(request)
+        if asyncio.iscoroutine(reply):
+            task = self.application.loop.create_task(self._finish(req, res, reply))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        else:
+            self._send(req, res, reply)
+        return True
+
+    @handler("disconnect", "connect", "ready", "closed", "error")
+    def _on_transport_event(self, *_args):
+        """Accept events of the transport that need no action."""
+
+    def _find_handler(self, request: WebRequest) -> WebHandler | None:
+        exact = self.handlers.get((request.method, request.path))
+        if exact is not None:
+            return exact
+        for (method, path), answer in self.handlers.items():
+            is_prefix = path.endswith("/") and request.path.startswith(path)
+            if method == request.method and is_prefix:
+                return answer
+        return None
+
+    async def _finish(self, req, res, reply: Coroutine[Any, Any, WebReply]) -> None:
+        self._send(req, res, await reply)
+        self.application.poller.wake()
+
+    def _send(self, req, res, reply: WebReply) -> None:
+        if reply.drop:
+            self.fire(close(req.sock), self.channel)
+            return
+        res.status = reply.status
+        res.headers["Content-Type"] = reply.content_type
+        for name, value in reply.headers:
+            res.headers[name] = value
+        res.body = reply.body
+        self.fire(response(res), self.channel)
+
+
+def _not_found(request: WebRequest) -> WebReply:
+    message = f"no {request.method} {request.path} here"
+    error = DaisylinkError(message, ResultCode.ADMIN_NOT_FOUND)
+    return WebReply.from_error(error, 404)
