--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,210 @@
+"""The main job on one loop in one process: accept, route, change, answer.
+
+Run it with ``make demo``. It starts the stand-in platform and Hanbit's fleet in three
+availability zones, accepts ``hanbit.csv``, sends calls, and while they run accepts a
+change, drains one backend server and crashes another. It ends with status 0 only if
+everything that must hold did hold.
+"""
+
+import asyncio
+import random
+import sys
+from collections import Counter
+from datetime import timedelta
+from pathlib import Path
+from typing import NamedTuple
+
+from daisylink.clock import SystemClock
+from daisylink.commands import Operations
+from daisylink.logs import set_up_logs
+from daisylink.loop import Application, Main
+from daisylink.platform import HttpStore
+from daisylink.process import ControlClient
+from daisylink.standin import Answer, Caller, LocalFleet, Place
+from daisylink.version import Content, Priority, Route, read_sheet
+
+SEED = 20261203
+SHEET = Path(__file__).with_name("hanbit.csv")
+ZONES = ("kr-central-a", "kr-central-b", "kr-central-c")
+SERVERS = {"roster": 4, "fieldfiles": 4, "dispatch": 3}
+SERVICE_MS = 6.0
+CALLERS = 12
+CALLS_EACH = 100
+CALL_PAUSE_SECONDS = 0.02
+CONVERGENCE_TARGET = timedelta(seconds=16)
+HOST = "roster.hanbit.example"
+FILES_HOST = "files.hanbit.example"
+PHOTO = bytes(200_000)
+
+
+class Call(NamedTuple):
+    """One kind of call that the demo makes."""
+
+    method: str
+    path: str
+    host: str
+    body: bytes = b""
+
+
+class Fate(NamedTuple):
+    """What came of one call."""
+
+    call_id: str
+    call: Call
+    answer: Answer
+
+
+CALLS = (
+    Call("GET", "/roster/week/49", HOST),
+    Call("GET", "/duty?district=7", HOST),
+    Call("POST", "/callouts", HOST, b'{"leak": 7, "engineer": 12}'),
+    Call("POST", "/reports/7", FILES_HOST, PHOTO),
+)
+
+
+def make_places() -> list[Place]:
+    """Return Hanbit's backend servers, spread over its zones."""
+    pools = [pool for pool, count in SERVERS.items() for _ in range(count)]
+    return [Place(ZONES[index % len(ZONES)], pool) for index, pool in enumerate(pools)]
+
+
+def make_change(content: Content) -> Content:
+    """Return the content with one more route: on-call look-ups go to dispatch."""
+    route = Route(
+        "oncall", HOST, "/oncall", "dispatch", ("GET",), True, Priority.URGENT, 0, 64
+    )
+    return content._replace(routes=tuple(sorted([*content.routes, route])))
+
+
+async def send_calls(fleet: LocalFleet, number: int, fates: list[Fate]) -> None:
+    """Send one caller's calls through one node."""
+    rng = random.Random(SEED + number)
+    caller = Caller(str(fleet.nodes[number % len(fleet.nodes)].callers_address))
+    for index in range(CALLS_EACH):
+        call = rng.choice(CALLS)
+        call_id = f"{number}-{index}"
+        headers = {"x-request-id": call_id}
+        answer = await caller.call(
+            call.method, call.path, call.host, call.body, headers
+        )
+        fates.append(Fate(call_id, call, answer))
+        await asyncio.sleep(CALL_PAUSE_SECONDS)
+    caller.close()
+
+
+def check_fates(fates: list[Fate], runs: Counter[str]) -> list[str]:
+    """Return what did not hold of the calls' fates."""
+    faults = []
+    for fate in fates:
+        count = runs[fate.call_id]
+        answer = fate.answer
+        if not answer.status or not answer.complete:
+            faults.append(f"{fate.call_id}: no whole answer")
+        elif not answer.code and answer.headers.get("x-request-id") != fate.call_id:
+            faults.append(f"{fate.call_id}: got the answer of another call")
+        if fate.call.method == "POST" and count > 1:
+            faults.append(f"{fate.call_id}: ran {count} times")
+        if answer.outcome == "not-run" and count:
+            faults.append(f"{fate.call_id}: refused as not run, but it ran")
+    return faults
+
+
+def print_fates(fates: list[Fate]) -> None:
+    """Print how many calls came to which end."""
+    ends: Counter[str] = Counter()
+    for fate in fates:
+        answer = fate.answer
+        end = f"refused, code {answer.code}, {answer.outcome}"
+        ends[end if answer.code else f"answered, status {answer.status}"] += 1
+    for end, count in ends.most_common():
+        print(f"  {count:5d} calls {end}")
+
+
+async def run_demo(application: Application) -> list[str]:
+    """Run the demo; return what did not hold."""
+    set_up_logs("WARNING")
+    fleet = LocalFleet(application, SEED)
+    store = HttpStore(fleet.platform.address)
+    client = ControlClient(lambda *_: None)
+    operations = Operations(store, client, SystemClock(), random.Random(SEED))
+    places = make_places()
+    await fleet.start(places, slots=6, connections=120, service_ms=SERVICE_MS)
+    print(f"started {len(places)} nodes and backend servers in {len(ZONES)} zones")
+
+    content = read_sheet(SHEET.read_bytes())
+    first = (await operations.accept(content, "morning sheet")).record
+    await fleet.wait_for_servers()
+    fates: list[Fate] = []
+    senders = [
+        asyncio.create_task(send_calls(fleet, number, fates))
+        for number in range(CALLERS)
+    ]
+    await asyncio.sleep(0.5)
+
+    before = sum(node.control_bytes for node in fleet.nodes)
+    second = (await operations.accept(make_change(content), "on-call route")).record
+    report = await operations.wait(second.number, CONVERGENCE_TARGET, (), _ignore)
+    spent = sum(node.control_bytes for node in fleet.nodes) - before
+    milliseconds = report.seconds * 1000
+    print(f"version {first.number} accepted, then {second.number} amid calls")
+    print(
+        f"convergence time: {milliseconds:.1f} ms until all {report.nodes} nodes "
+        f"routed by version {second.number}"
+    )
+    print(
+        f"control bytes: {spent / len(places):.0f} a node between acceptance and "
+        "the end of the check"
+    )
+
+    await fleet.backends[1].drain()
+    print("drained one backend server")
+    await asyncio.sleep(0.3)
+    fleet.backends[8].kill()
+    print("crashed another backend server")
+    await asyncio.gather(*senders)
+    faults = await _check_change(fleet)
+    await fleet.nodes[2].stop()
+    print("stopped one node as planned")
+
+    runs: Counter[str] = Counter()
+    for backend in fleet.backends:
+        runs.update(backend.runs)
+    print(f"fate of {len(fates)} calls:")
+    print_fates(fates)
+    faults += check_fates(fates, runs)
+    if timedelta(seconds=report.seconds) > CONVERGENCE_TARGET:
+        faults.append("convergence took too long")
+    await fleet.close()
+    await client.close()
+    await store.close()
+    return faults
+
+
+async def _check_change(fleet: LocalFleet) -> list[str]:
+    """Return the nodes that do not route by the change."""
+    faults = []
+    for node in fleet.nodes:
+        caller = Caller(str(node.callers_address))
+        answer = await caller.call("GET", "/oncall/7", HOST)
+        caller.close()
+        if answer.status != 200:
+            faults.append(f"{node.fleet.own.node} does not serve the new route")
+    return faults
+
+
+def _ignore(_reports) -> None:
+    """Show no progress."""
+
+
+def main() -> None:
+    """Run the demo and leave with its status."""
+    runner = Main()
+    faults = runner.run(run_demo(runner.application))
+    for fault in faults:
+        print(f"FAULT {fault}")
+    print("all held" if not faults else f"{len(faults)} faults")
+    sys.exit(1 if faults else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -43,6 +43,7 @@
         self.needs_start = False
         self.in_head = False
         self.head_bytes = 0
+        self.unparsed = 0
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.last_read = gateway.now()
@@ -72,8 +73,6 @@
         if self.closing:
             return
         self.last_read = self.gateway.now()
-        if self.in_head or self.parsing is None:
-            self.head_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -83,9 +82,11 @@
         if self.fault is not None:
             self._refuse_rest(self.fault.code)
             return
-        if self.in_head and self.head_bytes > MAX_HEAD_BYTES:
-            self._refuse_rest(ResultCode.REQUEST_HEAD_TOO_LARGE)
-            return
+        if self.in_head:
+            self.unparsed += len(data)
+            if self.unparsed > MAX_HEAD_BYTES:
+                self._refuse_rest(ResultCode.REQUEST_HEAD_TOO_LARGE)
+                return
         if self.needs_start:
             self.needs_start = False
             self.current.start()
@@ -112,25 +113,26 @@
     def on_message_begin(self) -> None:
         """Begin a request."""
         self.in_head = True
+        self.head_bytes = 0
+        self.unparsed = 0
         self.headers = []
         self.url = b""
 
     def on_url(self, url: bytes) -> None:
         """Take a piece of the target."""
         self.url += url
+        self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header; trailers are dropped."""
         if not self.in_head:
             return
         self.headers.append((name.lower(), value))
-        if len(self.headers) > MAX_HEADERS:
-            self._set_fault("too many headers", ResultCode.REQUEST_HEAD_TOO_LARGE)
+        self._count_head(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
         """Take the whole head."""
         self.in_head = False
-        self.head_bytes = 0
         if self.fault is not None:
             return
         parser = self.parser
@@ -239,6 +241,11 @@
             else:
                 self.transport.resume_reading()
 
+    def _count_head(self, size: int) -> None:
+        self.head_bytes += size
+        if self.head_bytes > MAX_HEAD_BYTES or len(self.headers) > MAX_HEADERS:
+            self._set_fault("head too large", ResultCode.REQUEST_HEAD_TOO_LARGE)
+
     def _set_fault(
         self, message: str, code: ResultCode = ResultCode.REQUEST_MALFORMED
     ) -> None:
--- a/src/daisylink/process/_node.py
+++ b/src/daisylink/process/_node.py
@@ -105,6 +105,7 @@
         self.slot_timer: asyncio.TimerHandle | None = None
         self.started = False
         self.stopping = False
+        self.closed = False
         self.control_bytes = 0
         self.control_messages = 0
         self.web: WebServer
@@ -187,6 +188,9 @@
 
     async def close(self) -> None:
         """Close everything at once."""
+        if self.closed:
+            return
+        self.closed = True
         self.stopping = True
         for handle in (self.timer, self.slot_timer):
             if handle is not None:
--- a/src/daisylink/process/_reader.py
+++ b/src/daisylink/process/_reader.py
@@ -144,7 +144,7 @@
         self.due = now + self._jitter(self.settings.poll)
         if rank >= self.settings.candidates or is_isolated:
             return []
-        self.wanted_slot = self.rng.randrange(self.settings.slots)
+        self.wanted_slot = 0
         return [CallStore(ReadKey(reader_key(self.zone, self.wanted_slot)))]
 
     def take_answer(self, answer: StoreAnswered, now: float) -> ReaderResult:
@@ -229,7 +229,16 @@
                 return ReaderResult()
             return ReaderResult((CallStore(GrantLease(self.settings.lease)),))
         holder = entry.value.decode(errors="replace")
-        return ReaderResult(contacts=() if holder == self.node else (holder,))
+        contacts = () if holder == self.node else (holder,)
+        return ReaderResult(self._ask_next_slot(is_wanted), contacts=contacts)
+
+    def _ask_next_slot(self, is_wanted: bool) -> tuple[CallStore, ...]:
+        """Return the call that looks at the slot after a taken one."""
+        is_last = self.wanted_slot + 1 >= self.settings.slots
+        if self.is_holding or not is_wanted or is_last:
+            return ()
+        self.wanted_slot += 1
+        return (CallStore(ReadKey(reader_key(self.zone, self.wanted_slot))),)
 
     def _take_hold(self, lease_id: str, done: bool, now: float) -> ReaderResult:
         if lease_id != self.lease_id:
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,140 @@
+"""What tests share: contents, a driven acceptance, and fleets on one loop."""
+
+import random
+import unittest
+from datetime import UTC, datetime
+
+from daisylink.clock import ManualClock, SystemClock
+from daisylink.commands import Operations
+from daisylink.logs import set_up_logs
+from daisylink.loop import Main
+from daisylink.platform import HttpStore
+from daisylink.process import ControlClient
+from daisylink.standin import LocalFleet, MemoryStore
+from daisylink.version import (
+    AnswerLost,
+    Content,
+    Delete,
+    DeleteDone,
+    Pool,
+    Priority,
+    Proposal,
+    Read,
+    ReadDone,
+    ReadFailed,
+    Route,
+    Service,
+    Write,
+    WriteConflict,
+    WriteDone,
+    WriteFailed,
+)
+
+HOST = "a.example"
+WHEN = datetime(2026, 12, 3, tzinfo=UTC)
+
+
+def make_content(*names, queue=20, slots=4, deadline_ms=2000, body_limit_kb=1024):
+    """Return content with a pool, a service and routes for each name."""
+    pools = [Pool(name, slots, 50, queue) for name in names]
+    services = [Service(name, name, deadline_ms, 100, 99.0) for name in names]
+    routes = []
+    for name in names:
+        for kind, idempotent in (("read", True), ("write", False)):
+            routes.append(
+                Route(
+                    f"{name}-{kind}",
+                    HOST,
+                    f"/{name}/{kind}",
+                    name,
+                    (),
+                    idempotent,
+                    Priority.NORMAL,
+                    0,
+                    body_limit_kb,
+                )
+            )
+    return Content.from_rows(pools, services, routes)
+
+
+def make_proposal(content, name="p1", base=None):
+    return Proposal(content, name, "planner", "", WHEN, base)
+
+
+def make_store():
+    return MemoryStore(ManualClock(), 10**6, 10**6)
+
+
+def perform(action, store):
+    """Do an action of an acceptance against a store, as the platform would."""
+    match action:
+        case Read(key):
+            entry = store.get(key)
+            return ReadDone(entry.value, entry.index) if entry else ReadDone(None, 0)
+        case Write(key, value, index):
+            done = store.put(key, value, index)
+            return WriteDone() if done else WriteConflict()
+        case Delete(key):
+            store.delete(key)
+            return DeleteDone()
+
+
+def fail(action, store, takes_effect):
+    """Let an action fail; a write may take effect with its answer lost."""
+    if takes_effect:
+        perform(action, store)
+    match action:
+        case Read():
+            return ReadFailed()
+        case Write():
+            return AnswerLost() if takes_effect else WriteFailed()
+        case Delete():
+            return DeleteDone()
+
+
+def run_acceptance(acceptance, store, faults=None, before=None):
+    """Drive an acceptance to its end.
+
+    :param faults: by number of the action, whether the failing action takes effect.
+    :param before: by number of the action, something to do first.
+    """
+    steps = acceptance.steps()
+    event = None
+    count = 0
+    while True:
+        try:
+            action = steps.send(event)
+        except StopIteration as end:
+            return end.value
+        if before and count in before:
+            before[count]()
+        if faults and count in faults:
+            event = fail(action, store, faults[count])
+        else:
+            event = perform(action, store)
+        count += 1
+
+
+class FleetTestCase(unittest.TestCase):
+    """Runs a coroutine with a fleet of real sockets on one loop."""
+
+    seed = 7
+
+    def run_fleet(self, scenario, fleet_settings=None):
+        """Run ``scenario(fleet, operations)`` to its end, and close the fleet."""
+        set_up_logs("ERROR")
+        runner = Main()
+        runner.run(self._run(runner.application, scenario, fleet_settings))
+
+    async def _run(self, application, scenario, fleet_settings):
+        fleet = LocalFleet(application, self.seed, fleet_settings)
+        store = HttpStore(fleet.platform.address)
+        client = ControlClient(lambda *_: None)
+        rng = random.Random(self.seed)
+        operations = Operations(store, client, SystemClock(), rng)
+        try:
+            await scenario(fleet, operations)
+        finally:
+            await fleet.close()
+            await client.close()
+            await store.close()
