Add the fleet's bench, its fault matrix and mutants

The real decision objects run in an in-process fabric. Cause of a hang found there: a timer due at sent_at + wait was compared as now - sent_at >= wait, which rounding can make false for ever; detector and pulls now compare the same sum.

--- /dev/null
+++ b/bench/distribution.py
@@ -0,0 +1,190 @@
+"""Convergence time, control bytes and platform calls against the size of the fleet.
+
+Drives the real decision objects through :mod:`bench.fabric`.
+Usage: python -m bench.distribution [sizes...]
+"""
+
+import argparse
+import gc
+import resource
+import time
+
+from bench.fabric import Fabric
+from daisylink.process import FleetSettings
+from daisylink.process._events import Started
+from daisylink.version import (
+    HEAD_KEY,
+    Acceptance,
+    Accepted,
+    Content,
+    Pool,
+    Priority,
+    Route,
+    Service,
+    VersionStamp,
+    build_version,
+    pack_content,
+)
+from tests.support import make_proposal, run_acceptance
+
+ZONES = 9
+SERVICES = 50
+SETTLE_SECONDS = 12.0
+CHANGE_SECONDS = 16.0
+QUIET_SECONDS = 10.0
+KILL_SECONDS = 0.0036
+
+
+def make_content(services, change=0):
+    """Return content with some services; a change alters one route's deadline."""
+    pools = [Pool(f"pool-{n}", 10, 110, 20) for n in range(services)]
+    rows = [Service(f"svc-{n}", f"pool-{n}", 2000, 250, 99.5) for n in range(services)]
+    routes = []
+    for n in range(services):
+        for kind in ("read", "write"):
+            deadline = 1000 + change if (n, kind) == (change % services, "read") else 0
+            routes.append(
+                Route(
+                    f"svc-{n}-{kind}",
+                    "api.example",
+                    f"/svc-{n}/{kind}",
+                    f"svc-{n}",
+                    ("GET",) if kind == "read" else ("POST",),
+                    kind == "read",
+                    Priority.NORMAL,
+                    deadline,
+                    64,
+                )  # fmt: skip
+            )
+    return Content.from_rows(pools, rows, routes)
+
+
+def accept(fabric, content, name):
+    """Accept content against the fabric's platform; return the head's record."""
+    acceptance = Acceptance(make_proposal(content, name))
+    outcome = run_acceptance(acceptance, fabric.store)
+    assert isinstance(outcome, Accepted)
+    fabric.notify_watches(HEAD_KEY)
+    return outcome.record
+
+
+def build_fleet(size, zones=ZONES, services=SERVICES, settings=None, seed=1, loss=0.0):
+    """Return a fabric of nodes that have run for a while on version 1."""
+    fabric = Fabric(seed, loss)
+    content = make_content(services)
+    record = accept(fabric, content, "v1")
+    digest, _ = pack_content(content)
+    version = build_version(VersionStamp(1, digest, record.accepted_at), content)
+    for number in range(size):
+        zone = f"z{number % zones}"
+        fabric.add(zone, settings or FleetSettings(), start=False)
+    fabric.preload(version)
+    for host in fabric.hosts.values():
+        fabric.feed(host, Started())
+    fabric.run(SETTLE_SECONDS)
+    return fabric
+
+
+def reset_counters(fabric):
+    """Forget what was counted so far."""
+    for host in fabric.hosts.values():
+        host.bytes_in = host.bytes_out = host.messages = 0
+    fabric.calls.clear()
+
+
+def run_change(fabric, change, services=SERVICES, disturb=None):
+    """Accept a change; return times to each live node, bytes and calls."""
+    reset_counters(fabric)
+    started = fabric.now
+    record = accept(fabric, make_content(services, change), f"change-{change}")
+    number = record.number
+    if disturb is not None:
+        disturb(fabric)
+
+    def converged():
+        return all(
+            host.fleet.installer.number >= number
+            for host in fabric.hosts.values()
+            if host.alive
+        )
+
+    fabric.run(CHANGE_SECONDS, until=None)
+    times = sorted(
+        host.installed[number] - started
+        for host in fabric.hosts.values()
+        if host.alive and number in host.installed
+    )
+    return times, converged()
+
+
+def quiet_cost(fabric):
+    """Return bytes in and out, and messages, a node a second with nothing new."""
+    reset_counters(fabric)
+    before = time.process_time()
+    fabric.run(QUIET_SECONDS)
+    spent = time.process_time() - before
+    hosts = [host for host in fabric.hosts.values() if host.alive]
+    per = len(hosts) * QUIET_SECONDS
+    calls = sum(fabric.calls.values()) / QUIET_SECONDS
+    return (
+        sum(host.bytes_in for host in hosts) / per,
+        sum(host.bytes_out for host in hosts) / per,
+        sum(host.messages for host in hosts) / per,
+        spent / per,
+        calls,
+    )
+
+
+def quantile(times, share):
+    return times[min(len(times) - 1, int(share * len(times)))]
+
+
+def measure(size, services):
+    """Print a row for one size."""
+    fabric = build_fleet(size, services=services)
+    bytes_in, bytes_out, messages, cpu, calls = quiet_cost(fabric)
+    times, whole = run_change(fabric, 1, services)
+    spent = sum(h.bytes_out for h in fabric.hosts.values()) / size
+    extra = spent - bytes_out * CHANGE_SECONDS
+    worst = max(h.bytes_out + h.bytes_in for h in fabric.hosts.values())
+    worst /= CHANGE_SECONDS
+
+    def kill_tenth(fabric):
+        hosts = list(fabric.hosts.values())
+        doomed = fabric.rng.sample(hosts, len(hosts) // 10)
+        fabric.at(KILL_SECONDS, lambda: [fabric.kill(host) for host in doomed])
+
+    with_deaths, whole_after = run_change(fabric, 2, services, kill_tenth)
+    memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024 / size
+    print(
+        f"| {size} | {quantile(times, 0.5) * 1000:.0f} | "
+        f"{quantile(times, 0.99) * 1000:.0f} | {times[-1] * 1000:.0f} | "
+        f"{'yes' if whole else 'NO'} | {with_deaths[-1]:.2f} | "
+        f"{'yes' if whole_after else 'NO'} | {bytes_in + bytes_out:.0f} | "
+        f"{messages:.1f} | {extra:.0f} | {worst:.0f} | {calls:.1f} | "
+        f"{cpu * 1e6:.0f} | {memory:.2f} |",
+        flush=True,
+    )
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("sizes", nargs="*", type=int, default=[90, 270, 810])
+    parser.add_argument("--services", type=int, default=SERVICES)
+    arguments = parser.parse_args()
+    gc.set_threshold(100_000, 50, 50)
+    print(
+        "| nodes | p50 ms | p99 ms | last ms | all | tenth dies: last s | all | "
+        "quiet B/s a node (in+out) | messages/s | change B a node (out) | worst B/s "
+        "| platform calls/s | CPU us/s a node | MB a node |"
+    )
+    print("| --- " * 14 + "|")
+    for size in arguments.sizes:
+        started = time.monotonic()
+        measure(size, arguments.services)
+        gc.collect()
+        print(f"<!-- {time.monotonic() - started:.0f} s -->")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/fabric.py
@@ -0,0 +1,348 @@
+"""A fake of the message interface: delivers, delays, loses and cuts, in one process.
+
+Drives the real decision objects of the fleet by an event queue; no sockets, no waiting.
+"""
+
+import heapq
+import random
+from collections import Counter
+from datetime import timedelta
+from itertools import count
+
+import msgspec
+
+from daisylink.clock import ManualClock
+from daisylink.errors import PlatformError, ResultCode
+from daisylink.platform import Entry
+from daisylink.process import (
+    FleetNode,
+    FleetSettings,
+    MemberRecord,
+    ServerState,
+    encode_message,
+)
+from daisylink.process._events import (
+    CallStore,
+    GrantLease,
+    HoldKey,
+    MessageReceived,
+    Pull,
+    PullAnswered,
+    PullFailed,
+    ReadKey,
+    RenewLease,
+    RevokeLease,
+    Send,
+    Started,
+    StoreAnswered,
+    StoreFailed,
+    SwapKey,
+    TimePassed,
+    VersionInstalled,
+    WatchKey,
+)
+from daisylink.standin import MemoryStore
+
+HEADER_BYTES = 28
+STREAM_BYTES = 200
+STORE_SECONDS = 0.003
+PULL_TIMEOUT_SECONDS = 1.0
+LOCAL_SECONDS = 0.0005
+ZONE_SECONDS = 0.001
+REGION_SECONDS = 0.030
+ZONES_IN_REGION = 3
+
+
+class Host:
+    """One node in the fabric."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.alive = True
+        self.paused_until = 0.0
+        self.timer = float("inf")
+        self.bytes_out = 0
+        self.bytes_in = 0
+        self.messages = 0
+        self.installed = {}
+        self.history = []
+
+
+class Fabric:
+    """Nodes, platform and the network between them.
+
+    :param loss: share of datagrams lost.
+    """
+
+    def __init__(self, seed=1, loss=0.0):
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.clock = ManualClock()
+        self.now = 0.0
+        self.queue = []
+        self.order = count()
+        self.hosts = {}
+        self.zones = []
+        self.cuts = set()
+        self.store = MemoryStore(self.clock, 2000, 300)
+        self.store_down = False
+        self.lose_answers = 0
+        self.watches = []
+        self.calls = Counter()
+        self.tap = None
+
+    # Set-up
+
+    def add(self, zone, settings=None, peers=(), number=None, start=True):
+        """Add a node to a zone, and start it."""
+        if zone not in self.zones:
+            self.zones.append(zone)
+        number = len(self.hosts) if number is None else number
+        name = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8082"
+        incarnation = round(self.now * 1000) + 1000
+        record = MemberRecord(
+            name, zone, incarnation, relay=name[:-1] + "1", pool="p",
+            server=ServerState.SERVING, slots=10,
+        )  # fmt: skip
+        rng = random.Random(self.rng.getrandbits(64))
+        fleet = FleetNode(settings or FleetSettings(), record, tuple(peers), rng)
+        host = Host(fleet)
+        self.hosts[name] = host
+        if start:
+            self.feed(host, Started())
+        return host
+
+    def preload(self, version):
+        """Give every node the whole directory and a version, as after a long run."""
+        hosts = list(self.hosts.values())
+        first = hosts[0].fleet.directory
+        for host in hosts[1:]:
+            first.merge(host.fleet.own, self.now)
+        for host in hosts:
+            directory = host.fleet.directory
+            directory.records = dict(first.records)
+            directory.positions = first.positions
+            directory.digests = list(first.digests)
+            directory.zone_rings = {z: list(r) for z, r in first.zone_rings.items()}
+            directory.pools = {p: dict(m) for p, m in first.pools.items()}
+            host.fleet.installer.current = version
+            host.fleet.joined = True
+            host.fleet.readiness.was_ready = True
+
+    # Faults
+
+    def kill(self, host):
+        """End a node at once."""
+        host.alive = False
+
+    def revive(self, host):
+        """Start a dead node anew, with nothing but its name."""
+        own = host.fleet.own
+        number = sum(
+            int(part) << shift
+            for part, shift in zip(own.node[3:-5].split("."), (16, 8, 0), strict=True)
+        )
+        return self.add(own.zone, host.fleet.settings, host.fleet.peers, number)
+
+    def cut(self, first, second):
+        """Cut two zones, or a zone and the platform, off from each other."""
+        self.cuts |= {(first, second), (second, first)}
+
+    def heal(self):
+        """Undo every cut."""
+        self.cuts.clear()
+
+    # Running
+
+    def run(self, seconds, until=None):
+        """Run for a time, or until a condition holds; return whether it held."""
+        end = self.now + seconds
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, kind, host, payload = heapq.heappop(self.queue)
+            self.clock.seconds = self.now
+            self._dispatch(kind, host, payload)
+            if until is not None and until():
+                return True
+        self.now = self.clock.seconds = end
+        return until is not None and until()
+
+    def at(self, seconds, call):
+        """Call a function after a time."""
+        self._push(seconds, "call", None, call)
+
+    def _push(self, delay, kind, host, payload):
+        entry = (self.now + delay, next(self.order), kind, host, payload)
+        heapq.heappush(self.queue, entry)
+
+    def _dispatch(self, kind, host, payload):
+        if kind == "call":
+            payload()
+            return
+        if not host.alive:
+            return
+        if host.paused_until > self.now:
+            self._push(host.paused_until - self.now, kind, host, payload)
+            return
+        if kind == "timer":
+            if payload == host.timer:
+                host.timer = float("inf")
+                self.feed(host, TimePassed())
+        elif kind == "pull":
+            self._answer_pull(host, *payload)
+        elif kind == "store":
+            self._answer_store(host, payload)
+        else:
+            if isinstance(payload, MessageReceived):
+                host.bytes_in += self._size(payload.message)
+            self.feed(host, payload)
+
+    def feed(self, host, event):
+        """Give an event to a node and do what it asks."""
+        before = host.fleet.installer.number
+        actions = host.fleet.handle(event, self.now)
+        after = host.fleet.installer.number
+        if after != before:
+            host.history.append(after)
+        for action in actions:
+            if self.tap is None or not self.tap(host, action):
+                self.perform(host, action)
+        wake = host.fleet.wake_at
+        if wake < host.timer:
+            host.timer = wake
+            self._push(max(0.0, wake - self.now), "timer", host, wake)
+
+    def perform(self, host, action):
+        """Do an action of a node, whatever a tap may want."""
+        match action:
+            case Send(address, message):
+                size = self._size(message)
+                host.bytes_out += size
+                host.messages += 1
+                target = self.hosts.get(address)
+                if target is None or self._is_cut(host, target):
+                    return
+                if self.rng.random() < self.loss:
+                    return
+                event = MessageReceived(message)
+                self._push(self._delay(host, target), "event", target, event)
+            case Pull(address, request):
+                self._send_pull(host, address, request)
+            case CallStore(call):
+                self._push(STORE_SECONDS, "store", host, call)
+            case VersionInstalled(version):
+                host.installed[version.number] = self.now
+
+    def _size(self, message):
+        return len(encode_message(message)) + HEADER_BYTES
+
+    def _delay(self, host, target):
+        first, second = host.fleet.own.zone, target.fleet.own.zone
+        base = LOCAL_SECONDS
+        if first != second:
+            regions = [self.zones.index(z) // ZONES_IN_REGION for z in (first, second)]
+            base = ZONE_SECONDS if regions[0] == regions[1] else REGION_SECONDS
+        return base * self.rng.uniform(0.8, 1.6)
+
+    def _is_cut(self, host, target):
+        return (host.fleet.own.zone, target.fleet.own.zone) in self.cuts
+
+    def _send_pull(self, host, address, request):
+        size = len(msgspec.msgpack.encode(request)) + STREAM_BYTES
+        host.bytes_out += size
+        host.messages += 1
+        target = self.hosts.get(address)
+        gone = target is None or not target.alive or target.paused_until > self.now
+        if gone or self._is_cut(host, target):
+            self._push(PULL_TIMEOUT_SECONDS, "event", host, PullFailed(address))
+            return
+        target.bytes_in += size
+        self._push(self._delay(host, target), "pull", target, (host, request))
+
+    def _answer_pull(self, target, host, request):
+        reply = target.fleet.answer_pull(request, self.now)
+        size = len(msgspec.msgpack.encode(reply)) + STREAM_BYTES
+        target.bytes_out += size
+        target.messages += 1
+        host.bytes_in += size
+        event = PullAnswered(target.fleet.own.node, reply)
+        self._push(self._delay(host, target), "event", host, event)
+
+    # The platform
+
+    def fail_call(self, host, call, takes_effect):
+        """Let a store call fail, with or without its effect."""
+        code = ResultCode.PLATFORM_UNAVAILABLE
+        if takes_effect and not isinstance(call, WatchKey):
+            self._do_call(call)
+            code = ResultCode.PLATFORM_ANSWER_LOST
+        self._push(STORE_SECONDS, "event", host, StoreFailed(call, code))
+
+    def fail_pull(self, host, pull):
+        """Let a pull go unanswered."""
+        self._push(PULL_TIMEOUT_SECONDS, "event", host, PullFailed(pull.address))
+
+    def _answer_store(self, host, call):
+        self.calls[type(call).__name__] += 1
+        cut = (host.fleet.own.zone, "platform") in self.cuts
+        if self.store_down or cut:
+            failure = StoreFailed(call, ResultCode.PLATFORM_UNAVAILABLE)
+            self._push(STORE_SECONDS, "event", host, failure)
+            return
+        if isinstance(call, WatchKey):
+            entry = self._entry(call.key)
+            if entry.index == call.watch_index:
+                self.watches.append((host, call))
+                seconds = call.wait / timedelta(seconds=1)
+                self._push(seconds, "call", None, lambda: self._end_watch(host, call))
+                return
+        try:
+            result = self._do_call(call)
+        except PlatformError as error:
+            self._push(STORE_SECONDS, "event", host, StoreFailed(call, error.code))
+            return
+        if self.lose_answers and not isinstance(call, ReadKey | WatchKey):
+            self.lose_answers -= 1
+            failure = StoreFailed(call, ResultCode.PLATFORM_ANSWER_LOST)
+            self._push(STORE_SECONDS, "event", host, failure)
+            return
+        self._push(STORE_SECONDS, "event", host, StoreAnswered(call, result))
+
+    def _do_call(self, call):
+        store = self.store
+        match call:
+            case ReadKey(key) | WatchKey(key, _, _):
+                store.count_read("get")
+                return self._entry(key)
+            case GrantLease(duration):
+                store.count_write("lease")
+                return store.grant_lease(duration)
+            case RenewLease(lease_id):
+                store.count_write("lease")
+                return store.renew_lease(lease_id)
+            case RevokeLease(lease_id):
+                store.revoke_lease(lease_id)
+                return True
+            case HoldKey(key, value, lease_id):
+                store.count_write("put")
+                return store.hold(key, value, lease_id)
+            case SwapKey(key, value, index):
+                store.count_write("put")
+                return store.put(key, value, index)
+
+    def _entry(self, key):
+        entry = self.store.get(key)
+        if entry is None:
+            return Entry(None, 0, self.store.index)
+        return Entry(entry.value, entry.index, entry.index)
+
+    def _end_watch(self, host, call):
+        if (host, call) in self.watches:
+            self.watches.remove((host, call))
+            self._push(0.0, "event", host, StoreAnswered(call, self._entry(call.key)))
+
+    def notify_watches(self, key):
+        """Answer the watches of a key that changed."""
+        for host, call in [item for item in self.watches if item[1].key == key]:
+            self.watches.remove((host, call))
+            answer = StoreAnswered(call, self._entry(key))
+            self._push(STORE_SECONDS, "event", host, answer)
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,156 @@
+"""Convergence, control bytes, processor time and memory with real processes.
+
+Starts the stand-in platform and N nodes (no backend servers), in up to nine zones,
+accepts a first sheet and then changes, and reads what each node counted.
+Usage: python -m bench.fleet N [--services S] [--changes C]
+"""
+
+import argparse
+import asyncio
+import random
+import re
+import statistics
+import sys
+import time
+from datetime import timedelta
+
+import aiohttp
+
+from bench.distribution import make_content
+from bench.processes import Processes, free_ports, read_usage, wait_for
+from daisylink.clock import SystemClock
+from daisylink.commands import Operations
+from daisylink.errors import DaisylinkError
+from daisylink.platform import HttpStore
+from daisylink.process import ControlClient
+
+QUIET_SECONDS = 10.0
+BYTES_PATTERN = re.compile(
+    r"^daisylink_control_bytes\w*_total\{[^}]*\} ([0-9.e+]+)", re.MULTILINE
+)
+
+
+async def read_bytes(session, admin):
+    """Return the control bytes that a node has counted."""
+    async with session.get(f"http://127.0.0.1:{admin}/metrics") as reply:
+        text = await reply.text()
+    return sum(float(value) for value in BYTES_PATTERN.findall(text))
+
+
+def start_nodes(processes, count, zones, platform):
+    """Start nodes; return their processes and admin ports."""
+    ports = free_ports(count * 4)
+    nodes = []
+    for index in range(count):
+        callers, relay, control, admin = ports[index * 4 : index * 4 + 4]
+        process = processes.start_program(
+            "node", "--zone", f"z{index % zones}", "--platform", platform,
+            "--callers", f"127.0.0.1:{callers}", "--relay", f"127.0.0.1:{relay}",
+            "--control", f"127.0.0.1:{control}", "--admin", f"127.0.0.1:{admin}",
+        )  # fmt: skip
+        nodes.append((process, admin))
+    return nodes
+
+
+async def measure(count, services, changes):
+    """Print one row."""
+    zones = min(9, max(1, count // 8))
+    with Processes() as processes:
+        (port,) = free_ports(1)
+        platform = f"127.0.0.1:{port}"
+        processes.start_program("platform", "--listen", platform)
+        await asyncio.sleep(1.5)
+        started = time.monotonic()
+        nodes = start_nodes(processes, count, zones, platform)
+        store = HttpStore(platform)
+        client = ControlClient(lambda *_: None)
+        rng = random.Random(1)
+        operations = Operations(store, client, SystemClock(), rng)
+        await operations.accept(make_content(services), "first")
+
+        async def whole():
+            try:
+                reports = await operations.survey()
+            except DaisylinkError:
+                return False
+            seen = [report.survey for report in reports if report.survey]
+            return sum(item.counts.get(1, 0) for item in seen) == count
+
+        await wait_for(whole, 120.0)
+        joined = time.monotonic() - started
+        await asyncio.sleep(5.0)
+        async with aiohttp.ClientSession() as session:
+            quiet = await quiet_cost(session, nodes)
+            times, cost = await run_changes(
+                operations, session, nodes, services, changes, quiet[0]
+            )
+        memory = statistics.mean(read_usage(p.pid).resident for p, _ in nodes) / 2**20
+        print(
+            f"| {count} | {zones} | {services} | {joined:.1f} | "
+            f"{statistics.median(times) * 1000:.0f} | {max(times) * 1000:.0f} | "
+            f"{quiet[0]:.0f} | {quiet[1] * 100:.2f} | {cost[0]:.0f} | "
+            f"{cost[1] * 1000:.1f} | {memory:.0f} |"
+        )
+        await client.close()
+        await store.close()
+
+
+async def quiet_cost(session, nodes):
+    """Return bytes a second and share of a core, a node, with nothing new."""
+    before = [await read_bytes(session, admin) for _, admin in nodes]
+    used = [read_usage(process.pid).seconds for process, _ in nodes]
+    await asyncio.sleep(QUIET_SECONDS)
+    used_after = [read_usage(process.pid).seconds for process, _ in nodes]
+    after = [await read_bytes(session, admin) for _, admin in nodes]
+    per = len(nodes) * QUIET_SECONDS
+    return (sum(after) - sum(before)) / per, (sum(used_after) - sum(used)) / per
+
+
+async def run_changes(operations, session, nodes, services, changes, quiet):
+    """Accept changes; return times, and bytes and seconds a node for each."""
+    before = [await read_bytes(session, admin) for _, admin in nodes]
+    used = [read_usage(process.pid).seconds for process, _ in nodes]
+    started = time.monotonic()
+    records = []
+    for change in range(1, changes + 1):
+        content = make_content(services, change)
+        records.append((await operations.accept(content, "change")).record)
+        await asyncio.sleep(0.7)
+    spent = time.monotonic() - started
+    used_after = [read_usage(process.pid).seconds for process, _ in nodes]
+    after = [await read_bytes(session, admin) for _, admin in nodes]
+    per = len(nodes) * changes
+    cost = (
+        (sum(after) - sum(before)) / per - quiet * spent / changes,
+        (sum(used_after) - sum(used)) / per,
+    )
+    times = []
+    for change in range(changes + 1, changes + 6):
+        content = make_content(services, change)
+        record = (await operations.accept(content, "timed")).record
+        report = await operations.wait(
+            record.number, timedelta(seconds=16), (), lambda _: None
+        )
+        times.append(report.seconds)
+    return times, cost
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("counts", nargs="+", type=int)
+    parser.add_argument("--services", type=int, default=50)
+    parser.add_argument("--changes", type=int, default=10)
+    arguments = parser.parse_args()
+    print(
+        "| nodes | zones | services | all joined s | change p50 ms | change worst ms | "
+        "quiet B/s a node | quiet % of a core | B a change a node | "
+        "CPU ms a change a node (0.7 s of quiet included) | MB a node |"
+    )
+    print("| --- " * 11 + "|")
+    for count in arguments.counts:
+        asyncio.run(measure(count, arguments.services, arguments.changes))
+        sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/mutants.py
@@ -0,0 +1,244 @@
+"""Shows that the proofs can fail: breaks the code one line at a time, runs the tests.
+
+Each mutant is applied to a scratch copy of the repository; the named tests must fail
+there. Usage: python -m bench.mutants [name...]; writes docs/MUTANTS.md when all ran.
+"""
+
+import concurrent.futures
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).parent.parent
+WORKERS = 4
+TIMEOUT_SECONDS = 240
+
+
+class Mutant(NamedTuple):
+    """One broken line, and the test that must notice."""
+
+    name: str
+    path: str
+    old: str
+    new: str
+    test: str
+
+
+MUTANTS = (
+    Mutant(
+        "no version check on install",
+        "process/_installer.py",
+        "        if news.number <= self.number:\n            return Offer.KNOWN\n"
+        "        try:",
+        "        try:",
+        "tests.test_version",
+    ),
+    Mutant(
+        "no check at the swap itself",
+        "process/_installer.py",
+        "        if version.number <= self.number:\n",
+        "        if False:\n",
+        "tests.test_version",
+    ),
+    Mutant(
+        "digest of a snapshot unchecked",
+        "version/_content.py",
+        "    if digest_bytes(data) != digest:\n",
+        "    if False:\n",
+        "tests.test_version",
+    ),
+    Mutant(
+        "digest of a delta's result unchecked",
+        "version/_content.py",
+        "    if digest_content(content) != digest:\n",
+        "    if False:\n",
+        "tests.test_version",
+    ),
+    Mutant(
+        "closure unchecked at install",
+        "version/_version.py",
+        "    check_closure(content)\n",
+        "",
+        "tests.test_version",
+    ),
+    Mutant(
+        "sheet's end row not asked for",
+        "version/_sheet.py",
+        "        if not ended:\n",
+        "        if False:\n",
+        "tests.test_sheet",
+    ),
+    Mutant(
+        "a lost answer counts as failure",
+        "version/_acceptance.py",
+        "                case AnswerLost():\n                    self.swap_sent = True\n",
+        "                case AnswerLost():\n"
+        "                    raise PlatformError('lost')\n",
+        "tests.test_acceptance",
+    ),
+    Mutant(
+        "history not written before the swap",
+        "version/_acceptance.py",
+        "            yield from self._write_once(history_key(base.number), "
+        "encode_head(base))\n",
+        "            pass\n",
+        "tests.test_acceptance",
+    ),
+    Mutant(
+        "history not looked at when settling",
+        "version/_acceptance.py",
+        "        if past is not None:\n",
+        "        if False:\n",
+        "tests.test_acceptance",
+    ),
+    Mutant(
+        "swap without compare",
+        "version/_acceptance.py",
+        "            event = yield Write(HEAD_KEY, value, index, tries)\n",
+        "            seen = yield Read(HEAD_KEY)\n"
+        "            event = yield Write(HEAD_KEY, value, seen.index, tries)\n",
+        "tests.test_acceptance",
+    ),
+    Mutant(
+        "late news of an older incarnation is taken",
+        "process/_records.py",
+        "        return (self.incarnation, self.state) > (other.incarnation, "
+        "other.state)\n",
+        "        return self != other\n",
+        "tests.test_fleet_matrix",
+    ),
+    Mutant(
+        "an unconfirmed push is not sent to the next node; no pull repairs",
+        "process/_pulls.py",
+        "        if self.in_flight is not None or now < self.due:\n",
+        "        if True:\n",
+        "tests.test_fleet_matrix",
+    ),
+    Mutant(
+        "a lapsed reader keeps its slot and its watch",
+        "process/_reader.py",
+        "        if lapsed or is_isolated:\n            return self.drop_slot(now)\n",
+        "        if lapsed:\n            return []\n",
+        "tests.test_fleet",
+    ),
+    Mutant(
+        "a fresh node is ready on any version",
+        "process/_readiness.py",
+        "        if not number or number < max(self.heard.values(), default=0):\n",
+        "        if not number:\n",
+        "tests.test_fleet",
+    ),
+    Mutant(
+        "the paused detector blames others",
+        "process/_detector.py",
+        "            self._forgive(now)\n",
+        "            pass\n",
+        "tests.test_fleet",
+    ),
+    Mutant(
+        "snapshots are not rationed",
+        "process/_fleet.py",
+        "        if is_large and not self.ration.admit(request.sender, now):\n",
+        "        if False:\n",
+        "tests.test_fleet",
+    ),
+    Mutant(
+        "a non-idempotent request is sent again after a loss",
+        "request/_attempts.py",
+        "                return self._try_again(replayable and self.plan.idempotent)\n",
+        "                return self._try_again(replayable)\n",
+        "tests.test_calls",
+    ),
+    Mutant(
+        "a loss is told as not run",
+        "request/_outcome.py",
+        "    {ResultCode.REQUEST_DEADLINE_UNKNOWN, ResultCode.REQUEST_ANSWER_LOST}\n",
+        "    {ResultCode.REQUEST_DEADLINE_UNKNOWN}\n",
+        "tests.test_calls",
+    ),
+    Mutant(
+        "admission stays open in drain",
+        "process/_gateway.py",
+        "        if own.server is ServerState.SERVING and not self.stopping:\n",
+        "        if own.server is not ServerState.ABSENT:\n",
+        "tests.test_calls",
+    ),
+    Mutant(
+        "a planned stop does not wait",
+        "process/_node.py",
+        "        while self.gateway.open_requests and self.now() < end:\n",
+        "        while False:\n",
+        "tests.test_calls",
+    ),
+    Mutant(
+        "a hung-up caller keeps its slot",
+        "request/_exchange.py",
+        "        self.done = True\n        self._release()\n"
+        "        self.gateway.note_cancelled(self)\n",
+        "        self.done = True\n        self.gateway.note_cancelled(self)\n",
+        "tests.test_calls",
+    ),
+    Mutant(
+        "a server's headers may speak for daisylink",
+        "request/_exchange.py",
+        "            if name not in dropped and not name.startswith(OWN_PREFIX):\n",
+        "            if name not in dropped:\n",
+        "tests.test_framing",
+    ),
+)
+
+
+def run_mutant(mutant):
+    """Return the mutant and whether its test failed."""
+    with tempfile.TemporaryDirectory() as scratch:
+        copy = Path(scratch) / "copy"
+        ignore = shutil.ignore_patterns(".git", ".venv", "__pycache__", "*.egg-info")
+        shutil.copytree(ROOT, copy, ignore=ignore)
+        path = copy / "src" / "daisylink" / mutant.path
+        text = path.read_text()
+        if mutant.old not in text:
+            return mutant, "line not found"
+        path.write_text(text.replace(mutant.old, mutant.new, 1))
+        environment = {**os.environ, "PYTHONPATH": f"{copy / 'src'}:{copy}"}
+        try:
+            done = subprocess.run(
+                [sys.executable, "-m", "unittest", "-f", mutant.test],
+                cwd=copy,
+                env=environment,
+                capture_output=True,
+                timeout=TIMEOUT_SECONDS,
+                check=False,
+            )
+        except subprocess.TimeoutExpired:
+            return mutant, "caught (ran out of time)"
+        return mutant, "caught" if done.returncode else "SURVIVED"
+
+
+def main():
+    wanted = sys.argv[1:]
+    chosen = [m for m in MUTANTS if not wanted or any(w in m.name for w in wanted)]
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        results = list(pool.map(run_mutant, chosen))
+    lines = [
+        "# Mutants",
+        "",
+        "Written by `python -m bench.mutants`: each row breaks one place of the code in a",
+        "scratch copy and runs the tests named; they must fail.",
+        "",
+        "| mutant | file | tests | result |",
+        "| --- | --- | --- | --- |",
+    ]
+    for mutant, result in results:
+        row = f"| {mutant.name} | `{mutant.path}` | `{mutant.test}` | {result} |"
+        lines.append(row)
+        print(row)
+    if not wanted:
+        (ROOT / "docs" / "MUTANTS.md").write_text("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/daisylink/process/_detector.py
+++ b/src/daisylink/process/_detector.py
@@ -149,13 +149,12 @@
     def _check_probes(self, now: float) -> list[Send]:
         sends: list[Send] = []
         for sequence, probe in list(self.probes.items()):
-            age = now - probe.sent_at
-            if age >= self.period:
+            if now >= probe.sent_at + self.period:
                 del self.probes[sequence]
                 self.recent.append(False)
                 if self._is_live(probe.target):
                     self.suspects.setdefault(probe.target, now)
-            elif age >= self.ack_timeout and not probe.is_indirect:
+            elif now >= probe.sent_at + self.ack_timeout and not probe.is_indirect:
                 probe.is_indirect = True
                 sends += self._ask_helpers(sequence, probe.target)
         horizon = now - self.period
--- a/src/daisylink/process/_pulls.py
+++ b/src/daisylink/process/_pulls.py
@@ -90,7 +90,7 @@
         :param number: number of the version in force.
         :param buckets: digests of the own directory.
         """
-        if self.in_flight is not None and now - self.sent_at >= self.timeout:
+        if self.in_flight is not None and now >= self.sent_at + self.timeout:
             self.take_failure(self.in_flight, now)
         if self.in_flight is not None or now < self.due:
             return []
--- /dev/null
+++ b/tests/fleet_matrix.py
@@ -0,0 +1,502 @@
+"""The fault matrix of acceptance, distribution and membership.
+
+Each cell lets one fault strike at one step, in a fabric of eight nodes in two zones
+that runs the real decision objects, and checks what must always hold.
+``python -m tests.fleet_matrix`` writes the table to docs.
+"""
+
+from pathlib import Path
+
+from bench.fabric import Fabric
+from daisylink.errors import PlatformError
+from daisylink.process import MemberState, ServerState
+from daisylink.process._events import (
+    CallStore,
+    HoldKey,
+    Pull,
+    ReadKey,
+    Send,
+    ServerChanged,
+    StopAsked,
+    WatchKey,
+)
+from daisylink.process._messages import Push, PushAck
+from daisylink.process._slot import Announcement, Slot, SlotSettings
+from daisylink.version import (
+    HEAD_KEY,
+    Acceptance,
+    Accepted,
+    Conflict,
+    Read,
+    Unchanged,
+    Write,
+    decode_head,
+    pack_content,
+    unpack_content,
+)
+from tests.support import fail, make_content, make_proposal, perform, run_acceptance
+
+ZONES = ("x", "y")
+NODES_IN_ZONE = 4
+SETTLE_SECONDS = 8.0
+FAULT_SECONDS = 5.0
+TARGET_SECONDS = 16.0
+SERVER_LEASE_SECONDS = 5.0
+TABLE = Path(__file__).parent.parent / "docs" / "MATRIX-FLEET.md"
+CONTENTS = [make_content(*"abcdefgh"[: size + 1]) for size in range(8)]
+
+INTRODUCTION = """# Fault matrix: acceptance, distribution, membership
+
+Written by `python -m tests.fleet_matrix` from a run of every cell against the real
+decision objects (eight nodes, two zones). A number is the simulated time in seconds
+from the start of the step to agreement of all live nodes on version and directory; a
+fault itself lasts 5 s, and the steps of a cell up to 15 s. Checked in each cell: no
+node goes back, no version in part, no server that left is revived, no draining server
+gets new work, acceptance ends truthfully, all live nodes converge.
+"""
+
+STEPS = (
+    "accept", "write", "swap", "watch", "read", "push", "pull", "install",
+    "announce", "renew", "drain", "leave",
+)  # fmt: skip
+FAULTS = (
+    "crash before", "crash after", "lost", "late", "twice", "reordered",
+    "paused past the lease", "platform down", "answer lost", "zone cut",
+)  # fmt: skip
+
+
+class CellError(AssertionError):
+    """A property did not hold in a cell."""
+
+
+def check(condition, message):
+    if not condition:
+        raise CellError(message)
+
+
+class Cell:
+    """One fault at one step.
+
+    :param seed: seed of the fabric.
+    """
+
+    def __init__(self, step, fault, seed=1):
+        self.step = step
+        self.fault = fault
+        self.fabric = Fabric(seed)
+        self.struck = False
+        self.held = None
+        self.drop_ack_to = None
+        self.dead = []
+        self.left = {}
+        self.planner_done = None
+
+    # Running
+
+    def run(self):
+        """Run the cell; return the seconds from the fault to convergence."""
+        fabric = self.fabric
+        for number in range(NODES_IN_ZONE * len(ZONES)):
+            fabric.add(ZONES[number % len(ZONES)])
+        self.accept(1)
+        self.run_until_converged("the first version")
+        fabric.run(SETTLE_SECONDS)
+        started = fabric.now
+        if self.step in ("accept", "write", "swap"):
+            self.strike_planner()
+        elif self.step in ("announce", "renew", "drain", "leave"):
+            self.strike_server()
+        else:
+            self.strike_distribution()
+        check(self.struck, "the fault did not strike")
+        self.run_until_converged("the change")
+        took = fabric.now - started
+        fabric.run(SETTLE_SECONDS)
+        self.check_properties()
+        return took
+
+    def accept(self, index, name=None):
+        """Accept one of the contents as a planner without faults does."""
+        proposal = make_proposal(CONTENTS[index], name or f"accept-{index}")
+        outcome = run_acceptance(Acceptance(proposal), self.fabric.store)
+        self.fabric.notify_watches(HEAD_KEY)
+        return outcome
+
+    @property
+    def head(self):
+        return decode_head(self.fabric.store.get(HEAD_KEY).value)
+
+    def live(self):
+        return [host for host in self.fabric.hosts.values() if host.alive]
+
+    def run_until_converged(self, what):
+        """Run until every node routes by the head and agrees on the directory."""
+
+        def converged():
+            number = self.head.number
+            hosts = self.live()
+            digests = {host.fleet.directory.digest for host in hosts}
+            behind = [h for h in hosts if h.fleet.installer.number != number]
+            whole = len(hosts) + len(self.left) == NODES_IN_ZONE * len(ZONES)
+            return not behind and len(digests) == 1 and whole
+
+        limit = TARGET_SECONDS + FAULT_SECONDS
+        check(self.fabric.run(limit, until=converged), f"{what} did not converge")
+
+    # Faults of nodes
+
+    def strike(self, host, action, redo, kind):
+        """Let the fault strike once; return whether the action is taken over."""
+        if self.struck:
+            return False
+        self.struck = True
+        fabric = self.fabric
+        match self.fault:
+            case "crash before":
+                self.crash(host)
+            case "crash after":
+                redo()
+                fabric.at(0.0, lambda: self.crash(host))
+            case "lost":
+                self.lose(host, action, takes_effect=False)
+            case "late":
+                fabric.at(FAULT_SECONDS, redo)
+            case "twice":
+                redo()
+                fabric.at(0.05, redo)
+            case "reordered":
+                self.held = (kind, redo)
+                fabric.at(1.0, self.release)
+            case "paused past the lease":
+                host.paused_until = fabric.now + FAULT_SECONDS
+                fabric.at(FAULT_SECONDS, redo)
+            case "platform down":
+                fabric.store_down = True
+                fabric.at(FAULT_SECONDS, self.restore_platform)
+                redo()
+            case "answer lost":
+                self.lose(host, action, takes_effect=True)
+            case "zone cut":
+                self.cut(host.fleet.own.zone)
+                redo()
+        return True
+
+    def crash(self, host):
+        """End a node, and start it anew later."""
+        self.fabric.kill(host)
+        self.fabric.at(FAULT_SECONDS, lambda: self.fabric.revive(host))
+
+    def cut(self, zone):
+        """Cut a zone off from the other one and from the platform for a while."""
+        other = ZONES[1 - ZONES.index(zone)]
+        self.fabric.cut(zone, other)
+        self.fabric.cut(zone, "platform")
+        self.fabric.at(FAULT_SECONDS, self.fabric.heal)
+
+    def restore_platform(self):
+        self.fabric.store_down = False
+
+    def release(self):
+        """Do a held action, if the one that was to overtake it has not come."""
+        if self.held is not None:
+            _, redo = self.held
+            self.held = None
+            redo()
+
+    def lose(self, host, action, takes_effect):
+        fabric = self.fabric
+        match action:
+            case CallStore(call):
+                fabric.fail_call(host, call, takes_effect)
+            case Pull():
+                fabric.fail_pull(host, action)
+            case Send(_, Push()) if takes_effect:
+                self.drop_ack_to = host.fleet.own.node
+                fabric.perform(host, action)
+
+    def overtake(self, kind):
+        """Let an action of the same kind overtake the held one."""
+        if self.held is not None and self.held[0] == kind:
+            self.fabric.at(0.02, self.release)
+
+    # Distribution
+
+    def strike_distribution(self):
+        """Accept changes while a tap waits for the step."""
+        self.fabric.tap = self.tap
+        if self.step == "pull":
+            self.make_gap()
+        if self.step == "read":
+            self.make_reader_read()
+        self.accept(2)
+        self.fabric.run(0.5)
+        self.accept(3)
+        self.fabric.run(FAULT_SECONDS + 3.0)
+        self.fabric.tap = None
+
+    def make_gap(self):
+        """Let a node restart, which then pulls."""
+        host = self.live()[-1]
+        self.fabric.kill(host)
+        self.fabric.revive(host)
+
+    def make_reader_read(self):
+        """Let a reader restart, so that another one takes its slot and reads."""
+        reader = next(h for h in self.live() if h.fleet.reader.slot == 0)
+        self.crash(reader)
+
+    def tap(self, host, action):
+        """Find the step among the actions of all nodes."""
+        if isinstance(action, Send) and isinstance(action.message, PushAck):
+            lost = action.address == self.drop_ack_to
+            self.drop_ack_to = None if lost else self.drop_ack_to
+            return lost
+        match self.step, action:
+            case "watch", CallStore(WatchKey()):
+                kind = WatchKey
+            case "read", CallStore(ReadKey(key)) if key == HEAD_KEY:
+                kind = ReadKey
+            case "push", Send(_, Push(version=version)) if version is not None:
+                kind = Push
+            case "install", Send(_, Push(version=version)) if version is not None:
+                kind = Push
+            case "pull", Pull():
+                kind = Pull
+            case _:
+                return False
+        self.overtake(kind)
+        subject = host
+        if self.step == "install":
+            subject = self.fabric.hosts[action.address]
+        return self.strike(
+            subject, action, lambda: self.fabric.perform(host, action), kind
+        )
+
+    # Planners
+
+    def strike_planner(self):
+        """Let the fault strike a planner's step, then let it try again."""
+        outcome = self.drive_planner("planner")
+        if outcome is None:
+            self.fabric.run(FAULT_SECONDS + 1.0)
+            outcome = self.drive_planner("planner-again")
+        self.fabric.notify_watches(HEAD_KEY)
+        kept = self.content_of_head()
+        if isinstance(outcome, Unchanged):
+            check(outcome.record.acceptance_id == "planner", "not this planner's")
+            outcome = Accepted(outcome.record)
+        check(isinstance(outcome, Accepted | Conflict), f"planner got {outcome}")
+        if isinstance(outcome, Accepted):
+            check(kept in (CONTENTS[2], CONTENTS[3]), "an accepted content is lost")
+        else:
+            check(kept == CONTENTS[3], "a conflict, but no rival's content")
+
+    def drive_planner(self, name):
+        """Drive an acceptance; return its outcome, or None if it died."""
+        steps = Acceptance(make_proposal(CONTENTS[2], name)).steps()
+        event = None
+        while True:
+            try:
+                action = steps.send(event)
+            except StopIteration as end:
+                return end.value
+            except PlatformError:
+                return None
+            if not self.struck and self.is_planner_step(action):
+                self.struck = True
+                event = self.fault_planner(action)
+                if event is None:
+                    return None
+            elif self.fabric.store_down:
+                event = fail(action, self.fabric.store, False)
+                self.fabric.run(1.0)
+            else:
+                event = perform(action, self.fabric.store)
+
+    def is_planner_step(self, action):
+        match self.step, action:
+            case "accept", Read(key):
+                return key == HEAD_KEY
+            case "write", Write(key):
+                return key != HEAD_KEY
+            case "swap", Write(key):
+                return key == HEAD_KEY
+        return False
+
+    def fault_planner(self, action):
+        """Return the event that the faulty action comes to, None for a crash."""
+        fabric = self.fabric
+        match self.fault:
+            case "crash before":
+                return None
+            case "crash after":
+                perform(action, fabric.store)
+                return None
+            case "lost":
+                return fail(action, fabric.store, False)
+            case "late":
+                fabric.at(FAULT_SECONDS, lambda: perform(action, fabric.store))
+                failed = fail(action, fabric.store, False)
+                return failed
+            case "twice":
+                perform(action, fabric.store)
+                return perform(action, fabric.store)
+            case "reordered":
+                self.accept(3, "rival")
+                return perform(action, fabric.store)
+            case "paused past the lease":
+                fabric.run(1.0)
+                self.accept(3, "rival")
+                fabric.run(FAULT_SECONDS)
+                return perform(action, fabric.store)
+            case "platform down":
+                fabric.store_down = True
+                fabric.at(FAULT_SECONDS, self.restore_platform)
+                return fail(action, fabric.store, False)
+            case "answer lost":
+                return fail(action, fabric.store, True)
+            case "zone cut":
+                self.cut(ZONES[0])
+                return perform(action, fabric.store)
+
+    def content_of_head(self):
+        store = self.fabric.store
+        record = self.head
+        prefix = f"daisylink/content/{record.number}/{record.acceptance_id}/"
+        parts = [store.get(f"{prefix}{part}").value for part in range(record.parts)]
+        return unpack_content(b"".join(parts), record.digest)
+
+    # Backend servers
+
+    def strike_server(self):
+        """Let a backend server announce, renew, drain and leave through faults."""
+        host = self.live()[-1]
+        slot = Slot(SlotSettings())
+        self.update_server(host, slot)
+        self.fabric.run(1.0)
+        self.fabric.tap = self.tap_records
+        self.tell_slot(host, slot, "announce")
+        self.run_server(host, slot, 4)
+        if self.step in ("drain", "leave"):
+            self.tell_slot(host, slot, "drain")
+            self.fabric.run(1.0)
+        if self.step == "leave":
+            self.tell_slot(host, slot, "leave")
+            self.fabric.run(1.0)
+            if host.alive:
+                self.fabric.feed(host, StopAsked())
+                self.left[host.fleet.own.node] = host.fleet.own.incarnation
+                self.fabric.at(0.5, lambda: self.fabric.kill(host))
+        self.fabric.run(FAULT_SECONDS + 3.0)
+        self.fabric.tap = None
+        self.subject = host.fleet.own.node
+
+    def run_server(self, host, slot, renewals):
+        """Renew a few times."""
+        for _ in range(renewals):
+            self.fabric.run(1.5)
+            self.tell_slot(host, slot, "renew")
+
+    def tell_slot(self, host, slot, what):
+        """Let the server tell its node something, perhaps through the fault."""
+
+        def tell():
+            if not host.alive:
+                return
+            now = self.fabric.now
+            match what:
+                case "announce":
+                    slot.announce(Announcement("10.9.9.9:9", "p", 10), now)
+                case "renew" if slot.announcement is not None:
+                    slot.renew(now)
+                case "drain" if slot.announcement is not None:
+                    slot.drain()
+                case "leave":
+                    slot.leave()
+            self.update_server(host, slot)
+
+        if what != self.step or self.struck:
+            tell()
+            self.overtake(Slot)
+            return
+        if self.fault in ("lost", "answer lost"):
+            self.struck = True
+            if self.fault == "answer lost":
+                tell()
+            self.fabric.at(1.5, tell)
+            return
+        self.strike(host, None, tell, Slot)
+
+    def update_server(self, host, slot):
+        slot.tick(self.fabric.now)
+        wanted = slot.describe(host.fleet.own, self.fabric.now)
+        if wanted != host.fleet.own and host.alive:
+            self.fabric.feed(host, ServerChanged(wanted))
+
+    def tap_records(self, _host, action):
+        """Drop nothing; the slot's faults strike at the slot."""
+        return (
+            isinstance(action, CallStore)
+            and isinstance(action.call, HoldKey)
+            and (self.fabric.store_down)
+        )
+
+    # Properties
+
+    def check_properties(self):
+        """Check what must always hold, at the end of a cell."""
+        store = self.fabric.store
+        record = self.head
+        accepted = {1: CONTENTS[1], record.number: self.content_of_head()}
+        for host in self.fabric.hosts.values():
+            history = host.history
+            check(history == sorted(set(history)), f"a node went back: {history}")
+            current = host.fleet.installer.current
+            if current is None or not host.alive:
+                continue
+            digest, _ = pack_content(current.content)
+            check(digest == current.stamp.digest, "a version is in force in part")
+            if current.number in accepted:
+                check(current.content == accepted[current.number], "wrong content")
+        for host in self.live():
+            records = host.fleet.directory.records
+            for node, incarnation in self.left.items():
+                state = records.get(node)
+                gone = state is None or state.state is not MemberState.ALIVE
+                check(gone, "a server that left was revived")
+                check(node not in host.fleet.directory.serving("p"), "left, but serves")
+                check(state is None or state.incarnation >= incarnation, "older news")
+        readers = [k for k in store.entries if k.startswith("daisylink/reader/")]
+        check(len(readers) <= 2 * len(ZONES), "more readers than slots")
+        if self.step == "drain":
+            self.check_drained()
+
+    def check_drained(self):
+        subject = self.fabric.hosts[self.subject]
+        if subject.fleet.own.server is not ServerState.DRAINING:
+            return
+        for host in self.live():
+            serving = host.fleet.directory.serving("p")
+            check(self.subject not in serving, "a draining server gets new work")
+
+
+def write_table():
+    """Run every cell and write the table to docs."""
+    lines = [
+        INTRODUCTION,
+        "| step | " + " | ".join(FAULTS) + " |",
+        "| --- " * (len(FAULTS) + 1) + "|",
+    ]
+    for step in STEPS:
+        cells = []
+        for fault in FAULTS:
+            try:
+                cells.append(f"held, {Cell(step, fault).run():.1f}")
+            except CellError as error:
+                cells.append(f"RED: {error}")
+        lines.append(f"| {step} | " + " | ".join(cells) + " |")
+    TABLE.write_text("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    write_table()
