--- /dev/null
+++ b/bench/backoff.py
@@ -0,0 +1,95 @@
+"""A herd returns to one node that rations snapshots: three backoffs side by side.
+
+Full jitter, the paper's truncated exponential backoff (RFC 5401, 3.2.2: the group
+size sets the mean), and the delay stated by the server, each without and with
+alternates (nodes served before, named in a refusal).
+Usage: python -m bench.backoff
+"""
+
+import heapq
+import math
+import random
+from collections import Counter
+
+from daisylink.process._ration import Ration, RationSettings
+
+SIZES = (100, 578, 5200)
+BASE_SECONDS = 0.2
+MOST_SECONDS = 5.0
+ROUND_TRIP_SECONDS = 0.002
+START_SPREAD_SECONDS = 1.0
+SLOT_SECONDS = 0.1
+
+
+def full_jitter(rng, tries, _group, _stated):
+    return rng.uniform(0, min(MOST_SECONDS, BASE_SECONDS * 2**tries))
+
+
+def truncated_exponential(rng, tries, group, _stated):
+    """Return RandomBackoff(T_maxBackoff, groupSize) of the paper."""
+    most = min(MOST_SECONDS, BASE_SECONDS * 2**tries)
+    mean = math.log(group) + 1
+    scale = mean / most
+    x = rng.uniform(0, scale) + scale / (math.exp(mean) - 1)
+    return math.log(x * (math.exp(mean) - 1) / scale) / scale
+
+
+def stated(_rng, _tries, _group, retry_seconds):
+    return retry_seconds
+
+
+def run(size, backoff, alternates, seed=1):
+    """Return time of the last served, requests a node and the busiest 0.1 s."""
+    rng = random.Random(seed)
+    rations = {"first": Ration(RationSettings(), rng)}
+    queue = [
+        (rng.uniform(0, START_SPREAD_SECONDS), number, "first", 1)
+        for number in range(size)
+    ]
+    heapq.heapify(queue)
+    asked = Counter()
+    requests = 0
+    last = 0.0
+    while queue:
+        now, number, target, tries = heapq.heappop(queue)
+        ration = rations[target]
+        requests += 1
+        asked[target, int(now / SLOT_SECONDS)] += 1
+        if ration.admit(str(number), now):
+            rations[str(number)] = Ration(RationSettings(), rng)
+            rations[str(number)].filled_at = now
+            last = now
+            continue
+        choices = [target]
+        if alternates:
+            choices += [name for name in ration.alternates("") if name in rations]
+        delay = backoff(rng, tries, size, ration.retry_after_ms() / 1000)
+        later = now + ROUND_TRIP_SECONDS + delay
+        heapq.heappush(queue, (later, number, rng.choice(choices), tries + 1))
+    return last, requests / size, max(asked.values())
+
+
+def main():
+    limits = RationSettings()
+    print(f"one server: {limits.per_second:g} a second, burst {limits.burst}")
+    print("| nodes | backoff | alternates | all served s | requests a node | busiest |")
+    print("| --- | --- | --- | --- | --- | --- |")
+    ways = (
+        ("full jitter", full_jitter),
+        ("truncated exponential", truncated_exponential),
+        ("stated by the server", stated),
+    )
+    for size in SIZES:
+        for alternates in (False, True):
+            for name, backoff in ways:
+                last, requests, busiest = run(size, backoff, alternates)
+                mark = "yes" if alternates else "no"
+                print(
+                    f"| {size} | {name} | {mark} | {last:.1f} | {requests:.1f} | "
+                    f"{busiest} |",
+                    flush=True,
+                )
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/fabric.py
+++ b/bench/fabric.py
@@ -23,8 +23,11 @@
 )
 from daisylink.process._events import (
     CallStore,
+    ClaimSettled,
     GrantLease,
     HoldKey,
+    KeepAnswered,
+    KeepCall,
     MessageReceived,
     Pull,
     PullAnswered,
@@ -66,6 +69,7 @@
         self.messages = 0
         self.installed = {}
         self.history = []
+        self.claims = {}
 
 
 class Fabric:
@@ -90,6 +94,7 @@
         self.watches = []
         self.calls = Counter()
         self.tap = None
+        self.settled = []
 
     # Set-up
 
@@ -102,7 +107,7 @@
         incarnation = round(self.now * 1000) + 1000
         record = MemberRecord(
             name, zone, incarnation, relay=name[:-1] + "1", pool="p",
-            server=ServerState.SERVING, slots=10,
+            server=ServerState.SERVING, slots=10, boot=incarnation,
         )  # fmt: skip
         rng = random.Random(self.rng.getrandbits(64))
         fleet = FleetNode(settings or FleetSettings(), record, tuple(peers), rng)
@@ -189,6 +194,11 @@
                 self.feed(host, TimePassed())
         elif kind == "pull":
             self._answer_pull(host, *payload)
+        elif kind == "keep":
+            sender, request = payload
+            reply = host.fleet.answer_keep(request, self.now)
+            event = KeepAnswered(host.fleet.own.node, reply)
+            self._push(self._delay(host, sender), "event", sender, event)
         elif kind == "store":
             self._answer_store(host, payload)
         else:
@@ -227,6 +237,11 @@
                 self._push(self._delay(host, target), "event", target, event)
             case Pull(address, request):
                 self._send_pull(host, address, request)
+            case KeepCall(address, request):
+                self._send_keep(host, address, request)
+            case ClaimSettled(ticket, outcome):
+                host.claims[ticket] = outcome
+                self.settled.append(outcome)
             case CallStore(call):
                 self._push(STORE_SECONDS, "store", host, call)
             case VersionInstalled(version):
@@ -267,6 +282,11 @@
         event = PullAnswered(target.fleet.own.node, reply)
         self._push(self._delay(host, target), "event", host, event)
 
+    def _send_keep(self, host, address, request):
+        target = self.hosts.get(address)
+        if target is not None and target.alive and not self._is_cut(host, target):
+            self._push(self._delay(host, target), "keep", target, (host, request))
+
     # The platform
 
     def fail_call(self, host, call, takes_effect):
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -157,8 +157,8 @@
     Mutant(
         "a loss is told as not run",
         "request/_outcome.py",
-        "    {ResultCode.REQUEST_DEADLINE_UNKNOWN, ResultCode.REQUEST_ANSWER_LOST}\n",
-        "    {ResultCode.REQUEST_DEADLINE_UNKNOWN}\n",
+        "    ResultCode.REQUEST_ANSWER_LOST: Outcome.UNKNOWN,\n",
+        "",
         "tests.test_calls",
     ),
     Mutant(
@@ -183,6 +183,34 @@
         "        self.done = True\n        self.gateway.note_cancelled(self)\n",
         "tests.test_calls",
     ),
+    Mutant(
+        "one keeper's grant is enough",
+        "process/_keepers.py",
+        "    return len(place.keepers) // 2 + 1\n",
+        "    return 1\n",
+        "tests.test_keys.KeeperTests",
+    ),
+    Mutant(
+        "a sealed shard still grants",
+        "process/_ledger.py",
+        "        ledger.sealed = True\n",
+        "        pass\n",
+        "tests.test_ledger",
+    ),
+    Mutant(
+        "a lost majority starts empty at once",
+        "process/_keepers.py",
+        "                if now - since < self.settings.lost_wait.total_seconds():\n",
+        "                if False:\n",
+        "tests.test_keys.KeeperTests",
+    ),
+    Mutant(
+        "a key is not claimed before its request runs",
+        "request/_exchange.py",
+        "        if key is None:\n",
+        "        if True:\n",
+        "tests.test_keys.KeyedCallTests",
+    ),
     Mutant(
         "a server's headers may speak for daisylink",
         "request/_exchange.py",
--- a/specs/run.py
+++ b/specs/run.py
@@ -4,9 +4,9 @@
 
 from minicheck import check_liveness, check_safety
 
-from specs import acceptance, distribution, membership
+from specs import acceptance, distribution, keys, membership
 
-ALL_SPECS = (acceptance, distribution, membership)
+ALL_SPECS = (acceptance, distribution, membership, keys)
 MAX_STATES = 400_000
 
 
--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -70,6 +70,9 @@
     REQUEST_STOPPING = 5016
     REQUEST_WRONG_NODE = 5017
     REQUEST_TOO_DEEP = 5018
+    REQUEST_KEY_UNSETTLED = 5019
+    REQUEST_KEY_RUNNING = 5020
+    REQUEST_KEY_DONE = 5021
 
     NODE_NOT_READY = 6001
     NODE_BUSY = 6002
@@ -222,6 +225,18 @@
     ResultCode.REQUEST_TOO_DEEP: CodeInfo(
         "The request passed through too many calls.", "Look for a loop of services."
     ),
+    ResultCode.REQUEST_KEY_UNSETTLED: CodeInfo(
+        "No majority of the key's keepers answered, so the request was not run.",
+        "Come back after the stated time with the same key.",
+    ),
+    ResultCode.REQUEST_KEY_RUNNING: CodeInfo(
+        "A request with this key was begun before; its answer is not known yet.",
+        "Come back after the stated time with the same key; it is never run twice.",
+    ),
+    ResultCode.REQUEST_KEY_DONE: CodeInfo(
+        "A request with this key ran and was answered; the answer is no longer kept.",
+        "Do not send it again.",
+    ),
     ResultCode.NODE_NOT_READY: CodeInfo(
         "The node has not caught up with its peers.", "Wait."
     ),
--- /dev/null
+++ b/src/daisylink/process/_claims.py
@@ -0,0 +1,165 @@
+"""Claims of keyed requests by the node that is about to run them.
+
+A request with a key is run only after a majority of its shard's keepers granted the
+claim. Without a majority it is refused, certainly not run.
+"""
+
+import random
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from daisylink.errors import ResultCode
+from daisylink.process._events import ClaimSettled, Send
+from daisylink.process._keepers import Keepers, find_shard, majority
+from daisylink.process._messages import (
+    Claim,
+    ClaimReply,
+    Settle,
+    ShardPlace,
+    Verdict,
+)
+from daisylink.request import ClaimFate, ClaimGranted, ClaimKnown, ClaimRefused
+
+CLAIM_BITS = 62
+RETRY_MS = 300
+
+
+class ClaimSettings(NamedTuple):
+    """Patience of claims.
+
+    :param resend: a claim that was not answered is sent again after this time.
+    :param patience: after this time without a majority the request is refused.
+    """
+
+    resend: timedelta = timedelta(milliseconds=60)
+    patience: timedelta = timedelta(milliseconds=400)
+
+
+@dataclass
+class OpenClaim:
+    """A claim that waits for a majority."""
+
+    claim: Claim
+    ticket: Any
+    place: ShardPlace
+    deadline: float
+    resend_at: float
+    verdicts: dict[str, Verdict] = field(default_factory=dict)
+    known: ClaimReply | None = None
+
+
+class HeldClaim(NamedTuple):
+    """A granted claim, whose request runs."""
+
+    claim: Claim
+    place: ShardPlace
+
+
+class Claims:
+    """The claims of one node.
+
+    :param own: the node's name.
+    :param keepers: where the keepers of a shard are found.
+    """
+
+    def __init__(
+        self, settings: ClaimSettings, own: str, keepers: Keepers, rng: random.Random
+    ):
+        self.resend = settings.resend.total_seconds()
+        self.patience = settings.patience.total_seconds()
+        self.own = own
+        self.keepers = keepers
+        self.rng = rng
+        self.open: dict[int, OpenClaim] = {}
+        self.held: dict[Any, HeldClaim] = {}
+
+    @property
+    def wake_at(self) -> float:
+        """Return when something is due."""
+        return min(
+            (min(item.resend_at, item.deadline) for item in self.open.values()),
+            default=float("inf"),
+        )
+
+    def ask(self, ticket: Any, key: bytes, now: float) -> list[Send | ClaimSettled]:
+        """Claim a key for a request.
+
+        :param ticket: what the shell knows the request by.
+        :param key: digest of the key.
+        """
+        shard = find_shard(key)
+        place = self.keepers.place(shard)
+        if place is None or not place.keepers:
+            return [self._refuse(ticket)]
+        claim_id = self.rng.getrandbits(CLAIM_BITS)
+        claim = Claim(claim_id, self.own, shard, place.epoch, key)
+        self.open[claim_id] = OpenClaim(
+            claim, ticket, place, now + self.patience, now + self.resend
+        )
+        return [Send(keeper.node, claim) for keeper in place.keepers]
+
+    def take_reply(self, reply: ClaimReply) -> list[Send | ClaimSettled]:
+        """Take a keeper's verdict."""
+        item = self.open.get(reply.claim_id)
+        if item is None:
+            return []
+        item.verdicts[reply.sender] = reply.verdict
+        if reply.verdict is Verdict.KNOWN and (item.known is None or reply.done):
+            item.known = reply
+        return self._decide(item)
+
+    def tick(self, now: float) -> list[Send | ClaimSettled]:
+        """Send claims again, and refuse those whose time is over."""
+        actions: list[Send | ClaimSettled] = []
+        for item in list(self.open.values()):
+            if now >= item.deadline:
+                actions += self._end(item)
+            elif now >= item.resend_at:
+                item.resend_at = now + self.resend
+                for keeper in item.place.keepers:
+                    if keeper.node not in item.verdicts:
+                        actions.append(Send(keeper.node, item.claim))
+        return actions
+
+    def settle(self, ticket: Any, fate: ClaimFate, answer: bytes) -> list[Send]:
+        """Tell the keepers a claim's answer, or that its request was not run."""
+        held = self.held.pop(ticket, None)
+        if held is None or fate is ClaimFate.UNKNOWN:
+            return []
+        released = fate is ClaimFate.NOT_RUN
+        return self._tell(held.claim, held.place, answer, released)
+
+    def _decide(self, item: OpenClaim) -> list[Send | ClaimSettled]:
+        verdicts = list(item.verdicts.values())
+        needed = majority(item.place)
+        granted = verdicts.count(Verdict.GRANTED)
+        if granted >= needed and item.known is None:
+            del self.open[item.claim.claim_id]
+            self.held[item.ticket] = HeldClaim(item.claim, item.place)
+            return [ClaimSettled(item.ticket, ClaimGranted())]
+        missing = len(item.place.keepers) - len(verdicts)
+        known_done = item.known is not None and item.known.done
+        if known_done or granted + missing < needed or not missing:
+            return self._end(item)
+        return []
+
+    def _end(self, item: OpenClaim) -> list[Send | ClaimSettled]:
+        """Give a claim up; it was not run, so its grants are taken back."""
+        del self.open[item.claim.claim_id]
+        actions: list[Send | ClaimSettled] = []
+        actions += self._tell(item.claim, item.place, b"", released=True)
+        if item.known is not None:
+            known = ClaimKnown(item.known.done, item.known.answer)
+            return [*actions, ClaimSettled(item.ticket, known)]
+        return [*actions, self._refuse(item.ticket)]
+
+    def _tell(
+        self, claim: Claim, place: ShardPlace, answer: bytes, released: bool
+    ) -> list[Send]:
+        settle = Settle(claim.claim_id, claim.shard, claim.key, answer, released)
+        return [Send(keeper.node, settle) for keeper in place.keepers]
+
+    def _refuse(self, ticket: Any) -> ClaimSettled:
+        refused = ClaimRefused(ResultCode.REQUEST_KEY_UNSETTLED, RETRY_MS)
+        return ClaimSettled(ticket, refused)
--- a/src/daisylink/process/_detector.py
+++ b/src/daisylink/process/_detector.py
@@ -74,6 +74,7 @@
         self.next_period = 0.0
         self.wake_at = 0.0
         self.number = 0
+        self.keepers = 0
 
     @property
     def own(self) -> str:
@@ -112,13 +113,19 @@
         self.sequence += 1
         if track:
             self.probes[self.sequence] = Probe(target, now)
-        ping = Ping(self.sequence, self.own, self.number, self.directory.digest)
+        ping = Ping(
+            self.sequence,
+            self.own,
+            self.number,
+            self.directory.digest,
+            self.keepers,
+        )
         return Send(target, ping)
 
     def answer_ping(self, ping: Ping) -> Send:
         """Return the answer to a ping."""
         digest = self.directory.digest
-        ack = Ack(ping.sequence, self.own, self.number, digest, self.own)
+        ack = Ack(ping.sequence, self.own, self.number, digest, self.keepers, self.own)
         return Send(ping.sender, ack)
 
     def relay_ping(self, request: PingRequest, now: float) -> Send:
@@ -136,7 +143,14 @@
         relayed = self.relayed.pop(ack.sequence, None)
         if relayed is None or ack.sender != ack.about:
             return []
-        answer = Ack(relayed.sequence, self.own, ack.number, ack.digest, ack.about)
+        answer = Ack(
+            relayed.sequence,
+            self.own,
+            self.number,
+            self.directory.digest,
+            self.keepers,
+            ack.about,
+        )
         return [Send(relayed.requester, answer)]
 
     def _forgive(self, now: float) -> None:
--- a/src/daisylink/process/_directory.py
+++ b/src/daisylink/process/_directory.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+from msgspec.structs import replace
+
 from daisylink.process._records import (
     POSITION_BITS,
     MemberRecord,
@@ -59,7 +61,7 @@
 
     def change_own(self, record: MemberRecord, now: float) -> MemberRecord:
         """Replace the own record by one with the next incarnation, and return it."""
-        own = _with_incarnation(record, self.own.incarnation + 1)
+        own = replace(record, incarnation=self.own.incarnation + 1)
         self.own = own
         self._put(own, now)
         return own
@@ -72,7 +74,7 @@
         """
         if not record.overrides(self.own):
             return None
-        own = _with_incarnation(self.own, record.incarnation + 1)
+        own = replace(self.own, incarnation=record.incarnation + 1)
         self.own = own
         self._put(own, now)
         return own
@@ -162,16 +164,3 @@
 
 def _fingerprint(record: MemberRecord) -> int:
     return hash_position(f"{record.node}/{record.incarnation}")
-
-
-def _with_incarnation(record: MemberRecord, incarnation: int) -> MemberRecord:
-    return MemberRecord(
-        record.node,
-        record.zone,
-        incarnation,
-        record.state,
-        record.relay,
-        record.pool,
-        record.server,
-        record.slots,
-    )
--- a/src/daisylink/process/_events.py
+++ b/src/daisylink/process/_events.py
@@ -2,11 +2,19 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Any
 
 from daisylink.errors import ResultCode
 from daisylink.platform import Entry
-from daisylink.process._messages import Message, PullReply, PullRequest
+from daisylink.process._messages import (
+    KeepReply,
+    KeepRequest,
+    Message,
+    PullReply,
+    PullRequest,
+)
 from daisylink.process._records import MemberRecord
+from daisylink.request import ClaimFate, ClaimOutcome
 from daisylink.version import Version
 
 
@@ -128,6 +136,38 @@
     record: MemberRecord
 
 
+@dataclass(frozen=True)
+class KeepAnswered:
+    """Event: a keeper answered a seal or a copy."""
+
+    address: str
+    reply: KeepReply
+
+
+@dataclass(frozen=True)
+class ClaimAsked:
+    """Event: a keyed request is about to run.
+
+    :param ticket: what the shell knows the request by.
+    :param key: digest of the key.
+    """
+
+    ticket: Any
+    key: bytes
+
+
+@dataclass(frozen=True)
+class ClaimEnded:
+    """Event: a request whose claim was granted has ended.
+
+    :param answer: the packed answer, empty if it is too long to keep.
+    """
+
+    ticket: Any
+    fate: ClaimFate
+    answer: bytes = b""
+
+
 @dataclass(frozen=True)
 class StopAsked:
     """Event: the node is to leave the fleet."""
@@ -142,6 +182,9 @@
     | StoreAnswered
     | StoreFailed
     | ServerChanged
+    | KeepAnswered
+    | ClaimAsked
+    | ClaimEnded
     | StopAsked
 )
 
@@ -162,6 +205,22 @@
     request: PullRequest
 
 
+@dataclass(frozen=True)
+class KeepCall:
+    """Action: ask a keeper to seal a shard or to take records."""
+
+    address: str
+    request: KeepRequest
+
+
+@dataclass(frozen=True)
+class ClaimSettled:
+    """Action: tell a request what came of its claim."""
+
+    ticket: Any
+    outcome: ClaimOutcome
+
+
 @dataclass(frozen=True)
 class CallStore:
     """Action: call the platform."""
@@ -181,4 +240,12 @@
     """Action: the directory's records changed."""
 
 
-Action = Send | Pull | CallStore | VersionInstalled | DirectoryChanged
+Action = (
+    Send
+    | Pull
+    | KeepCall
+    | ClaimSettled
+    | CallStore
+    | VersionInstalled
+    | DirectoryChanged
+)
--- a/src/daisylink/process/_fleet.py
+++ b/src/daisylink/process/_fleet.py
@@ -8,14 +8,20 @@
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
+from msgspec.structs import replace
+
 from daisylink.errors import ResultCode
+from daisylink.process._claims import Claims, ClaimSettings
 from daisylink.process._detector import Detector, DetectorSettings
 from daisylink.process._directory import BUCKETS, Directory
 from daisylink.process._events import (
     Action,
     CallStore,
+    ClaimAsked,
+    ClaimEnded,
     DirectoryChanged,
     Event,
+    KeepAnswered,
     MessageReceived,
     PullAnswered,
     PullFailed,
@@ -30,8 +36,16 @@
     VersionInstalled,
 )
 from daisylink.process._installer import Installer, Offer
+from daisylink.process._keepers import Keepers, KeeperSettings
+from daisylink.process._ledger import Ledger, LedgerSettings
 from daisylink.process._messages import (
     Ack,
+    Claim,
+    ClaimReply,
+    Keeper,
+    KeeperMap,
+    KeepReply,
+    KeepRequest,
     Message,
     Ping,
     PingRequest,
@@ -39,13 +53,14 @@
     PullRequest,
     Push,
     PushAck,
+    Settle,
     VersionNews,
 )
-from daisylink.process._pulls import Pulls, PullSettings
+from daisylink.process._pulls import Holdings, Pulls, PullSettings
 from daisylink.process._ration import Ration, RationSettings
 from daisylink.process._reader import Reader, ReaderResult, ReaderSettings, reader_key
 from daisylink.process._readiness import Readiness, ReadinessSettings
-from daisylink.process._records import MemberRecord, MemberState
+from daisylink.process._records import MemberRecord, MemberState, ServerState
 from daisylink.process._spreader import (
     News,
     Spreader,
@@ -76,6 +91,9 @@
     zones: ZoneSettings = ZoneSettings()
     ration: RationSettings = RationSettings()
     readiness: ReadinessSettings = ReadinessSettings()
+    keepers: KeeperSettings = KeeperSettings()
+    ledger: LedgerSettings = LedgerSettings()
+    claims: ClaimSettings = ClaimSettings()
     batch: timedelta = timedelta(milliseconds=50)
     gap_patience: timedelta = timedelta(seconds=1)
     settle: timedelta = timedelta(seconds=1)
@@ -115,6 +133,9 @@
         self.zones = ZoneWatch(settings.zones, self.directory, rng)
         self.ration = Ration(settings.ration, rng)
         self.readiness = Readiness(settings.readiness)
+        self.keepers = Keepers(settings.keepers, self.directory, rng)
+        self.ledger = Ledger(settings.ledger, Keeper(record.node, record.boot))
+        self.claims = Claims(settings.claims, record.node, self.keepers, rng)
         self.changes: dict[str, MemberRecord] = {}
         self.changes_due = float("inf")
         self.changed_at = float("-inf")
@@ -141,6 +162,8 @@
             self.pulls.wake_at,
             self.reader.wake_at,
             self.zones.wake_at,
+            self.keepers.wake_at,
+            self.claims.wake_at,
             self.changes_due,
             self.second_due,
             self.head_due,
@@ -172,6 +195,12 @@
                 actions = self._take_store_failure(event, now)
             case ServerChanged(record):
                 actions = self._change_own(record, now)
+            case KeepAnswered(address, reply):
+                actions = list(self.keepers.take_reply(address, reply, now))
+            case ClaimAsked(ticket, key):
+                actions = list(self.claims.ask(ticket, key, now))
+            case ClaimEnded(ticket, fate, answer):
+                actions = list(self.claims.settle(ticket, fate, answer))
             case Started():
                 actions = self._start(now)
             case StopAsked():
@@ -191,15 +220,22 @@
         if is_large and not self.ration.admit(request.sender, now):
             retry_ms = self.ration.retry_after_ms()
             return PullReply(number, retry_ms, self.ration.alternates(request.sender))
+        newer_map = self.keepers.map.number > request.keepers
+        keepers = self.keepers.map if newer_map else None
         if behind and not news:
             latest, snapshot = self.installer.snapshot()
             news = (latest,)
-        return PullReply(number, 0, (), news, snapshot, records)
+        return PullReply(number, 0, (), news, snapshot, records, keepers)
+
+    def answer_keep(self, request: KeepRequest, now: float) -> KeepReply:
+        """Answer a seal or a copy of key records."""
+        return self.ledger.answer_keep(request, now)
 
     def _start(self, now: float) -> list[Action]:
         self.detector.start(now)
         self.reader.start(now)
         self.zones.start(now)
+        self.keepers.start(now)
         self.readiness.start(now)
         self.head_due = now + self.rng.uniform(
             0, self.settings.reader.poll.total_seconds() / 2
@@ -212,6 +248,7 @@
         """Do what is due in each part."""
         actions: list[Action] = []
         self.detector.number = self.installer.number
+        self.detector.keepers = self.keepers.map.number
         if now >= self.detector.wake_at:
             sends, dead = self.detector.tick(now)
             actions += sends
@@ -220,12 +257,22 @@
         if now >= self.spreader.wake_at:
             actions += self.spreader.tick(now)
         if now >= self.zones.wake_at:
-            actions += self.zones.tick(now, self.installer.number)
+            actions += self.zones.tick(
+                now, self.installer.number, self.keepers.map.number
+            )
         if now >= self.reader.wake_at and not self.leaving:
             actions += self._tick_reader(now)
         if now >= self.pulls.wake_at:
             buckets = tuple(self.directory.digests)
-            actions += self.pulls.tick(now, self.installer.number, buckets)
+            held = Holdings(self.installer.number, self.keepers.map.number, buckets)
+            actions += self.pulls.tick(now, held)
+        if now >= self.claims.wake_at:
+            actions += self.claims.tick(now)
+        if now >= self.keepers.wake_at and not self.leaving:
+            is_first = self.reader.slot == 0
+            actions += self.keepers.tick(now, is_first)
+            if is_first:
+                actions += self.keepers.propose_first(now)
         if now >= self.second_due:
             actions += self._spread_second(now)
         if now >= self.head_due:
@@ -263,11 +310,19 @@
     def _take_message(self, message: Message, now: float) -> list[Action]:
         match message:
             case Ping():
-                self._note_peer(message.sender, message.number, message.digest, now)
+                self._note_peer(message, now)
                 return [self.detector.answer_ping(message)]
             case Ack():
-                self._note_peer(message.sender, message.number, message.digest, now)
+                self._note_peer(message, now)
                 return list(self.detector.take_ack(message))
+            case Claim():
+                reply = self.ledger.answer_claim(message, now)
+                return [Send(message.sender, reply)]
+            case ClaimReply():
+                return list(self.claims.take_reply(message))
+            case Settle():
+                self.ledger.settle(message)
+                return []
             case PingRequest():
                 return [self.detector.relay_ping(message, now)]
             case Push():
@@ -275,8 +330,11 @@
             case PushAck():
                 return list(self.spreader.take_ack(message, now))
 
-    def _note_peer(self, sender: str, number: int, digest: int, now: float) -> None:
+    def _note_peer(self, message: Ping | Ack, now: float) -> None:
         """Note what a peer holds, and pull if it holds more."""
+        sender, number, digest = message.sender, message.number, message.digest
+        if message.keepers > self.keepers.map.number:
+            self.pulls.want_keepers(sender, message.keepers, now)
         self.zones.note_heard(sender, now)
         self.readiness.note_peer(sender, number)
         if number > self.installer.number:
@@ -288,6 +346,7 @@
     def _take_push(self, push: Push, now: float) -> list[Action]:
         actions: list[Action] = []
         fresh = bool(self._merge(push.records, now, actions))
+        fresh |= self._take_map(push.keepers, now)
         news = push.version
         if news is not None and self.second_news is not None:
             self._drop_second(news)
@@ -312,7 +371,7 @@
             self.pulls.want_version_now(sender, news.number, now)
 
     def _pass_on(self, push: Push, now: float) -> list[Action]:
-        news = News(push.version, push.records)
+        news = News(push.version, push.records, push.keepers)
         avoid = tuple(self.detector.suspects)
         return list(self.spreader.spread(news, now, push.low, push.high, avoid))
 
@@ -363,6 +422,7 @@
             else:
                 self.installer.offer(news)
         self._report_install(before, actions)
+        self._take_map(reply.keepers, now)
         fresh = self._merge(reply.records, now, actions)
         if not self.joined and reply.records:
             self.joined = True
@@ -399,8 +459,27 @@
             number = result.record.number if result.record is not None else 0
             self.readiness.note_platform(number)
         actions += self._take_reader_result(result, now)
+        keeper_map = self.keepers.take_answer(answer, now)
+        if keeper_map is not None:
+            self.ledger.take_map(keeper_map, now)
+            actions += self._spread_map(keeper_map, now)
         return actions
 
+    def _take_map(self, keeper_map: KeeperMap | None, now: float) -> bool:
+        """Take a newer keeper map; return whether it was newer."""
+        if not self.keepers.take_map(keeper_map):
+            return False
+        self.ledger.take_map(keeper_map, now)
+        return True
+
+    def _spread_map(self, keeper_map: KeeperMap, now: float) -> list[Action]:
+        """Tell all zones of a map read from or written to the platform."""
+        news = News(keepers=keeper_map)
+        return [
+            *self.spreader.spread(news, now),
+            *self.spreader.spread_abroad(news, now),
+        ]
+
     def _take_reader_result(self, result: ReaderResult, now: float) -> list[Action]:
         actions: list[Action] = []
         before = self.installer.number
@@ -455,6 +534,7 @@
 
     def _take_store_failure(self, failure: StoreFailed, now: float) -> list[Action]:
         self.reader.take_failure(failure, now)
+        self.keepers.take_failure(failure)
         retries = failure.call == ReadKey(HEAD_KEY) and not self.readiness.was_ready
         if retries or failure.code == ResultCode.PLATFORM_LIMITED and not self.joined:
             self.head_due = now + self.rng.uniform(0.2, 1.0)
@@ -482,9 +562,7 @@
 
     def _declare_dead(self, node: str, now: float) -> list[Action]:
         record = self.directory.records[node]
-        dead = MemberRecord(
-            node, record.zone, record.incarnation, MemberState.DEAD, record.relay
-        )
+        dead = replace(record, state=MemberState.DEAD)
         if not self.directory.merge(dead, now):
             return []
         self._note_change(dead, now)
@@ -501,9 +579,7 @@
         """Leave the fleet: give up the slot and tell everyone."""
         self.leaving = True
         own = self.own
-        left = MemberRecord(
-            own.node, own.zone, own.incarnation, MemberState.LEFT, own.relay
-        )
+        left = replace(own, state=MemberState.LEFT, server=ServerState.ABSENT)
         actions: list[Action] = list(self.reader.drop_slot(now))
         actions += self._change_own(left, now)
         return actions
--- a/src/daisylink/process/_gateway.py
+++ b/src/daisylink/process/_gateway.py
@@ -12,7 +12,14 @@
 from daisylink.process._metrics import Metrics
 from daisylink.process._records import MemberRecord, ServerState
 from daisylink.process._slot import Slot
-from daisylink.request import Decision, Exchange, Refusal, RequestPlan, RetryBudget
+from daisylink.request import (
+    ClaimFate,
+    Decision,
+    Exchange,
+    Refusal,
+    RequestPlan,
+    RetryBudget,
+)
 from daisylink.version import Version
 
 SWEEP_SECONDS = 1.0
@@ -108,6 +115,12 @@
     def on_slot_changed(self) -> None:
         """Tell the node that the slot's state changed; set by the node."""
 
+    def ask_claim(self, exchange: Exchange, key: bytes) -> None:
+        """Claim a key before its request runs; set by the node."""
+
+    def end_claim(self, exchange: Exchange, fate: ClaimFate, answer: bytes) -> None:
+        """Tell what became of a request whose claim was granted; set by the node."""
+
     def load_text(self) -> bytes:
         """Return the own backend server's load for the load header."""
         return b"%.3f" % self._own_load()
--- a/src/daisylink/process/_messages.py
+++ b/src/daisylink/process/_messages.py
@@ -5,6 +5,7 @@
 """
 
 from datetime import datetime
+from enum import IntEnum
 
 import msgspec
 
@@ -29,17 +30,45 @@
         return VersionStamp(self.number, self.digest, self.accepted_at)
 
 
+class Keeper(msgspec.Struct, frozen=True, array_like=True):
+    """A process that keeps records: a node since one of its starts."""
+
+    node: str
+    boot: int
+
+
+class ShardPlace(msgspec.Struct, frozen=True, array_like=True):
+    """Where one shard's records are kept.
+
+    :param epoch: grows with each change of the shard's keepers.
+    :param transfer: which copy of the records the epoch begins with, 0 for none.
+    """
+
+    epoch: int
+    transfer: int
+    keepers: tuple[Keeper, ...]
+
+
+class KeeperMap(msgspec.Struct, frozen=True, array_like=True):
+    """The places of all shards; the number grows with each change."""
+
+    number: int
+    shards: tuple[ShardPlace, ...] = ()
+
+
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Asks whether a node runs, and says what its sender holds.
 
     :param number: number of the sender's version in force, 0 for none.
     :param digest: digest of the sender's directory.
+    :param keepers: number of the sender's keeper map.
     """
 
     sequence: int
     sender: str
     number: int
     digest: int
+    keepers: int
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -49,6 +78,7 @@
     sender: str
     number: int
     digest: int
+    keepers: int
     about: str
 
 
@@ -73,6 +103,7 @@
     high: int = MAX_POSITION
     version: VersionNews | None = None
     records: tuple[MemberRecord, ...] = ()
+    keepers: KeeperMap | None = None
 
 
 class PushAck(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -83,7 +114,77 @@
     passed_on: bool
 
 
-Message = Ping | Ack | PingRequest | Push | PushAck
+class Verdict(IntEnum):
+    """A keeper's verdict on a claim.
+
+    ``STALE`` means that the keeper does not keep the shard in the claim's epoch.
+    """
+
+    GRANTED = 0
+    KNOWN = 1
+    STALE = 2
+    FULL = 3
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Asks a keeper to record that a keyed request is about to run."""
+
+    claim_id: int
+    sender: str
+    shard: int
+    epoch: int
+    key: bytes
+
+
+class ClaimReply(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """A keeper's verdict; ``answer`` is what a known request was answered, if kept."""
+
+    claim_id: int
+    sender: str
+    verdict: Verdict
+    done: bool = False
+    answer: bytes = b""
+
+
+class Settle(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Tells a keeper a claim's answer, or that the request was certainly not run."""
+
+    claim_id: int
+    shard: int
+    key: bytes
+    answer: bytes
+    released: bool
+
+
+Message = Ping | Ack | PingRequest | Push | PushAck | Claim | ClaimReply | Settle
+
+
+class KeyRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What a keeper knows of a key."""
+
+    key: bytes
+    claim_id: int
+    done: bool = False
+    answer: bytes = b""
+
+
+class KeepRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a keeper to seal a shard, or to take the records of a transfer."""
+
+    shard: int
+    epoch: int
+    seal: bool = False
+    transfer: int = 0
+    records: tuple[KeyRecord, ...] = ()
+
+
+class KeepReply(msgspec.Struct, frozen=True, array_like=True):
+    """Answers a :class:`KeepRequest`."""
+
+    shard: int
+    epoch: int
+    done: bool
+    records: tuple[KeyRecord, ...] = ()
 
 
 class PullRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -97,6 +198,7 @@
     sender: str
     number: int
     buckets: tuple[int, ...] = ()
+    keepers: int = 0
 
 
 class PullReply(msgspec.Struct, frozen=True, array_like=True):
@@ -115,6 +217,7 @@
     news: tuple[VersionNews, ...] = ()
     snapshot: bytes = b""
     records: tuple[MemberRecord, ...] = ()
+    keepers: KeeperMap | None = None
 
 
 class SurveyRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/src/daisylink/process/_node.py
+++ b/src/daisylink/process/_node.py
@@ -21,10 +21,15 @@
 from daisylink.process._events import (
     Action,
     CallStore,
+    ClaimAsked,
+    ClaimEnded,
+    ClaimSettled,
     DirectoryChanged,
     Event,
     GrantLease,
     HoldKey,
+    KeepAnswered,
+    KeepCall,
     MessageReceived,
     Pull,
     PullAnswered,
@@ -47,6 +52,8 @@
 from daisylink.process._fleet import FleetNode, FleetSettings, first_incarnation
 from daisylink.process._gateway import Gateway
 from daisylink.process._messages import (
+    KeepReply,
+    KeepRequest,
     Message,
     PullReply,
     PullRequest,
@@ -58,6 +65,7 @@
 from daisylink.process._slot import Slot, SlotSettings
 from daisylink.process._survey import Surveyor
 from daisylink.process._transport import ControlClient, ControlServer, DatagramEndpoint
+from daisylink.request import ClaimFate, ClaimGranted, ClaimOutcome, Exchange
 from daisylink.settings import Address, NodeSettings
 from daisylink.version import Version
 from daisylink.web import WebServer
@@ -97,7 +105,10 @@
         self.slot = Slot(slot_settings or SlotSettings())
         self.client = ControlClient(self._note_traffic)
         self.server = ControlServer(
-            self._answer_pull, self._answer_survey, self._note_traffic
+            self._answer_pull,
+            self._answer_survey,
+            self._answer_keep,
+            self._note_traffic,
         )
         self.datagrams = DatagramEndpoint(self._take_message, self._note_traffic)
         self.listeners: list[asyncio.Server] = []
@@ -149,16 +160,20 @@
         relay_host = settings.relay.host
         relay_socket = await self._listen(settings.relay, "relay", self._make_relay)
         self.relay_address = Address(relay_host, relay_socket)
+        boot = first_incarnation(self.clock.now())
         record = MemberRecord(
             node=str(control),
             zone=zone,
-            incarnation=first_incarnation(self.clock.now()),
+            incarnation=boot,
             relay=str(self.relay_address),
+            boot=boot,
         )
         self.fleet = FleetNode(self.fleet_settings, record, settings.peers, self.rng)
         chooser = Chooser(self.fleet.directory, self.rng)
         self.gateway = Gateway(self.clock, self.loop, chooser, self.slot, self.metrics)
         self.gateway.on_slot_changed = self.update_server
+        self.gateway.ask_claim = self._ask_claim
+        self.gateway.end_claim = self._end_claim
         self.surveyor = Surveyor(self.fleet, self.client)
         callers = await self._listen(settings.callers, "callers", self._make_caller)
         self.callers_address = Address(settings.callers.host, callers)
@@ -301,6 +316,10 @@
                     self.datagrams.send(address, message)
                 case Pull(address, request):
                     self._spawn(self._pull(address, request))
+                case KeepCall(address, request):
+                    self._spawn(self._keep(address, request))
+                case ClaimSettled(ticket, outcome):
+                    self._settle_claim(ticket, outcome)
                 case CallStore(call):
                     self._spawn(self._call_store(call))
                 case VersionInstalled(version):
@@ -332,6 +351,23 @@
         if self.started:
             self._feed(MessageReceived(message))
 
+    def _ask_claim(self, exchange: Exchange, key: bytes) -> None:
+        self._feed(ClaimAsked(exchange, key))
+
+    def _end_claim(self, exchange: Exchange, fate: ClaimFate, answer: bytes) -> None:
+        self._feed(ClaimEnded(exchange, fate, answer))
+
+    def _settle_claim(self, exchange: Exchange, outcome: ClaimOutcome) -> None:
+        """Tell a request what came of its claim; one that is gone was not run."""
+        runs = exchange.take_claim(outcome)
+        if not runs and isinstance(outcome, ClaimGranted):
+            self._feed(ClaimEnded(exchange, ClaimFate.NOT_RUN))
+
+    def _answer_keep(self, request: KeepRequest) -> KeepReply:
+        if not self.started:
+            raise NodeError("not started", ResultCode.NODE_NOT_READY)
+        return self.fleet.answer_keep(request, self.now())
+
     def _answer_pull(self, request: PullRequest) -> PullReply:
         if not self.started:
             raise NodeError("not started", ResultCode.NODE_NOT_READY)
@@ -355,6 +391,13 @@
             return
         self._feed(PullAnswered(address, reply))
 
+    async def _keep(self, address: str, request: KeepRequest) -> None:
+        try:
+            reply = await self.client.keep(address, request)
+        except NodeError:
+            return
+        self._feed(KeepAnswered(address, reply))
+
     async def _call_store(self, call: StoreCall) -> None:
         try:
             result = await self._ask_store(call)
--- a/src/daisylink/process/_pulls.py
+++ b/src/daisylink/process/_pulls.py
@@ -28,6 +28,14 @@
     timeout: timedelta = timedelta(seconds=5)
 
 
+class Holdings(NamedTuple):
+    """What this node holds: numbers of version and keeper map, directory digests."""
+
+    number: int
+    keepers: int
+    buckets: tuple[int, ...]
+
+
 class Pulls:
     """Decides when to pull and from whom.
 
@@ -47,6 +55,7 @@
         self.in_flight: str | None = None
         self.sent_at = 0.0
         self.wanted_number = 0
+        self.wanted_keepers = 0
         self.wants_directory = False
         self.directory_at = float("-inf")
         self.failures = 0
@@ -70,6 +79,12 @@
         self._add_source(source)
         self.due = now
 
+    def want_keepers(self, source: str, number: int, now: float) -> None:
+        """Note that a node holds a newer keeper map, which a push may yet bring."""
+        self.wanted_keepers = max(self.wanted_keepers, number)
+        self._add_source(source)
+        self.due = min(self.due, now + self.rng.uniform(0, self.spread))
+
     def want_directory(self, source: str, now: float) -> None:
         """Note that a node's directory differs."""
         if now - self.directory_at < self.directory_interval:
@@ -84,17 +99,15 @@
         self._add_source(source)
         self.due = min(self.due, now)
 
-    def tick(self, now: float, number: int, buckets: tuple[int, ...]) -> list[Pull]:
-        """Return the pull that is due, if any.
-
-        :param number: number of the version in force.
-        :param buckets: digests of the own directory.
-        """
+    def tick(self, now: float, held: Holdings) -> list[Pull]:
+        """Return the pull that is due, if any."""
         if self.in_flight is not None and now >= self.sent_at + self.timeout:
             self.take_failure(self.in_flight, now)
         if self.in_flight is not None or now < self.due:
             return []
-        if number >= self.wanted_number and not self.wants_directory:
+        lacks_number = held.number < self.wanted_number
+        lacks_keepers = held.keepers < self.wanted_keepers
+        if not (lacks_number or lacks_keepers or self.wants_directory):
             self._drop_sources()
         if not self.sources:
             return []
@@ -102,8 +115,9 @@
         self.in_flight = source
         self.sent_at = now
         self.due = float("inf")
-        asked = buckets if self.wants_directory else ()
-        return [Pull(source, PullRequest(self.own, number, asked))]
+        asked = held.buckets if self.wants_directory else ()
+        request = PullRequest(self.own, held.number, asked, held.keepers)
+        return [Pull(source, request)]
 
     def take_reply(self, address: str, reply: PullReply, now: float) -> None:
         """Note an answer, or the time to come back that it states."""
--- a/src/daisylink/process/_records.py
+++ b/src/daisylink/process/_records.py
@@ -32,6 +32,7 @@
     :param node: control address ``ip:port``, which names the node.
     :param incarnation: grows with each change that the node itself makes.
     :param relay: address ``ip:port`` on which the node takes relayed requests.
+    :param boot: first incarnation of the process, which tells its starts apart.
     :param pool: pool of the backend server beside it, if one is announced.
     """
 
@@ -43,6 +44,7 @@
     pool: str = ""
     server: ServerState = ServerState.ABSENT
     slots: int = 0
+    boot: int = 0
 
     @property
     def is_alive(self) -> bool:
--- a/src/daisylink/process/_slot.py
+++ b/src/daisylink/process/_slot.py
@@ -9,6 +9,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from msgspec.structs import replace
+
 from daisylink.errors import NodeError, ResultCode
 from daisylink.process._records import MemberRecord, ServerState
 
@@ -122,16 +124,7 @@
         pool, slots = "", 0
         if self.announcement is not None:
             pool, slots = self.announcement.pool, self.announcement.slots
-        return MemberRecord(
-            own.node,
-            own.zone,
-            own.incarnation,
-            own.state,
-            own.relay,
-            pool,
-            state,
-            slots,
-        )
+        return replace(own, pool=pool, server=state, slots=slots)
 
     def _count_return(self, now: float) -> None:
         window = self.settings.flap_window.total_seconds()
--- a/src/daisylink/process/_spreader.py
+++ b/src/daisylink/process/_spreader.py
@@ -17,6 +17,7 @@
 from daisylink.process._events import Send
 from daisylink.process._messages import (
     MAX_DATAGRAM_BYTES,
+    KeeperMap,
     Push,
     PushAck,
     VersionNews,
@@ -40,6 +41,7 @@
 
     version: VersionNews | None = None
     records: tuple[MemberRecord, ...] = ()
+    keepers: KeeperMap | None = None
 
 
 class Part(NamedTuple):
@@ -188,7 +190,15 @@
         deadline = now + self.ack_timeout
         self.open[self.next_id] = OpenPush(part, news, target, deadline, tries)
         own = self.directory.own.node
-        push = Push(self.next_id, own, part.low, part.high, news.version, news.records)
+        push = Push(
+            self.next_id,
+            own,
+            part.low,
+            part.high,
+            news.version,
+            news.records,
+            news.keepers,
+        )
         return Send(target, push)
 
 
--- a/src/daisylink/process/_transport.py
+++ b/src/daisylink/process/_transport.py
@@ -10,6 +10,8 @@
 
 from daisylink.errors import NodeError, ResultCode, SettingError
 from daisylink.process._messages import (
+    KeepReply,
+    KeepRequest,
     Message,
     PullReply,
     PullRequest,
@@ -23,6 +25,7 @@
 SERVICE = "daisylink.Control"
 PULL = f"/{SERVICE}/Pull"
 SURVEY = f"/{SERVICE}/Survey"
+KEEP = f"/{SERVICE}/Keep"
 MAX_MESSAGE_BYTES = 32 * 1024 * 1024
 MAX_CHANNELS = 16
 CALL_SECONDS = 5.0
@@ -97,6 +100,13 @@
         """
         return await self._call(address, SURVEY, request, SurveyReply)
 
+    async def keep(self, address: str, request: KeepRequest) -> KeepReply:
+        """Ask a keeper to seal a shard or to take records.
+
+        :raises NodeError: ``NODE_UNREACHABLE`` if it does not answer.
+        """
+        return await self._call(address, KEEP, request, KeepReply)
+
     async def close(self) -> None:
         """Close all channels."""
         for channel in self.channels.values():
@@ -132,19 +142,26 @@
 
     :param answer_pull: returns the answer to a pull.
     :param answer_survey: returns the answer to a survey.
+    :param answer_keep: returns the answer to a seal or a copy of key records.
     """
 
     def __init__(
         self,
         answer_pull: Callable[[PullRequest], PullReply],
         answer_survey: Callable[[SurveyRequest], Awaitable[SurveyReply]],
+        answer_keep: Callable[[KeepRequest], KeepReply],
         note_traffic: NoteTraffic,
     ):
         self.answer_pull = answer_pull
         self.answer_survey = answer_survey
+        self.answer_keep = answer_keep
         self.note_traffic = note_traffic
         self.server = grpc.aio.server(options=OPTIONS)
-        handlers = {"Pull": self._pull, "Survey": self._survey}
+        handlers = {
+            "Pull": self._pull,
+            "Survey": self._survey,
+            "Keep": self._keep,
+        }
         self.server.add_generic_rpc_handlers(
             (
                 grpc.method_handlers_generic_handler(
@@ -184,6 +201,10 @@
         request = await self._decode(data, SurveyRequest, context)
         return self._encode(await self.answer_survey(request))
 
+    async def _keep(self, data: bytes, context: grpc.aio.ServicerContext) -> bytes:
+        request = await self._decode(data, KeepRequest, context)
+        return self._encode(self.answer_keep(request))
+
     async def _decode(
         self, data: bytes, kind: type, context: grpc.aio.ServicerContext
     ) -> Any:
--- a/src/daisylink/process/_zones.py
+++ b/src/daisylink/process/_zones.py
@@ -52,10 +52,11 @@
         """Spread the first ping over a period."""
         self.wake_at = now + self.rng.uniform(0, self.period)
 
-    def tick(self, now: float, number: int) -> list[Send]:
+    def tick(self, now: float, number: int, keepers: int) -> list[Send]:
         """Return the pings that are due.
 
         :param number: number of the version in force.
+        :param keepers: number of the keeper map.
         """
         if now < self.wake_at:
             return []
@@ -71,7 +72,7 @@
             self.heard_at.setdefault(zone, now)
             ring = self.directory.zone_ring(zone)
             _, target = self.rng.choice(ring[: self.delegates])
-            ping = Ping(0, own.node, number, self.directory.digest)
+            ping = Ping(0, own.node, number, self.directory.digest, keepers)
             sends.append(Send(target, ping))
         return sends
 
--- a/src/daisylink/request/__init__.py
+++ b/src/daisylink/request/__init__.py
@@ -11,7 +11,17 @@
     Try,
     TurnedDown,
 )
-from daisylink.request._decision import Admitted, Decision, Queued, Refused
+from daisylink.request._decision import (
+    Admitted,
+    ClaimFate,
+    ClaimGranted,
+    ClaimKnown,
+    ClaimOutcome,
+    ClaimRefused,
+    Decision,
+    Queued,
+    Refused,
+)
 from daisylink.request._exchange import Exchange
 from daisylink.request._head import (
     CONNECTION_HEADERS,
@@ -54,6 +64,11 @@
     "Admitted",
     "Attempts",
     "Begin",
+    "ClaimFate",
+    "ClaimGranted",
+    "ClaimKnown",
+    "ClaimOutcome",
+    "ClaimRefused",
     "DeadlinePassed",
     "Decision",
     "Exchange",
--- a/src/daisylink/request/_decision.py
+++ b/src/daisylink/request/_decision.py
@@ -1,6 +1,7 @@
 """What the node beside a backend server decides on an arriving request."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from daisylink.errors import ResultCode
 
@@ -24,3 +25,39 @@
 
 
 Decision = Admitted | Queued | Refused
+
+
+@dataclass(frozen=True)
+class ClaimGranted:
+    """A majority of keepers recorded the keyed request; it may run."""
+
+
+@dataclass(frozen=True)
+class ClaimKnown:
+    """The key was claimed before.
+
+    :param done: whether the request was answered.
+    :param answer: the whole answer as it went to the caller, if kept.
+    """
+
+    done: bool
+    answer: bytes
+
+
+@dataclass(frozen=True)
+class ClaimRefused:
+    """No majority of keepers answered; the request is not run."""
+
+    code: ResultCode
+    retry_ms: int
+
+
+ClaimOutcome = ClaimGranted | ClaimKnown | ClaimRefused
+
+
+class ClaimFate(Enum):
+    """What became of a request whose claim was granted."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not run"
+    UNKNOWN = "unknown"
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -20,7 +20,16 @@
     Try,
     TurnedDown,
 )
-from daisylink.request._decision import Admitted, Queued, Refused
+from daisylink.request._decision import (
+    Admitted,
+    ClaimFate,
+    ClaimGranted,
+    ClaimKnown,
+    ClaimOutcome,
+    ClaimRefused,
+    Queued,
+    Refused,
+)
 from daisylink.request._head import (
     DEADLINE_HEADER,
     DEPTH_HEADER,
@@ -45,10 +54,13 @@
     refuse,
 )
 from daisylink.request._plan import RequestPlan, plan_relayed, plan_request
+from daisylink.request._recording import Recording, build_replay, find_key
 
 REPLAY_BYTES = 64 * 1024
 HOP_MARGIN_MS = 5
 MILLISECONDS = 1000
+KEY_RETRY_MS = 500
+KEY_CODES = frozenset({ResultCode.REQUEST_KEY_RUNNING, ResultCode.REQUEST_KEY_DONE})
 LAST_CHUNK = b"0\r\n\r\n"
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -86,6 +98,8 @@
         self.is_connecting = False
         self.slot_since: float | None = None
         self.is_queued = False
+        self.awaits_claim = False
+        self.recording: Recording | None = None
         self.head_sent = False
         self.body: list[bytes] = []
         self.body_bytes = 0
@@ -233,9 +247,47 @@
                 self._turn_down(code, retry_ms)
 
     def run_own(self) -> None:
-        """Send the request to the own backend server: a slot is held for it."""
+        """Run the request here: a slot is held for it. A key is claimed first."""
         self.is_queued = False
         self.slot_since = self.gateway.now()
+        key = None if self.plan.idempotent else find_key(self.head, self.plan.pool)
+        if key is None:
+            self._send_own()
+            return
+        self.awaits_claim = True
+        self.gateway.ask_claim(self, key)
+
+    def take_claim(self, outcome: ClaimOutcome) -> bool:
+        """Take what came of the claim; return whether the request now runs."""
+        if self.done or not self.awaits_claim:
+            return False
+        self.awaits_claim = False
+        match outcome:
+            case ClaimGranted():
+                self.recording = Recording()
+                self._send_own()
+                return True
+            case ClaimKnown(_, answer) if answer:
+                self._replay(answer)
+            case ClaimKnown(done, _):
+                code = ResultCode.REQUEST_KEY_RUNNING
+                retry_ms = KEY_RETRY_MS
+                if done:
+                    code, retry_ms = ResultCode.REQUEST_KEY_DONE, 0
+                self._answer_refusal(refuse(code, retry_ms))
+            case ClaimRefused(code, retry_ms):
+                self._turn_down(code, retry_ms)
+        return False
+
+    def _replay(self, packed: bytes) -> None:
+        """Give the answer recorded for the request's key."""
+        is_head = self.head.method == b"HEAD"
+        self.caller.write(build_replay(packed, is_head, not self.keeps_caller))
+        self.gateway.note_answered(self)
+        self._finish()
+
+    def _send_own(self) -> None:
+        """Send the request to the own backend server."""
         if self.head.expects_continue and not self.continued:
             self.send_continue()
         self._connect(self.gateway.server_address)
@@ -310,6 +362,7 @@
         """Note a certain refusal and go on."""
         if self.target:
             self.tried.add(self.target)
+        self._end_claim(ClaimFate.NOT_RUN)
         self._end_attempt()
         self.head_sent = False
         if self.is_relay:
@@ -332,8 +385,18 @@
         if self.target:
             self.gateway.chooser.note_failure(self.target, self.gateway.now())
 
+    def _end_claim(self, fate: ClaimFate) -> None:
+        """Tell the keepers what became of a granted claim."""
+        recording, self.recording = self.recording, None
+        self.awaits_claim = False
+        if recording is not None:
+            is_answered = fate is ClaimFate.ANSWERED
+            answer = recording.pack() if is_answered else b""
+            self.gateway.end_claim(self, fate, answer)
+
     def _end_attempt(self) -> None:
         """Give back what the attempt held."""
+        self._end_claim(ClaimFate.UNKNOWN)
         if self.target:
             self.gateway.chooser.end(self.target)
             self.target = ""
@@ -380,6 +443,8 @@
         for name, value in headers:
             if name not in dropped and not name.startswith(OWN_PREFIX):
                 lines.append(name + b": " + value)
+        if self.recording is not None:
+            self.recording.take_head(lines)
         if length is not None:
             lines.append(b"content-length: %d" % length)
         elif not bodiless and not self.is_old_http:
@@ -423,6 +488,8 @@
         """Take a piece of the answer's body."""
         if self.swallowed is not None:
             return
+        if self.recording is not None:
+            self.recording.take_body(data)
         if self.answer_chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self.out.append(data)
@@ -447,11 +514,14 @@
             self.gateway.chooser.note_success(self.target)
         if self.answer_chunked:
             self.caller.write(LAST_CHUNK)
+        self._end_claim(ClaimFate.ANSWERED)
         self.gateway.note_answered(self)
         self._finish()
 
     def _take_refusal(self, refusal: Refusal) -> None:
-        if refusal.outcome is Outcome.NOT_RUN:
+        if refusal.code in KEY_CODES:
+            self._answer_refusal(refusal)
+        elif refusal.outcome is Outcome.NOT_RUN:
             self._turn_down(refusal.code, refusal.retry_ms)
         else:
             self._lose()
--- a/src/daisylink/request/_outcome.py
+++ b/src/daisylink/request/_outcome.py
@@ -15,10 +15,11 @@
 
 
 class Outcome(StrEnum):
-    """Whether a refused request was run."""
+    """Whether a refused request, or an earlier one with its key, was run."""
 
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
+    RAN = "ran"
 
 
 STATUS_BY_CODE: dict[ResultCode, HTTPStatus] = {
@@ -32,10 +33,15 @@
     ResultCode.REQUEST_DEADLINE_UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
     ResultCode.REQUEST_ANSWER_LOST: HTTPStatus.BAD_GATEWAY,
     ResultCode.REQUEST_TOO_DEEP: HTTPStatus.LOOP_DETECTED,
+    ResultCode.REQUEST_KEY_RUNNING: HTTPStatus.CONFLICT,
+    ResultCode.REQUEST_KEY_DONE: HTTPStatus.CONFLICT,
+}
+OUTCOME_BY_CODE = {
+    ResultCode.REQUEST_DEADLINE_UNKNOWN: Outcome.UNKNOWN,
+    ResultCode.REQUEST_ANSWER_LOST: Outcome.UNKNOWN,
+    ResultCode.REQUEST_KEY_RUNNING: Outcome.UNKNOWN,
+    ResultCode.REQUEST_KEY_DONE: Outcome.RAN,
 }
-UNKNOWN_CODES = frozenset(
-    {ResultCode.REQUEST_DEADLINE_UNKNOWN, ResultCode.REQUEST_ANSWER_LOST}
-)
 
 
 class Refusal(NamedTuple):
@@ -56,8 +62,7 @@
 
 def refuse(code: ResultCode, retry_ms: int = 0) -> Refusal:
     """Return the refusal of a code, with the outcome that the code stands for."""
-    is_unknown = code in UNKNOWN_CODES
-    return Refusal(code, Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN, retry_ms)
+    return Refusal(code, OUTCOME_BY_CODE.get(code, Outcome.NOT_RUN), retry_ms)
 
 
 def encode_refusal(refusal: Refusal, close: bool) -> bytes:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -179,6 +179,11 @@
                 answer = await other.call("POST", "/b/write", HOST)
                 self.assertEqual(answer.outcome, "not-run")
             self.assertEqual(sum(fleet.backends[3].runs.values()), ran)
+            relay = Caller(str(fleet.nodes[3].relay_address))
+            hop = {"daisylink-hop": "b 1000 n normal"}
+            answer = await relay.call("POST", "/b/write", HOST, b"", hop)
+            self.assertEqual(answer.code, ResultCode.REQUEST_DRAINING)
+            self.assertEqual(answer.outcome, "not-run")
             self.assertEqual((await running).status, 200)
 
         self.run_calls(scenario)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -16,7 +16,7 @@
 )
 from daisylink.process._directory import Directory
 from daisylink.process._events import CallStore, Send, StopAsked, WatchKey
-from daisylink.process._messages import Ping
+from daisylink.process._messages import Ping, PingRequest
 from daisylink.process._ration import Ration, RationSettings
 from daisylink.process._slot import Announcement, Slot, SlotSettings
 from daisylink.version import HEAD_KEY
@@ -171,20 +171,28 @@
         self.assertTrue(fabric.run(8.0, until=back))
 
     def test_a_paused_detector_blames_nobody(self):
+        """It wakes with an old suspicion, which it must look into anew."""
         fabric = build_fleet(20, zones=1, services=2)
-        subject = live(fabric)[3]
-        fabric.at(0.01, lambda: None)
-        for _ in range(6):
-            subject.paused_until = fabric.now + 2.0
-            fabric.run(2.4)
-        blamed = [
-            record
-            for host in live(fabric)
-            for record in host.fleet.directory.records.values()
-            if record.state is MemberState.DEAD
-            and record.node != subject.fleet.own.node
-        ]
-        self.assertEqual(blamed, [])
+        subject, target = live(fabric)[:2]
+        name = target.fleet.own.node
+
+        def tap(host, action):
+            if not isinstance(action, Send):
+                return False
+            to_subject = action.address == subject.fleet.own.node
+            asks_helper = isinstance(action.message, PingRequest)
+            return (host is target and to_subject) or (host is subject and asks_helper)
+
+        fabric.tap = tap
+        suspects = subject.fleet.detector.suspects
+        self.assertTrue(fabric.run(60.0, until=lambda: name in suspects))
+        fabric.tap = None
+        subject.paused_until = fabric.now + 5.0
+        fabric.run(12.0)
+        for host in live(fabric):
+            for record in host.fleet.directory.records.values():
+                self.assertTrue(record.is_alive, record)
+                self.assertEqual(record.incarnation, record.boot)
 
     def test_a_one_way_cut_between_two_nodes_kills_neither(self):
         fabric = build_fleet(20, zones=1, services=2)
@@ -394,7 +402,7 @@
         host = fabric.add("z0")
         from daisylink.process._events import MessageReceived
 
-        ping = Ping(1, "10.9.9.9:1", 2**40, 7)
+        ping = Ping(1, "10.9.9.9:1", 2**40, 7, 2**40)
         fabric.feed(host, MessageReceived(ping))
         fabric.run(5.0)
         self.assertEqual(host.fleet.installer.number, 0)
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,271 @@
+"""A keyed request runs at most once, whatever fails between it and its resend."""
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+from datetime import timedelta
+
+from hypothesis import HealthCheck, given, settings, strategies
+
+from bench.fabric import Fabric
+from daisylink.errors import ResultCode
+from daisylink.process import FleetSettings
+from daisylink.process._events import ClaimAsked, ClaimEnded
+from daisylink.process._keepers import KEEPERS_IN_SHARD, KeeperSettings, find_shard
+from daisylink.request import ClaimFate, ClaimGranted, ClaimKnown, ClaimRefused
+from daisylink.standin import Caller, Place
+from tests.support import HOST, FleetTestCase, make_content
+
+KEY = bytes(range(16))
+ZONES = ("x", "y", "z")
+SETTLE_SECONDS = 8.0
+
+
+class KeyFleet:
+    """A fabric with a keeper map, and the claims made in it."""
+
+    def __init__(self, size=9, seed=1, lost_wait=60):
+        keepers = KeeperSettings(lost_wait=timedelta(seconds=lost_wait))
+        self.fabric = Fabric(seed)
+        self.settings = FleetSettings(keepers=keepers)
+        for number in range(size):
+            self.fabric.add(ZONES[number % 3], self.settings)
+        self.fabric.run(SETTLE_SECONDS)
+        self.tickets = 0
+        self.ran = Counter()
+
+    def live(self):
+        return [host for host in self.fabric.hosts.values() if host.alive]
+
+    def place(self):
+        maps = [host.fleet.keepers for host in self.live()]
+        newest = max(maps, key=lambda item: item.map.number)
+        return newest.place(find_shard(KEY))
+
+    def claim(self, host, key=KEY, seconds=1.0):
+        """Claim a key at a node; return the outcome, None if the node is gone."""
+        self.tickets += 1
+        ticket = self.tickets
+        if not host.alive:
+            return None
+        self.fabric.feed(host, ClaimAsked(ticket, key))
+        self.fabric.run(seconds, until=lambda: ticket in host.claims)
+        outcome = host.claims.get(ticket)
+        if isinstance(outcome, ClaimGranted):
+            self.ran[key] += 1
+        return outcome
+
+    def end(self, host, fate, answer=b""):
+        if host.alive:
+            self.fabric.feed(host, ClaimEnded(self.tickets, fate, answer))
+            self.fabric.run(0.1)
+            if fate is ClaimFate.NOT_RUN:
+                self.ran[KEY] -= 1
+
+
+class KeeperTests(unittest.TestCase):
+    def test_each_shard_has_keepers_in_three_zones(self):
+        fleet = KeyFleet()
+        for host in fleet.live():
+            self.assertEqual(host.fleet.keepers.map.number, 1)
+            for place in host.fleet.keepers.map.shards:
+                zones = {
+                    host.fleet.directory.records[k.node].zone for k in place.keepers
+                }
+                self.assertEqual(len(zones), KEEPERS_IN_SHARD)
+
+    def test_a_resend_through_any_node_gets_the_recorded_answer(self):
+        fleet = KeyFleet()
+        first = fleet.live()[0]
+        self.assertIsInstance(fleet.claim(first), ClaimGranted)
+        running = fleet.claim(fleet.live()[4])
+        self.assertEqual(running, ClaimKnown(False, b""))
+        fleet.tickets = 1
+        fleet.end(first, ClaimFate.ANSWERED, b"whole answer")
+        fleet.tickets = 9
+        for host in fleet.live():
+            self.assertEqual(fleet.claim(host), ClaimKnown(True, b"whole answer"))
+
+    def test_a_request_that_was_not_run_may_run_again(self):
+        fleet = KeyFleet()
+        self.assertIsInstance(fleet.claim(fleet.live()[0]), ClaimGranted)
+        fleet.end(fleet.live()[0], ClaimFate.NOT_RUN)
+        self.assertIsInstance(fleet.claim(fleet.live()[1]), ClaimGranted)
+
+    def test_records_outlive_keepers_one_after_another(self):
+        fleet = KeyFleet(size=15)
+        self.assertIsInstance(fleet.claim(fleet.live()[0]), ClaimGranted)
+        fleet.end(fleet.live()[0], ClaimFate.ANSWERED, b"kept")
+        for _ in range(3):
+            place = fleet.place()
+            fleet.fabric.kill(fleet.fabric.hosts[place.keepers[0].node])
+            fleet.fabric.run(30.0)
+            self.assertGreater(fleet.place().epoch, place.epoch)
+            for host in fleet.live()[:4]:
+                self.assertEqual(fleet.claim(host), ClaimKnown(True, b"kept"))
+
+    def test_a_lost_majority_refuses_unrun_and_starts_empty_only_after_the_wait(self):
+        fleet = KeyFleet(size=15, lost_wait=40)
+        for keeper in fleet.place().keepers[:2]:
+            fleet.fabric.kill(fleet.fabric.hosts[keeper.node])
+        refused = fleet.claim(fleet.live()[0])
+        self.assertIsInstance(refused, ClaimRefused)
+        self.assertEqual(refused.code, ResultCode.REQUEST_KEY_UNSETTLED)
+        fleet.fabric.run(30.0)
+        self.assertIsInstance(fleet.claim(fleet.live()[1]), ClaimRefused)
+        fleet.fabric.run(60.0)
+        self.assertIsInstance(fleet.claim(fleet.live()[2]), ClaimGranted)
+
+    def test_a_zone_cut_off_refuses_unrun_and_the_rest_goes_on(self):
+        fleet = KeyFleet()
+        for other in ("y", "z", "platform"):
+            fleet.fabric.cut("x", other)
+        cut = [host for host in fleet.live() if host.fleet.own.zone == "x"]
+        rest = [host for host in fleet.live() if host.fleet.own.zone != "x"]
+        self.assertIsInstance(fleet.claim(cut[0]), ClaimRefused)
+        fleet.fabric.run(20.0)
+        self.assertIsInstance(fleet.claim(rest[0]), ClaimGranted)
+        self.assertIsInstance(fleet.claim(cut[1]), ClaimRefused)
+        fleet.fabric.heal()
+        fleet.fabric.run(10.0)
+        self.assertEqual(fleet.claim(cut[1]), ClaimKnown(False, b""))
+
+    def test_a_full_ledger_refuses_instead_of_forgetting(self):
+        fleet = KeyFleet()
+        settings_ = fleet.live()[0].fleet.ledger.settings._replace(records=1)
+        for host in fleet.live():
+            host.fleet.ledger.settings = settings_
+        other = KEY[:1] + bytes(15)
+        self.assertIsInstance(fleet.claim(fleet.live()[0]), ClaimGranted)
+        self.assertIsInstance(fleet.claim(fleet.live()[1], other), ClaimRefused)
+        self.assertIsInstance(fleet.claim(fleet.live()[2]), ClaimKnown)
+
+    @settings(
+        max_examples=15,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(
+                    ["claim", "claim", "kill", "revive", "cut", "heal", "run", "pause"]
+                ),
+                strategies.integers(0, 8),
+            ),
+            min_size=6,
+            max_size=14,
+        )
+    )
+    def test_no_interleaving_runs_a_key_twice(self, steps):
+        fleet = KeyFleet()
+        fabric = fleet.fabric
+        names = list(fabric.hosts)
+        killed = 0
+        for kind, number in steps:
+            host = fabric.hosts[names[number]]
+            match kind:
+                case "claim":
+                    fleet.claim(host, seconds=0.002 * (number + 1))
+                case "kill" if host.alive and killed < 1:
+                    killed += 1
+                    fabric.kill(host)
+                case "revive" if not host.alive:
+                    fabric.revive(host)
+                case "cut":
+                    fabric.cut(ZONES[number % 3], ZONES[(number + 1) % 3])
+                    fabric.cut(ZONES[number % 3], "platform")
+                case "heal":
+                    fabric.heal()
+                case "pause":
+                    host.paused_until = fabric.now + number
+                case "run":
+                    killed = 0
+                    fabric.run(15.0)
+        fabric.heal()
+        fabric.run(15.0)
+        for host in fleet.live():
+            fleet.claim(host)
+        granted = sum(isinstance(item, ClaimGranted) for item in fabric.settled)
+        self.assertLessEqual(granted, 1)
+
+
+class KeyedCallTests(FleetTestCase):
+    places = [Place(zone, "a") for zone in ZONES for _ in range(2)]
+
+    def run_calls(self, scenario):
+        async def run(fleet, operations):
+            await fleet.start(self.places)
+            await operations.accept(make_content("a"), "")
+            await fleet.wait_for_servers()
+            await fleet.wait_for(
+                lambda: all(node.fleet.keepers.map.number for node in fleet.nodes)
+            )
+            await scenario(fleet)
+
+        self.run_fleet(run)
+
+    @staticmethod
+    def runs(fleet, name):
+        return sum(backend.runs[name] for backend in fleet.backends)
+
+    def test_a_resend_is_answered_whole_without_a_second_run(self):
+        async def scenario(fleet):
+            headers = {"idempotency-key": "k1", "x-request-id": "k1"}
+            answers = []
+            for node in fleet.nodes:
+                caller = Caller(str(node.callers_address))
+                answer = await caller.call("POST", "/a/write", HOST, b"abc", headers)
+                answers.append((answer.status, answer.body, answer.complete))
+                caller.close()
+            self.assertEqual(len(set(answers)), 1, answers)
+            self.assertEqual(answers[0][0], 200)
+            self.assertEqual(self.runs(fleet, "k1"), 1)
+
+        self.run_calls(scenario)
+
+    def test_a_resend_after_a_crash_is_not_run_again(self):
+        async def scenario(fleet):
+            headers = {
+                "idempotency-key": "k2",
+                "x-request-id": "k2",
+                "x-standin-sleep-ms": "400",
+            }
+            caller = Caller(str(fleet.nodes[0].callers_address))
+            call = asyncio.create_task(
+                caller.call("POST", "/a/write", HOST, b"abc", headers)
+            )
+            await fleet.wait_for(lambda: self.runs(fleet, "k2") == 1)
+            runner = next(b for b in fleet.backends if b.runs["k2"])
+            runner.kill()
+            answer = await call
+            self.assertEqual(answer.outcome, "unknown")
+            for node in random.Random(1).sample(fleet.nodes, 4):
+                other = Caller(str(node.callers_address))
+                answer = await other.call("POST", "/a/write", HOST, b"abc", headers)
+                self.assertEqual(answer.code, ResultCode.REQUEST_KEY_RUNNING)
+                self.assertEqual(answer.outcome, "unknown")
+            self.assertEqual(self.runs(fleet, "k2"), 1)
+
+        self.run_calls(scenario)
+
+    def test_a_long_answer_is_not_kept_but_known_to_have_run(self):
+        async def scenario(fleet):
+            headers = {
+                "idempotency-key": "k3",
+                "x-request-id": "k3",
+                "x-standin-answer-bytes": "100000",
+            }
+            caller = Caller(str(fleet.nodes[0].callers_address))
+            answer = await caller.call("POST", "/a/write", HOST, b"abc", headers)
+            self.assertEqual(len(answer.body), 100_000)
+            caller = Caller(str(fleet.nodes[3].callers_address))
+            answer = await caller.call("POST", "/a/write", HOST, b"abc", headers)
+            self.assertEqual(answer.code, ResultCode.REQUEST_KEY_DONE)
+            self.assertEqual(answer.outcome, "ran")
+            self.assertEqual(self.runs(fleet, "k3"), 1)
+
+        self.run_calls(scenario)
--- a/tests/test_version.py
+++ b/tests/test_version.py
@@ -69,6 +69,8 @@
         for damaged in (packed[: len(packed) // 2], packed[:5], b"", b"x" * 99):
             with self.subTest(size=len(damaged)):
                 self.assertIs(installer.offer_snapshot(news, damaged), Offer.REFUSED)
+        _, other = make_news(4, CONTENTS[3], CONTENTS[4])
+        self.assertIs(installer.offer_snapshot(news, other), Offer.REFUSED)
         flipped = bytearray(packed)
         flipped[len(packed) // 2] ^= 1
         self.assertIs(installer.offer_snapshot(news, bytes(flipped)), Offer.REFUSED)
