Add quarantine of crashing requests and the service-level burn report

Cause: a request that crashes each server that runs it took every server its caller's resends reached; nothing told operators how services fare against their objectives. Quarantine: strikes from two crashes refuse the request for 60 s; a first try, without pardons, refused innocents that were always in flight (seen in the test); an answered suspect is now pardoned everywhere. Test: six servers, ten poison sendings, two servers lost, 240 innocent calls all answered. Burn: counts by service and window merged along the survey's tree; text, JSON and one HTML page with plots.

--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,155 @@
+"""Costs of single steps against their size, for docs/CAPACITY.md.
+
+Installing a version against services, the directory's memory and merge time against
+nodes, a claim's processor time at claimant and keeper.
+Usage: python -m bench.slopes
+"""
+
+import time
+import tracemalloc
+
+from bench.distribution import make_content
+from daisylink.process import MemberRecord, ServerState, encode_message
+from daisylink.process._directory import Directory
+from daisylink.process._installer import Installer
+from daisylink.process._ledger import Ledger, LedgerSettings
+from daisylink.process._messages import (
+    Ack,
+    Claim,
+    Keeper,
+    KeeperMap,
+    Ping,
+    ShardPlace,
+    VersionNews,
+    decode_message,
+)
+from daisylink.version import compute_delta, pack_content
+from tests.support import WHEN
+
+SERVICES = (50, 150, 500)
+NODES = (100, 1000, 5200)
+RUNS = 20
+MESSAGES = 5000
+BOOT = 1_790_000_000_000
+
+
+def best(call, runs=RUNS):
+    """Return the least processor time of several runs, in seconds."""
+    found = []
+    for _ in range(runs):
+        started = time.process_time()
+        call()
+        found.append(time.process_time() - started)
+    return min(found)
+
+
+def measure_install():
+    print("| services | delta B | snapshot B | install by delta ms | version MB |")
+    print("| --- | --- | --- | --- | --- |")
+    for services in SERVICES:
+        old, new = make_content(services), make_content(services, 1)
+        digest, packed = pack_content(new)
+        news = VersionNews(2, digest, WHEN, compute_delta(old, new))
+        old_digest, old_packed = pack_content(old)
+        first = VersionNews(1, old_digest, WHEN)
+
+        def install(first=first, old_packed=old_packed, news=news):
+            installer = Installer()
+            installer.offer_snapshot(first, old_packed)
+            return installer, news
+
+        installer, _ = install()
+        current = installer.current
+        tracemalloc.start()
+        installer.offer(news)
+        size = tracemalloc.get_traced_memory()[0] / 2**20
+        tracemalloc.stop()
+
+        def by_delta(installer=installer, current=current, news=news):
+            installer.current = current
+            installer.offer(news)
+
+        delta_size = len(encode_message(_push(news)))
+        seconds = best(by_delta)
+        print(
+            f"| {services} | {delta_size} | {len(packed)} | {seconds * 1000:.2f} | "
+            f"{size:.2f} |"
+        )
+
+
+def _push(news):
+    from daisylink.process._messages import Push
+
+    return Push(1, "10.0.0.1:8082", version=news)
+
+
+def make_records(count):
+    records = []
+    for n in range(count):
+        host = f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}"
+        record = MemberRecord(
+            f"{host}:8082", f"z{n % 9}", BOOT, relay=f"{host}:8081",
+            pool=f"pool-{n % 500}", server=ServerState.SERVING, slots=10, boot=BOOT,
+        )  # fmt: skip
+        records.append(record)
+    return records
+
+
+def measure_directory():
+    print("| nodes | directory MB | merge us a record | digest us |")
+    print("| --- | --- | --- | --- |")
+    for count in NODES:
+        tracemalloc.start()
+        records = make_records(count)
+        directory = Directory(records[0])
+        for record in records[1:]:
+            directory.merge(record, 0.0)
+        size = tracemalloc.get_traced_memory()[0] / 2**20
+        tracemalloc.stop()
+
+        def build(records=records):
+            fresh = Directory(records[0])
+            for record in records[1:]:
+                fresh.merge(record, 0.0)
+
+        seconds = best(build, 3) / count
+        digest = best(lambda directory=directory: directory.digest)
+        print(f"| {count} | {size:.2f} | {seconds * 1e6:.1f} | {digest * 1e6:.1f} |")
+
+
+def measure_messages():
+    ping = Ping(1, "10.0.0.1:8082", 14_000, 2**63, 3)
+    ack = Ack(1, "10.0.0.1:8082", 14_000, 2**63, 3, "10.0.0.1:8082")
+    ledger = Ledger(LedgerSettings(), Keeper("10.0.0.1:8082", 1))
+    place = ShardPlace(1, 0, (Keeper("10.0.0.1:8082", 1),))
+    ledger.take_map(KeeperMap(1, (place,)), 0.0)
+    keys = iter(range(10**9))
+
+    def grant():
+        key = next(keys).to_bytes(16, "little")
+        claim = Claim(1, "10.0.0.2:8082", 0, 1, key)
+        ledger.answer_claim(decode_message(encode_message(claim)), 0.0)
+
+    def many(call):
+        return lambda: [call() for _ in range(MESSAGES)]
+
+    print("| step | bytes | us |")
+    print("| --- | --- | --- |")
+    for name, message in (("ping", ping), ("ack", ack)):
+        size = len(encode_message(message))
+        seconds = best(many(lambda m=message: decode_message(encode_message(m))), 3)
+        print(
+            f"| {name}, coded and decoded | {size} | {seconds / MESSAGES * 1e6:.1f} |"
+        )
+    seconds = best(many(grant), 3)
+    print(f"| claim granted at a keeper | | {seconds / MESSAGES * 1e6:.1f} |")
+
+
+def main():
+    measure_install()
+    measure_directory()
+    measure_messages()
+
+
+if __name__ == "__main__":
+    main()
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -15,7 +15,7 @@
 from typing import NamedTuple
 
 from daisylink.clock import SystemClock
-from daisylink.commands import Operations
+from daisylink.commands import Operations, format_html, make_rows
 from daisylink.logs import set_up_logs
 from daisylink.loop import Application, Main
 from daisylink.platform import HttpStore
@@ -25,6 +25,7 @@
 
 SEED = 20261203
 SHEET = Path(__file__).with_name("hanbit.csv")
+BURN_PAGE = Path(__file__).parent.parent / "build" / "burn.html"
 ZONES = ("kr-central-a", "kr-central-b", "kr-central-c")
 SERVERS = {"roster": 4, "fieldfiles": 4, "dispatch": 3}
 SERVICE_MS = 6.0
@@ -163,6 +164,7 @@
     print("crashed another backend server")
     await asyncio.gather(*senders)
     faults = await _check_change(fleet)
+    await write_burn(operations)
     await fleet.nodes[2].stop()
     print("stopped one node as planned")
 
@@ -192,6 +194,20 @@
     return faults
 
 
+async def write_burn(operations: Operations) -> None:
+    """Print the service-level burn and write its page."""
+    reply = await operations.read_burn()
+    BURN_PAGE.parent.mkdir(exist_ok=True)
+    BURN_PAGE.write_text(format_html(reply, "demo"))
+    print("service-level burn, over all zones (page: build/burn.html):")
+    for row in make_rows(reply):
+        if row.zone == "all":
+            print(
+                f"  {row.service}: {row.good_percent:.2f} % good, target "
+                f"{row.target_percent:g} % within {row.slo_ms} ms"
+            )
+
+
 def _ignore(_reports) -> None:
     """Show no progress."""
 
--- a/src/daisylink/commands/_operations.py
+++ b/src/daisylink/commands/_operations.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from daisylink.clock import Clock
-from daisylink.errors import AcceptanceError, NodeError, PlatformError, ResultCode
+from daisylink.errors import AcceptanceError, NodeError, ResultCode, VersionError
 from daisylink.platform import (
     KeyValueStore,
     fetch_content,
@@ -20,9 +20,11 @@
 )
 from daisylink.process import (
     ZONES_KEY,
+    BurnReply,
     ControlClient,
     SurveyReply,
     SurveyRequest,
+    merge_burns,
     reader_key,
 )
 from daisylink.version import (
@@ -147,9 +149,7 @@
         while records and len(records) < count and records[-1].number > 1:
             try:
                 record = await read_record(self.store, records[-1].number - 1)
-            except PlatformError:
-                raise
-            except Exception:
+            except VersionError:
                 break
             records.append(record)
         return records
@@ -167,6 +167,34 @@
         names = msgspec.json.decode(entry.value, type=list[str]) if entry.value else []
         return list(await asyncio.gather(*(self._survey_zone(name) for name in names)))
 
+    async def read_burn(self, nodes: tuple[str, ...] = ()) -> BurnReply:
+        """Return the whole fleet's counts against the objectives.
+
+        :param nodes: control addresses to ask instead of those the platform names.
+        """
+        if not nodes:
+            nodes = await self._find_readers()
+        replies = []
+        for node in nodes:
+            try:
+                replies.append(await self.client.burn(node, SurveyRequest()))
+            except NodeError:
+                continue
+        return merge_burns(replies)
+
+    async def _find_readers(self) -> tuple[str, ...]:
+        """Return one reader of each zone."""
+        entry = await self.store.get(ZONES_KEY)
+        zones = msgspec.json.decode(entry.value, type=list[str]) if entry.value else []
+        found = []
+        for zone in zones:
+            for slot in range(READER_SLOTS):
+                holder = await self.store.get(reader_key(zone, slot))
+                if holder.value is not None:
+                    found.append(holder.value.decode())
+                    break
+        return tuple(found)
+
     async def wait(
         self, number: int, timeout: timedelta, nodes: tuple[str, ...], note
     ) -> WaitReport:
--- a/src/daisylink/commands/ctl.py
+++ b/src/daisylink/commands/ctl.py
@@ -11,6 +11,7 @@
 import typer
 
 from daisylink.clock import SystemClock
+from daisylink.commands._burn_report import format_html, format_text, make_rows
 from daisylink.commands._operations import Operations, ZoneReport
 from daisylink.commands._run import EXIT_REFUSED, exit_with
 from daisylink.errors import DaisylinkError, ResultCode, SheetError, format_code_table
@@ -29,6 +30,8 @@
 DIGEST_DIGITS = 12
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
+report_app = typer.Typer(no_args_is_help=True, help="Reports over the whole fleet.")
+app.add_typer(report_app, name="report")
 
 Sheet = Annotated[Path, typer.Argument(help="CSV file, as planners export it.")]
 Json = Annotated[bool, typer.Option("--json", help="Print JSON.")]
@@ -164,6 +167,28 @@
     _print(json, report._asdict(), text)
 
 
+@report_app.command()
+def burn(
+    platform: Platform = DEFAULT_PLATFORM,
+    node: Nodes = "",
+    html: Annotated[
+        Path | None, typer.Option(help="Write one HTML page with plots here.")
+    ] = None,
+    json: Json = False,
+):
+    """Print how each service fares against its objective."""
+    reply = _run(platform, lambda work: work.read_burn(_split_nodes(node)))
+    if html is not None:
+        made_at = f"{SystemClock().now():%Y-%m-%d %H:%M:%S} UTC"
+        html.write_text(format_html(reply, made_at))
+    _print(json, [row._asdict() for row in make_rows(reply)], format_text(reply))
+
+
+@report_app.callback()
+def reports() -> None:
+    """Reports over the whole fleet."""
+
+
 @app.command()
 def codes() -> None:
     """Print the table of result codes as Markdown."""
--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -73,6 +73,7 @@
     REQUEST_KEY_UNSETTLED = 5019
     REQUEST_KEY_RUNNING = 5020
     REQUEST_KEY_DONE = 5021
+    REQUEST_QUARANTINED = 5022
 
     NODE_NOT_READY = 6001
     NODE_BUSY = 6002
@@ -237,6 +238,10 @@
         "A request with this key ran and was answered; the answer is no longer kept.",
         "Do not send it again.",
     ),
+    ResultCode.REQUEST_QUARANTINED: CodeInfo(
+        "This very request was in flight when two backend servers crashed.",
+        "Look at the request; it is refused until the stated time.",
+    ),
     ResultCode.NODE_NOT_READY: CodeInfo(
         "The node has not caught up with its peers.", "Wait."
     ),
--- a/src/daisylink/loop.py
+++ b/src/daisylink/loop.py
@@ -39,12 +39,14 @@
     def removeReader(self, fd):  # noqa: N802
         """Stop watching a descriptor for reading."""
         super().removeReader(fd)
-        self.loop.remove_reader(fd)
+        if fd.fileno() >= 0:
+            self.loop.remove_reader(fd)
 
     def removeWriter(self, fd):  # noqa: N802
         """Stop watching a descriptor for writing."""
         super().removeWriter(fd)
-        self.loop.remove_writer(fd)
+        if fd.fileno() >= 0:
+            self.loop.remove_writer(fd)
 
     def discard(self, fd):
         """Stop watching a descriptor."""
--- a/src/daisylink/process/__init__.py
+++ b/src/daisylink/process/__init__.py
@@ -4,6 +4,13 @@
 :class:`Node` is the program around it.
 """
 
+from daisylink.process._burn import (
+    WINDOWS,
+    BurnReply,
+    ServiceBurn,
+    ServiceCounts,
+    merge_burns,
+)
 from daisylink.process._fleet import FleetNode, FleetSettings, first_incarnation
 from daisylink.process._messages import (
     MAX_DATAGRAM_BYTES,
@@ -20,7 +27,9 @@
 __all__ = [
     "MAX_DATAGRAM_BYTES",
     "READER_PREFIX",
+    "WINDOWS",
     "ZONES_KEY",
+    "BurnReply",
     "ControlClient",
     "FleetNode",
     "FleetSettings",
@@ -28,10 +37,13 @@
     "MemberState",
     "Node",
     "ServerState",
+    "ServiceBurn",
+    "ServiceCounts",
     "SurveyReply",
     "SurveyRequest",
     "encode_message",
     "first_incarnation",
+    "merge_burns",
     "merge_replies",
     "reader_key",
 ]
--- /dev/null
+++ b/src/daisylink/process/_burn.py
@@ -0,0 +1,164 @@
+"""Counts how requests fare against their service-level objectives, by window.
+
+Each node counts its own callers' requests by service; once a minute it keeps what the
+counts were, so that any window of the last six hours can be told. Counts of many nodes
+are added up along the tree of a survey.
+"""
+
+from collections import deque
+from datetime import timedelta
+
+import msgspec
+
+from daisylink.version import Service
+
+HISTORY_INTERVAL = timedelta(minutes=1)
+WINDOWS = (timedelta(minutes=5), timedelta(hours=1), timedelta(hours=6))
+LOST_CODES = frozenset({"5012", "5013", "cut"})
+
+
+class ServiceCounts(msgspec.Struct, array_like=True):
+    """Requests of one service by fate.
+
+    :param total: all that ended, but for those whose caller went away.
+    :param late: answered, but later than the objective.
+    :param failed: refused, lost or answered with a server error.
+    :param lost: of those, the ones that may have run without an answer.
+    :param resent: resends answered from the record of the first run.
+    """
+
+    total: int = 0
+    late: int = 0
+    failed: int = 0
+    lost: int = 0
+    resent: int = 0
+    codes: dict[str, int] = {}
+
+    def add(self, other: "ServiceCounts", sign: int = 1) -> None:
+        """Add, or with ``sign=-1`` take away, other counts."""
+        self.total += sign * other.total
+        self.late += sign * other.late
+        self.failed += sign * other.failed
+        self.lost += sign * other.lost
+        self.resent += sign * other.resent
+        for code, count in other.codes.items():
+            self.codes[code] = self.codes.get(code, 0) + sign * count
+
+    def copy(self) -> "ServiceCounts":
+        """Return counts of their own."""
+        return ServiceCounts(
+            self.total, self.late, self.failed, self.lost, self.resent, {**self.codes}
+        )
+
+
+class ServiceBurn(msgspec.Struct, array_like=True):
+    """Counts of one service in one zone.
+
+    :param windows: counts of each of :data:`WINDOWS`, in order.
+    :param latency: number of requests by upper bound of their latency in seconds.
+    """
+
+    zone: str
+    service: str
+    slo_ms: int
+    slo_percent: float
+    windows: list[ServiceCounts]
+    latency: dict[float, int]
+
+
+class BurnReply(msgspec.Struct, array_like=True):
+    """Counts of part of a zone, and how many nodes are in them."""
+
+    nodes: int
+    services: list[ServiceBurn]
+
+
+class BurnBook:
+    """One node's counts and their history."""
+
+    def __init__(self):
+        self.counts: dict[str, ServiceCounts] = {}
+        kept = round(WINDOWS[-1] / HISTORY_INTERVAL)
+        self.history: deque[dict[str, ServiceCounts]] = deque(maxlen=kept)
+
+    def note(
+        self, service: str, code: str, seconds: float, slo_ms: int, resent: bool
+    ) -> None:
+        """Count a request that ended."""
+        if code == "cancelled":
+            return
+        counts = self.counts.get(service)
+        if counts is None:
+            counts = self.counts[service] = ServiceCounts()
+        counts.total += 1
+        counts.resent += resent
+        if code != "ok":
+            counts.failed += 1
+            counts.lost += code in LOST_CODES
+            counts.codes[code] = counts.codes.get(code, 0) + 1
+        elif seconds * 1000 > slo_ms:
+            counts.late += 1
+            counts.codes["late"] = counts.codes.get("late", 0) + 1
+
+    def keep(self) -> None:
+        """Keep the counts as of now; called once in each interval."""
+        kept = {service: counts.copy() for service, counts in self.counts.items()}
+        self.history.append(kept)
+
+    def windows(self, service: str) -> list[ServiceCounts]:
+        """Return a service's counts in each window."""
+        found = []
+        for window in WINDOWS:
+            steps = round(window / HISTORY_INTERVAL)
+            counts = self.counts.get(service, ServiceCounts()).copy()
+            if len(self.history) >= steps:
+                before = self.history[-steps].get(service)
+                if before is not None:
+                    counts.add(before, -1)
+            found.append(counts)
+        return found
+
+    def reply(
+        self,
+        zone: str,
+        services: dict[str, Service],
+        latency: dict[str, dict[float, int]],
+    ) -> BurnReply:
+        """Return the node's own counts.
+
+        :param services: services of the version in force, by name.
+        :param latency: histograms by service.
+        """
+        burns = []
+        for name in self.counts:
+            service = services.get(name)
+            if service is None:
+                continue
+            burns.append(
+                ServiceBurn(
+                    zone,
+                    name,
+                    service.slo_ms,
+                    service.slo_percent,
+                    self.windows(name),
+                    latency.get(name, {}),
+                )
+            )
+        return BurnReply(1, burns)
+
+
+def merge_burns(replies: list[BurnReply]) -> BurnReply:
+    """Add counts of several nodes up, by zone and service."""
+    merged: dict[tuple[str, str], ServiceBurn] = {}
+    for reply in replies:
+        for burn in reply.services:
+            held = merged.get((burn.zone, burn.service))
+            if held is None:
+                merged[burn.zone, burn.service] = burn
+                continue
+            for mine, theirs in zip(held.windows, burn.windows, strict=True):
+                mine.add(theirs)
+            for bound, count in burn.latency.items():
+                held.latency[bound] = held.latency.get(bound, 0) + count
+    services = [merged[key] for key in sorted(merged)]
+    return BurnReply(sum(reply.nodes for reply in replies), services)
--- a/src/daisylink/process/_events.py
+++ b/src/daisylink/process/_events.py
@@ -14,7 +14,7 @@
     PullRequest,
 )
 from daisylink.process._records import MemberRecord
-from daisylink.request import ClaimFate, ClaimOutcome
+from daisylink.request import ClaimFate, ClaimOutcome, Fingerprint
 from daisylink.version import Version
 
 
@@ -168,6 +168,20 @@
     answer: bytes = b""
 
 
+@dataclass(frozen=True)
+class ServerCrashed:
+    """Event: the own backend server crashed with requests in flight."""
+
+    fingerprints: tuple[Fingerprint, ...]
+
+
+@dataclass(frozen=True)
+class SuspectAnswered:
+    """Event: a request with a strike was answered by a backend server."""
+
+    fingerprint: Fingerprint
+
+
 @dataclass(frozen=True)
 class StopAsked:
     """Event: the node is to leave the fleet."""
@@ -185,6 +199,8 @@
     | KeepAnswered
     | ClaimAsked
     | ClaimEnded
+    | ServerCrashed
+    | SuspectAnswered
     | StopAsked
 )
 
--- a/src/daisylink/process/_fleet.py
+++ b/src/daisylink/process/_fleet.py
@@ -28,10 +28,12 @@
     ReadKey,
     Send,
     ServerChanged,
+    ServerCrashed,
     Started,
     StopAsked,
     StoreAnswered,
     StoreFailed,
+    SuspectAnswered,
     TimePassed,
     VersionInstalled,
 )
@@ -54,9 +56,11 @@
     Push,
     PushAck,
     Settle,
+    Strike,
     VersionNews,
 )
 from daisylink.process._pulls import Holdings, Pulls, PullSettings
+from daisylink.process._quarantine import Quarantine, QuarantineSettings
 from daisylink.process._ration import Ration, RationSettings
 from daisylink.process._reader import Reader, ReaderResult, ReaderSettings, reader_key
 from daisylink.process._readiness import Readiness, ReadinessSettings
@@ -69,11 +73,13 @@
     fit_news,
 )
 from daisylink.process._zones import ZoneSettings, ZoneWatch
+from daisylink.request import Fingerprint
 from daisylink.version import HEAD_KEY, HeadRecord
 
 MAX_HELD_PUSHES = 16
+MAX_STRIKES = 16
 MAX_RESPREAD_RECORDS = 64
-PURGE_INTERVAL = timedelta(minutes=10)
+PURGE_INTERVAL = timedelta(minutes=1)
 
 
 class FleetSettings(NamedTuple):
@@ -94,6 +100,7 @@
     keepers: KeeperSettings = KeeperSettings()
     ledger: LedgerSettings = LedgerSettings()
     claims: ClaimSettings = ClaimSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
     batch: timedelta = timedelta(milliseconds=50)
     gap_patience: timedelta = timedelta(seconds=1)
     settle: timedelta = timedelta(seconds=1)
@@ -135,6 +142,7 @@
         self.readiness = Readiness(settings.readiness)
         self.keepers = Keepers(settings.keepers, self.directory, rng)
         self.ledger = Ledger(settings.ledger, Keeper(record.node, record.boot))
+        self.quarantine = Quarantine(settings.quarantine)
         self.claims = Claims(settings.claims, record.node, self.keepers, rng)
         self.changes: dict[str, MemberRecord] = {}
         self.changes_due = float("inf")
@@ -199,6 +207,11 @@
                 actions = list(self.keepers.take_reply(address, reply, now))
             case ClaimAsked(ticket, key):
                 actions = list(self.claims.ask(ticket, key, now))
+            case ServerCrashed(fingerprints):
+                actions = self._strike(fingerprints, now)
+            case SuspectAnswered(fingerprint):
+                pardons = self.quarantine.make_pardons(fingerprint)
+                actions = self._spread_strikes(pardons, now)
             case ClaimEnded(ticket, fate, answer):
                 actions = list(self.claims.settle(ticket, fate, answer))
             case Started():
@@ -281,6 +294,7 @@
         if now >= self.purge_due:
             self.purge_due = now + PURGE_INTERVAL.total_seconds()
             self.directory.purge(now)
+            self.quarantine.purge(now)
         actions += self._pass_on_held(now)
         if now >= self.changes_due:
             actions += self._spread_changes(now)
@@ -347,6 +361,7 @@
         actions: list[Action] = []
         fresh = bool(self._merge(push.records, now, actions))
         fresh |= self._take_map(push.keepers, now)
+        fresh |= bool(self.quarantine.take(push.strikes, now))
         news = push.version
         if news is not None and self.second_news is not None:
             self._drop_second(news)
@@ -371,7 +386,7 @@
             self.pulls.want_version_now(sender, news.number, now)
 
     def _pass_on(self, push: Push, now: float) -> list[Action]:
-        news = News(push.version, push.records, push.keepers)
+        news = News(push.version, push.records, push.keepers, push.strikes)
         avoid = tuple(self.detector.suspects)
         return list(self.spreader.spread(news, now, push.low, push.high, avoid))
 
@@ -447,6 +462,27 @@
         avoid = tuple(self.detector.suspects)
         return list(self.spreader.spread(News(fit_news(news)), now, avoid=avoid))
 
+    # Requests
+
+    def _strike(
+        self, fingerprints: tuple[Fingerprint, ...], now: float
+    ) -> list[Action]:
+        """Hold a crash against the requests that were in flight, everywhere."""
+        crash = f"{self.own.node}/{now:.3f}"
+        strikes = tuple(
+            Strike(item.head, item.whole, crash) for item in dict.fromkeys(fingerprints)
+        )[:MAX_STRIKES]
+        return self._spread_strikes(strikes, now)
+
+    def _spread_strikes(self, strikes: tuple[Strike, ...], now: float) -> list[Action]:
+        if not self.quarantine.take(strikes, now):
+            return []
+        news = News(strikes=strikes)
+        return [
+            *self.spreader.spread(news, now),
+            *self.spreader.spread_abroad(news, now),
+        ]
+
     # The platform
 
     def _take_store_answer(self, answer: StoreAnswered, now: float) -> list[Action]:
--- a/src/daisylink/process/_gateway.py
+++ b/src/daisylink/process/_gateway.py
@@ -8,14 +8,17 @@
 from daisylink.connection import CallerConnection, HopPool
 from daisylink.errors import ResultCode
 from daisylink.process._admission import Admission, Limits
+from daisylink.process._burn import HISTORY_INTERVAL, BurnBook
 from daisylink.process._chooser import Chooser
 from daisylink.process._metrics import Metrics
+from daisylink.process._quarantine import Quarantine
 from daisylink.process._records import MemberRecord, ServerState
 from daisylink.process._slot import Slot
 from daisylink.request import (
     ClaimFate,
     Decision,
     Exchange,
+    Fingerprint,
     Refusal,
     RequestPlan,
     RetryBudget,
@@ -23,6 +26,8 @@
 from daisylink.version import Version
 
 SWEEP_SECONDS = 1.0
+CRASH_LOOK_SECONDS = 0.02
+PROBE_SECONDS = 0.5
 DEFAULT_LIMITS = Limits(slots=8, connections=64, queue=20)
 
 
@@ -40,12 +45,17 @@
         chooser: Chooser,
         slot: Slot,
         metrics: Metrics,
+        quarantine: Quarantine,
     ):
         self.now = clock.monotonic
         self.loop = loop
         self.chooser = chooser
         self.slot = slot
         self.metrics = metrics
+        self.quarantine = quarantine
+        self.burn = BurnBook()
+        self.lost: list[Fingerprint] = []
+        self.probes: set[asyncio.Task] = set()
         self.admission = Admission()
         self.budget = RetryBudget()
         self.hops = HopPool(self)
@@ -53,6 +63,7 @@
         self.callers: set[CallerConnection] = set()
         self.stopping = False
         self.sweeper = loop.call_later(SWEEP_SECONDS, self._sweep)
+        self.history_due = self.now() + HISTORY_INTERVAL.total_seconds()
 
     @property
     def own(self) -> MemberRecord:
@@ -112,6 +123,45 @@
         self.slot.note_unreachable()
         self.on_slot_changed()
 
+    def note_server_lost(self, fingerprint: Fingerprint) -> None:
+        """Note a request whose connection the own backend server dropped.
+
+        All requests lost at about the same time are looked into together.
+        """
+        if not self.lost:
+            self.loop.call_later(CRASH_LOOK_SECONDS, self._look_for_crash)
+        self.lost.append(fingerprint)
+
+    def _look_for_crash(self) -> None:
+        task = self.loop.create_task(self._probe_server())
+        self.probes.add(task)
+        task.add_done_callback(self.probes.discard)
+
+    async def _probe_server(self) -> None:
+        """Tell a crash from a dropped connection: a crashed server refuses new ones."""
+        lost, self.lost = tuple(self.lost), []
+        host, _, port = self.server_address.rpartition(":")
+        try:
+            async with asyncio.timeout(PROBE_SECONDS):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError, ValueError):
+            self.note_server_unreachable()
+            self.on_server_crashed(lost)
+            return
+        writer.close()
+
+    def end_suspect(self, fingerprint: Fingerprint, answered: bool) -> None:
+        """Note that a suspect no longer runs; one that was answered is pardoned."""
+        self.quarantine.end(fingerprint)
+        if answered:
+            self.on_suspect_answered(fingerprint)
+
+    def on_suspect_answered(self, fingerprint: Fingerprint) -> None:
+        """Tell the fleet of a suspect that was answered; set by the node."""
+
+    def on_server_crashed(self, lost: tuple[Fingerprint, ...]) -> None:
+        """Tell the fleet of requests in flight at a crash; set by the node."""
+
     def on_slot_changed(self) -> None:
         """Tell the node that the slot's state changed; set by the node."""
 
@@ -163,6 +213,8 @@
         service = plan.service if plan is not None else ""
         seconds = self.now() - exchange.started_at
         self.metrics.note_request(service, code, seconds, exchange.attempt)
+        if plan is not None:
+            self.burn.note(service, code, seconds, plan.slo_ms, exchange.replayed)
 
     def _own_load(self) -> float:
         admission = self.admission
@@ -182,4 +234,7 @@
         for caller in list(self.callers):
             caller.sweep(now)
         self.hops.sweep(now)
+        if now >= self.history_due:
+            self.history_due += HISTORY_INTERVAL.total_seconds()
+            self.burn.keep()
         self.sweeper = self.loop.call_later(SWEEP_SECONDS, self._sweep)
--- a/src/daisylink/process/_messages.py
+++ b/src/daisylink/process/_messages.py
@@ -56,6 +56,19 @@
     shards: tuple[ShardPlace, ...] = ()
 
 
+class Strike(msgspec.Struct, frozen=True, array_like=True):
+    """A request that was in flight when a backend server crashed.
+
+    :param crash: names the crash.
+    :param pardoned: whether the request was answered since, so it was another one.
+    """
+
+    head: bytes
+    whole: bytes
+    crash: str
+    pardoned: bool = False
+
+
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Asks whether a node runs, and says what its sender holds.
 
@@ -104,6 +117,7 @@
     version: VersionNews | None = None
     records: tuple[MemberRecord, ...] = ()
     keepers: KeeperMap | None = None
+    strikes: tuple[Strike, ...] = ()
 
 
 class PushAck(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/src/daisylink/process/_metrics.py
+++ b/src/daisylink/process/_metrics.py
@@ -5,11 +5,13 @@
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import HistogramDataPoint, InMemoryMetricReader
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import generate_latest
 from prometheus_client.registry import CollectorRegistry
 
+DURATION_NAME = "daisylink.request.duration"
 LATENCY_BOUNDS_SECONDS = (
     0.0005,
     0.001,
@@ -40,13 +42,15 @@
         self.registry = CollectorRegistry()
         reader = PrometheusMetricReader(registry=self.registry)
         bounds = ExplicitBucketHistogramAggregation(LATENCY_BOUNDS_SECONDS)
-        view = View(instrument_name="daisylink.request.duration", aggregation=bounds)
+        view = View(instrument_name=DURATION_NAME, aggregation=bounds)
         resource = Resource({"service.instance.id": node, "cloud.zone": zone})
-        self.provider = MeterProvider([reader], resource, views=[view])
+        self.memory = InMemoryMetricReader()
+        readers = [reader, self.memory]
+        self.provider = MeterProvider(readers, resource, views=[view])
         meter = self.provider.get_meter("daisylink")
         self.meter = meter
         self.duration = meter.create_histogram(
-            "daisylink.request.duration", "s", "Time from a request's head to its end."
+            DURATION_NAME, "s", "Time from a request's head to its end."
         )
         self.retries = meter.create_counter(
             "daisylink.request.retries", "1", "Attempts after the first."
@@ -78,6 +82,19 @@
         if attempts > 1:
             self.retries.add(attempts - 1, {"service": service})
 
+    def read_latency(self) -> dict[str, dict[float, int]]:
+        """Return the number of requests by upper bound in seconds, by service."""
+        found: dict[str, dict[float, int]] = {}
+        data = self.memory.get_metrics_data()
+        if data is None:
+            return found
+        for resource in data.resource_metrics:
+            for scope in resource.scope_metrics:
+                for metric in scope.metrics:
+                    if metric.name == DURATION_NAME:
+                        _add_points(found, metric.data.data_points)
+        return found
+
     def format_text(self) -> bytes:
         """Return all metrics as Prometheus text."""
         return generate_latest(self.registry)
@@ -85,3 +102,15 @@
     def shutdown(self) -> None:
         """Stop collecting."""
         self.provider.shutdown()
+
+
+def _add_points(
+    found: dict[str, dict[float, int]], points: Iterable[HistogramDataPoint]
+) -> None:
+    """Add a histogram's points to counts by service and upper bound."""
+    for point in points:
+        counts = found.setdefault(str(point.attributes["service"]), {})
+        bounds = (*point.explicit_bounds, float("inf"))
+        for bound, count in zip(bounds, point.bucket_counts, strict=True):
+            if count:
+                counts[bound] = counts.get(bound, 0) + count
--- a/src/daisylink/process/_node.py
+++ b/src/daisylink/process/_node.py
@@ -17,6 +17,7 @@
 from daisylink.loop import Application
 from daisylink.platform import HttpStore, KeyValueStore
 from daisylink.process._admin import Admin
+from daisylink.process._burn import BurnReply
 from daisylink.process._chooser import Chooser
 from daisylink.process._events import (
     Action,
@@ -39,11 +40,13 @@
     RevokeLease,
     Send,
     ServerChanged,
+    ServerCrashed,
     Started,
     StopAsked,
     StoreAnswered,
     StoreCall,
     StoreFailed,
+    SuspectAnswered,
     SwapKey,
     TimePassed,
     VersionInstalled,
@@ -65,7 +68,13 @@
 from daisylink.process._slot import Slot, SlotSettings
 from daisylink.process._survey import Surveyor
 from daisylink.process._transport import ControlClient, ControlServer, DatagramEndpoint
-from daisylink.request import ClaimFate, ClaimGranted, ClaimOutcome, Exchange
+from daisylink.request import (
+    ClaimFate,
+    ClaimGranted,
+    ClaimOutcome,
+    Exchange,
+    Fingerprint,
+)
 from daisylink.settings import Address, NodeSettings
 from daisylink.version import Version
 from daisylink.web import WebServer
@@ -107,6 +116,7 @@
         self.server = ControlServer(
             self._answer_pull,
             self._answer_survey,
+            self._answer_burn,
             self._answer_keep,
             self._note_traffic,
         )
@@ -170,11 +180,20 @@
         )
         self.fleet = FleetNode(self.fleet_settings, record, settings.peers, self.rng)
         chooser = Chooser(self.fleet.directory, self.rng)
-        self.gateway = Gateway(self.clock, self.loop, chooser, self.slot, self.metrics)
+        self.gateway = Gateway(
+            self.clock,
+            self.loop,
+            chooser,
+            self.slot,
+            self.metrics,
+            self.fleet.quarantine,
+        )
+        self.gateway.on_server_crashed = self._report_crash
+        self.gateway.on_suspect_answered = self._report_answered
         self.gateway.on_slot_changed = self.update_server
         self.gateway.ask_claim = self._ask_claim
         self.gateway.end_claim = self._end_claim
-        self.surveyor = Surveyor(self.fleet, self.client)
+        self.surveyor = Surveyor(self.fleet, self.client, self._read_burn)
         callers = await self._listen(settings.callers, "callers", self._make_caller)
         self.callers_address = Address(settings.callers.host, callers)
         self.web = WebServer(self.application, *settings.admin)
@@ -363,6 +382,13 @@
         if not runs and isinstance(outcome, ClaimGranted):
             self._feed(ClaimEnded(exchange, ClaimFate.NOT_RUN))
 
+    def _report_crash(self, lost: tuple[Fingerprint, ...]) -> None:
+        log.warning("backend server crashed with {} requests in flight", len(lost))
+        self._feed(ServerCrashed(lost))
+
+    def _report_answered(self, fingerprint: Fingerprint) -> None:
+        self._feed(SuspectAnswered(fingerprint))
+
     def _answer_keep(self, request: KeepRequest) -> KeepReply:
         if not self.started:
             raise NodeError("not started", ResultCode.NODE_NOT_READY)
@@ -378,6 +404,19 @@
             raise NodeError("not started", ResultCode.NODE_NOT_READY)
         return await self.surveyor.answer(request)
 
+    async def _answer_burn(self, request: SurveyRequest) -> BurnReply:
+        if not self.started:
+            raise NodeError("not started", ResultCode.NODE_NOT_READY)
+        return await self.surveyor.answer_burn(request)
+
+    def _read_burn(self) -> BurnReply:
+        """Return this node's own counts against the objectives."""
+        version = self.gateway.version
+        rows = version.content.services if version is not None else ()
+        services = {row.name: row for row in rows}
+        latency = self.metrics.read_latency()
+        return self.gateway.burn.reply(self.fleet.own.zone, services, latency)
+
     def _spawn(self, work) -> None:
         task = self.loop.create_task(work)
         self.tasks.add(task)
--- a/src/daisylink/process/_spreader.py
+++ b/src/daisylink/process/_spreader.py
@@ -20,6 +20,7 @@
     KeeperMap,
     Push,
     PushAck,
+    Strike,
     VersionNews,
     encode_message,
 )
@@ -42,6 +43,7 @@
     version: VersionNews | None = None
     records: tuple[MemberRecord, ...] = ()
     keepers: KeeperMap | None = None
+    strikes: tuple[Strike, ...] = ()
 
 
 class Part(NamedTuple):
@@ -198,6 +200,7 @@
             news.version,
             news.records,
             news.keepers,
+            news.strikes,
         )
         return Send(target, push)
 
--- a/src/daisylink/process/_survey.py
+++ b/src/daisylink/process/_survey.py
@@ -1,9 +1,11 @@
 """Asks a whole zone which versions its nodes route by, along the same kind of tree."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import datetime
 
 from daisylink.errors import NodeError
+from daisylink.process._burn import BurnReply, merge_burns
 from daisylink.process._fleet import FleetNode
 from daisylink.process._messages import Laggard, SurveyReply, SurveyRequest
 from daisylink.process._spreader import Part, split_around
@@ -19,11 +21,18 @@
 
     :param fleet: the node's decision object.
     :param client: how other nodes are asked.
+    :param read_burn: returns the node's own counts.
     """
 
-    def __init__(self, fleet: FleetNode, client: ControlClient):
+    def __init__(
+        self,
+        fleet: FleetNode,
+        client: ControlClient,
+        read_burn: Callable[[], BurnReply],
+    ):
         self.fleet = fleet
         self.client = client
+        self.read_burn = read_burn
         self.installed_at: datetime | None = None
 
     async def answer(self, request: SurveyRequest) -> SurveyReply:
@@ -39,6 +48,22 @@
         laggard = Laggard(own.node, number)
         return SurveyReply(own.zone, {number: 1}, 0, self.installed_at, (laggard,))
 
+    async def answer_burn(self, request: SurveyRequest) -> BurnReply:
+        """Return the counts of the nodes between two positions, and of this one."""
+        directory = self.fleet.directory
+        parts = split_around(directory, request.low, request.high, SURVEY_FANOUT)
+        replies = await asyncio.gather(*(self._ask_burn(part) for part in parts))
+        return merge_burns([self.read_burn(), *replies])
+
+    async def _ask_burn(self, part: Part) -> BurnReply:
+        """Ask the first node of a part that answers."""
+        for node in part.nodes:
+            try:
+                return await self.client.burn(node, SurveyRequest(part.low, part.high))
+            except NodeError:
+                continue
+        return BurnReply(0, [])
+
     async def _ask(self, part: Part) -> SurveyReply:
         """Ask the first node of a part that answers; count the others as silent."""
         zone = self.fleet.own.zone
--- a/src/daisylink/process/_transport.py
+++ b/src/daisylink/process/_transport.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from daisylink.errors import NodeError, ResultCode, SettingError
+from daisylink.process._burn import BurnReply
 from daisylink.process._messages import (
     KeepReply,
     KeepRequest,
@@ -26,6 +27,7 @@
 PULL = f"/{SERVICE}/Pull"
 SURVEY = f"/{SERVICE}/Survey"
 KEEP = f"/{SERVICE}/Keep"
+BURN = f"/{SERVICE}/Burn"
 MAX_MESSAGE_BYTES = 32 * 1024 * 1024
 MAX_CHANNELS = 16
 CALL_SECONDS = 5.0
@@ -100,6 +102,13 @@
         """
         return await self._call(address, SURVEY, request, SurveyReply)
 
+    async def burn(self, address: str, request: SurveyRequest) -> BurnReply:
+        """Ask a node how a part of its zone fares against its objectives.
+
+        :raises NodeError: ``NODE_UNREACHABLE`` if it does not answer.
+        """
+        return await self._call(address, BURN, request, BurnReply)
+
     async def keep(self, address: str, request: KeepRequest) -> KeepReply:
         """Ask a keeper to seal a shard or to take records.
 
@@ -142,6 +151,7 @@
 
     :param answer_pull: returns the answer to a pull.
     :param answer_survey: returns the answer to a survey.
+    :param answer_burn: returns the counts against objectives.
     :param answer_keep: returns the answer to a seal or a copy of key records.
     """
 
@@ -149,11 +159,13 @@
         self,
         answer_pull: Callable[[PullRequest], PullReply],
         answer_survey: Callable[[SurveyRequest], Awaitable[SurveyReply]],
+        answer_burn: Callable[[SurveyRequest], Awaitable[BurnReply]],
         answer_keep: Callable[[KeepRequest], KeepReply],
         note_traffic: NoteTraffic,
     ):
         self.answer_pull = answer_pull
         self.answer_survey = answer_survey
+        self.answer_burn = answer_burn
         self.answer_keep = answer_keep
         self.note_traffic = note_traffic
         self.server = grpc.aio.server(options=OPTIONS)
@@ -161,6 +173,7 @@
             "Pull": self._pull,
             "Survey": self._survey,
             "Keep": self._keep,
+            "Burn": self._burn,
         }
         self.server.add_generic_rpc_handlers(
             (
@@ -201,6 +214,10 @@
         request = await self._decode(data, SurveyRequest, context)
         return self._encode(await self.answer_survey(request))
 
+    async def _burn(self, data: bytes, context: grpc.aio.ServicerContext) -> bytes:
+        request = await self._decode(data, SurveyRequest, context)
+        return self._encode(await self.answer_burn(request))
+
     async def _keep(self, data: bytes, context: grpc.aio.ServicerContext) -> bytes:
         request = await self._decode(data, KeepRequest, context)
         return self._encode(self.answer_keep(request))
--- a/src/daisylink/request/__init__.py
+++ b/src/daisylink/request/__init__.py
@@ -21,8 +21,14 @@
     Decision,
     Queued,
     Refused,
+    Standing,
 )
 from daisylink.request._exchange import Exchange
+from daisylink.request._fingerprint import (
+    Fingerprint,
+    digest_head,
+    take_fingerprint,
+)
 from daisylink.request._head import (
     CONNECTION_HEADERS,
     DEADLINE_HEADER,
@@ -72,6 +78,7 @@
     "DeadlinePassed",
     "Decision",
     "Exchange",
+    "Fingerprint",
     "GiveUp",
     "Header",
     "Hop",
@@ -84,14 +91,17 @@
     "RequestHead",
     "RequestPlan",
     "RetryBudget",
+    "Standing",
     "Try",
     "TurnedDown",
     "build_hop_head",
     "decode_hop",
+    "digest_head",
     "encode_hop",
     "encode_refusal",
     "parse_head",
     "plan_relayed",
     "plan_request",
     "refuse",
+    "take_fingerprint",
 ]
--- a/src/daisylink/request/_decision.py
+++ b/src/daisylink/request/_decision.py
@@ -61,3 +61,11 @@
     ANSWERED = "answered"
     NOT_RUN = "not run"
     UNKNOWN = "unknown"
+
+
+class Standing(Enum):
+    """What is held against a request."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -29,6 +29,12 @@
     ClaimRefused,
     Queued,
     Refused,
+    Standing,
+)
+from daisylink.request._fingerprint import (
+    Fingerprint,
+    digest_head,
+    take_fingerprint,
 )
 from daisylink.request._head import (
     DEADLINE_HEADER,
@@ -54,13 +60,25 @@
     refuse,
 )
 from daisylink.request._plan import RequestPlan, plan_relayed, plan_request
-from daisylink.request._recording import Recording, build_replay, find_key
+from daisylink.request._recording import (
+    REPLAY_HEADER,
+    Recording,
+    build_replay,
+    find_key,
+)
 
 REPLAY_BYTES = 64 * 1024
 HOP_MARGIN_MS = 5
 MILLISECONDS = 1000
 KEY_RETRY_MS = 500
-KEY_CODES = frozenset({ResultCode.REQUEST_KEY_RUNNING, ResultCode.REQUEST_KEY_DONE})
+SUSPECT_RETRY_MS = 100
+FINAL_CODES = frozenset(
+    {
+        ResultCode.REQUEST_KEY_RUNNING,
+        ResultCode.REQUEST_KEY_DONE,
+        ResultCode.REQUEST_QUARANTINED,
+    }
+)
 LAST_CHUNK = b"0\r\n\r\n"
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -99,6 +117,8 @@
         self.slot_since: float | None = None
         self.is_queued = False
         self.awaits_claim = False
+        self.awaits_body = False
+        self.suspect: Fingerprint | None = None
         self.recording: Recording | None = None
         self.head_sent = False
         self.body: list[bytes] = []
@@ -110,6 +130,7 @@
         self.swallowed: Refusal | None = None
         self.answering = False
         self.status = 0
+        self.replayed = False
         self.answer_chunked = False
         self.out: list[bytes] = []
         self.done = False
@@ -159,11 +180,15 @@
     def end_body(self) -> None:
         """Note the end of the request's body."""
         self.body_done = True
-        if self.done or self.head.length is not None:
+        if self.done:
             return
-        if self.hop is not None:
-            self.hop.push(LAST_CHUNK)
-        self.body.append(LAST_CHUNK)
+        if self.head.length is None:
+            if self.hop is not None:
+                self.hop.push(LAST_CHUNK)
+            self.body.append(LAST_CHUNK)
+        if self.awaits_body:
+            self.awaits_body = False
+            self.run_own()
 
     def flush_body(self) -> None:
         """Write to the next hop what :meth:`take_body` collected."""
@@ -250,6 +275,8 @@
         """Run the request here: a slot is held for it. A key is claimed first."""
         self.is_queued = False
         self.slot_since = self.gateway.now()
+        if not self.gateway.quarantine.is_empty and not self._pass_quarantine():
+            return
         key = None if self.plan.idempotent else find_key(self.head, self.plan.pool)
         if key is None:
             self._send_own()
@@ -257,6 +284,36 @@
         self.awaits_claim = True
         self.gateway.ask_claim(self, key)
 
+    def _pass_quarantine(self) -> bool:
+        """Return whether the request may run now, given the strikes held against it."""
+        gateway = self.gateway
+        quarantine = gateway.quarantine
+        if not quarantine.knows_head(digest_head(self.head, self.plan.pool)):
+            return True
+        if not self.body_done and self.replayable and self.wants_body:
+            self.awaits_body = True
+            if self.head.expects_continue:
+                self.send_continue()
+            return False
+        fingerprint = self.take_fingerprint()
+        now = gateway.now()
+        match quarantine.standing(fingerprint, now):
+            case Standing.CLEAR:
+                return True
+            case Standing.QUARANTINED:
+                retry_ms = quarantine.retry_ms(fingerprint, now)
+                self._answer_refusal(refuse(ResultCode.REQUEST_QUARANTINED, retry_ms))
+                return False
+            case Standing.SUSPECT if quarantine.begin(fingerprint):
+                self.suspect = fingerprint
+                return True
+        self._turn_down(ResultCode.REQUEST_OVERLOADED, SUSPECT_RETRY_MS)
+        return False
+
+    def take_fingerprint(self) -> Fingerprint:
+        """Return the request's fingerprint, by as much of its body as is kept."""
+        return take_fingerprint(self.head, self.plan.pool, self.body)
+
     def take_claim(self, outcome: ClaimOutcome) -> bool:
         """Take what came of the claim; return whether the request now runs."""
         if self.done or not self.awaits_claim:
@@ -281,6 +338,7 @@
 
     def _replay(self, packed: bytes) -> None:
         """Give the answer recorded for the request's key."""
+        self.replayed = True
         is_head = self.head.method == b"HEAD"
         self.caller.write(build_replay(packed, is_head, not self.keeps_caller))
         self.gateway.note_answered(self)
@@ -397,6 +455,10 @@
     def _end_attempt(self) -> None:
         """Give back what the attempt held."""
         self._end_claim(ClaimFate.UNKNOWN)
+        self.awaits_body = False
+        suspect, self.suspect = self.suspect, None
+        if suspect is not None:
+            self.gateway.end_suspect(suspect, answered=False)
         if self.target:
             self.gateway.chooser.end(self.target)
             self.target = ""
@@ -440,6 +502,7 @@
         self.status = status
         lines = [b"HTTP/1.1 %d %b" % (status, PHRASES.get(status, b""))]
         dropped = find_dropped(headers)
+        self.replayed = (REPLAY_HEADER, b"1") in headers
         for name, value in headers:
             if name not in dropped and not name.startswith(OWN_PREFIX):
                 lines.append(name + b": " + value)
@@ -515,11 +578,14 @@
         if self.answer_chunked:
             self.caller.write(LAST_CHUNK)
         self._end_claim(ClaimFate.ANSWERED)
+        suspect, self.suspect = self.suspect, None
+        if suspect is not None:
+            self.gateway.end_suspect(suspect, answered=True)
         self.gateway.note_answered(self)
         self._finish()
 
     def _take_refusal(self, refusal: Refusal) -> None:
-        if refusal.code in KEY_CODES:
+        if refusal.code in FINAL_CODES:
             self._answer_refusal(refusal)
         elif refusal.outcome is Outcome.NOT_RUN:
             self._turn_down(refusal.code, refusal.retry_ms)
@@ -531,6 +597,8 @@
         self.hop = None
         if self.done:
             return
+        if self.slot_since is not None:
+            self.gateway.note_server_lost(self.take_fingerprint())
         if self.answering:
             self._note_failure()
             self.abort()
--- a/src/daisylink/request/_plan.py
+++ b/src/daisylink/request/_plan.py
@@ -28,6 +28,7 @@
     body_limit: int
     version: int
     slots: int
+    slo_ms: int
 
 
 def plan_request(
@@ -59,6 +60,7 @@
         body_limit=body_limit,
         version=version.number,
         slots=entry.pool.slots,
+        slo_ms=entry.service.slo_ms,
     )
 
 
@@ -74,4 +76,5 @@
         body_limit=head.length if head.length is not None else 2**62,
         version=0,
         slots=0,
+        slo_ms=0,
     )
--- a/src/daisylink/request/_recording.py
+++ b/src/daisylink/request/_recording.py
@@ -7,7 +7,7 @@
 from daisylink.request._head import RequestHead
 
 KEY_HEADER = b"idempotency-key"
-REPLAY_HEADER = b"daisylink-replayed: 1"
+REPLAY_HEADER = b"daisylink-replayed"
 MAX_RECORDED_BYTES = 16 * 1024
 DIGEST_BYTES = 16
 
@@ -69,7 +69,7 @@
     :param close: whether the connection closes after it.
     """
     answer = msgspec.msgpack.decode(packed, type=RecordedAnswer)
-    lines = [answer.status_line, *answer.headers, REPLAY_HEADER]
+    lines = [answer.status_line, *answer.headers, REPLAY_HEADER + b": 1"]
     lines.append(b"content-length: %d" % len(answer.body))
     if close:
         lines.append(b"connection: close")
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,85 @@
+"""A request that crashes servers is stopped after two; innocents go on."""
+
+import asyncio
+import unittest
+
+from daisylink.errors import ResultCode
+from daisylink.process._messages import Strike
+from daisylink.process._quarantine import Quarantine, QuarantineSettings
+from daisylink.request import Fingerprint, Standing
+from daisylink.standin import Caller, Place
+from tests.support import HOST, FleetTestCase, make_content
+
+CULPRIT = Fingerprint(b"h", b"culprit")
+INNOCENT = Fingerprint(b"h", b"innocent")
+SERVERS = 6
+
+
+def strike(fingerprint, crash):
+    return Strike(fingerprint.head, fingerprint.whole, crash)
+
+
+class QuarantineTests(unittest.TestCase):
+    def test_doubled_news_of_one_crash_is_one_strike(self):
+        quarantine = Quarantine(QuarantineSettings())
+        for _ in range(3):
+            quarantine.take((strike(CULPRIT, "one"),), 0.0)
+        self.assertIs(quarantine.standing(CULPRIT, 1.0), Standing.SUSPECT)
+        quarantine.take((strike(CULPRIT, "two"),), 1.0)
+        self.assertIs(quarantine.standing(CULPRIT, 2.0), Standing.QUARANTINED)
+        self.assertIs(quarantine.standing(INNOCENT, 2.0), Standing.CLEAR)
+        self.assertIs(quarantine.standing(CULPRIT, 62.0), Standing.CLEAR)
+
+    def test_suspects_run_one_at_a_time_and_an_answer_clears(self):
+        quarantine = Quarantine(QuarantineSettings())
+        both = (strike(CULPRIT, "one"), strike(INNOCENT, "one"))
+        quarantine.take(both, 0.0)
+        self.assertTrue(quarantine.begin(INNOCENT))
+        self.assertFalse(quarantine.begin(CULPRIT))
+        quarantine.end(INNOCENT)
+        quarantine.take(quarantine.make_pardons(INNOCENT), 0.5)
+        quarantine.take(both, 0.6)
+        self.assertIs(quarantine.standing(INNOCENT, 1.0), Standing.CLEAR)
+        self.assertTrue(quarantine.begin(CULPRIT))
+        quarantine.end(CULPRIT)
+        self.assertIs(quarantine.standing(CULPRIT, 1.0), Standing.SUSPECT)
+
+
+class CrashingCallTests(FleetTestCase):
+    def test_two_servers_are_lost_and_the_route_goes_on(self):
+        async def scenario(fleet, operations):
+            places = [Place("xyz"[index % 3], "a") for index in range(SERVERS)]
+            await fleet.start(places)
+            await operations.accept(make_content("a"), "")
+            await fleet.wait_for_servers()
+            innocents = []
+
+            async def send_innocents(number):
+                caller = Caller(str(fleet.nodes[number].callers_address))
+                for _ in range(60):
+                    headers = {"x-standin-sleep-ms": "10"}
+                    answer = await caller.call("GET", "/a/read", HOST, b"", headers)
+                    innocents.append(answer)
+                caller.close()
+
+            others = [asyncio.create_task(send_innocents(n)) for n in range(4)]
+            await asyncio.sleep(0.05)
+            last = None
+            for attempt in range(10):
+                caller = Caller(str(fleet.nodes[attempt % SERVERS].callers_address))
+                headers = {"x-standin-crash": "1"}
+                last = await caller.call("POST", "/a/write", HOST, b"poison", headers)
+                caller.close()
+                await asyncio.sleep(0.15)
+            await asyncio.gather(*others)
+            crashed = [b for b in fleet.backends if not b.server.is_serving()]
+            self.assertLessEqual(len(crashed), 2)
+            self.assertEqual(last.code, ResultCode.REQUEST_QUARANTINED)
+            self.assertEqual(last.outcome, "not-run")
+            refused = [item.code for item in innocents if item.status != 200]
+            self.assertEqual(refused, [])
+            caller = Caller(str(fleet.nodes[0].callers_address))
+            answer = await caller.call("POST", "/a/write", HOST, b"harmless")
+            self.assertEqual(answer.status, 200)
+
+        self.run_fleet(scenario)
