--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -18,6 +18,7 @@
 MAX_PIPELINED = 8
 HEAD_SECONDS = 10.0
 BODY_SECONDS = 10.0
+STALL_SECONDS = 10.0
 IDLE_SECONDS = 75.0
 RELAY_IDLE_SECONDS = 120.0
 
@@ -205,7 +206,7 @@
         self.transport.abort()
 
     def sweep(self, now: float) -> None:
-        """Cut a caller that is too slow, and close an idle connection."""
+        """Cut a caller or an answer that is too slow; close an idle connection."""
         quiet = now - self.last_read
         exchange = self.current
         if exchange is None:
@@ -215,8 +216,12 @@
             elif quiet > idle or (self.parsing is not None and quiet > BODY_SECONDS):
                 self.close()
             return
+        if exchange.answering:
+            if exchange.is_answer_stalled(now, STALL_SECONDS):
+                exchange.abort()
+            return
         is_stalled = not exchange.body_done and exchange.wants_body and not self.paused
-        if is_stalled and quiet > BODY_SECONDS and not exchange.answering:
+        if is_stalled and quiet > BODY_SECONDS:
             exchange.fail(ResultCode.REQUEST_CALLER_TOO_SLOW)
 
     def _start_waiting(self, exchange: Exchange) -> None:
--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -36,6 +36,7 @@
         self.until_close = False
         self.is_full = False
         self.idle_since = 0.0
+        self.last_read = 0.0
         self.pending: list[bytes] = []
 
     # asyncio
@@ -63,6 +64,7 @@
         if exchange is None:
             self.transport.abort()
             return
+        self.last_read = self.pool.gateway.now()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
--- a/src/daisylink/loop.py
+++ b/src/daisylink/loop.py
@@ -33,6 +33,8 @@
 
     def addWriter(self, source, fd):  # noqa: N802
         """Watch a descriptor for writing."""
+        if fd.fileno() < 0:
+            return
         super().addWriter(source, fd)
         self.loop.add_writer(fd, self._notify, _write, fd)
 
--- a/src/daisylink/process/_node.py
+++ b/src/daisylink/process/_node.py
@@ -324,6 +324,8 @@
 
     def _feed(self, event: Event) -> None:
         """Give an event to the decision object and do what it asks."""
+        if self.closed:
+            return
         actions = self.fleet.handle(event, self.now())
         self._perform(actions)
         self._set_timer()
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -200,6 +200,10 @@
         """Return whether more of the body may be read now."""
         return self.hop is not None or self.kept_bytes < REPLAY_BYTES
 
+    def is_answer_stalled(self, now: float, patience: float) -> bool:
+        """Return whether the answer has not gone on for a time in seconds."""
+        return self.hop is not None and now - self.hop.last_read > patience
+
     def fail(self, code: ResultCode) -> None:
         """Give the request up for a fault of its caller."""
         if self.done:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,8 +1,10 @@
 """Callers' requests through a fleet on real sockets, while things fail."""
 
 import asyncio
+import unittest.mock
 from collections import Counter
 
+from daisylink.connection import _caller
 from daisylink.errors import ResultCode
 from daisylink.standin import Caller, Place
 from tests.support import HOST, FleetTestCase, make_content
@@ -232,6 +234,27 @@
 
         self.run_calls(scenario)
 
+    def test_a_stalled_answer_is_cut_and_frees_the_slot(self):
+        async def stall(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf")
+            await asyncio.sleep(60)
+
+        async def scenario(fleet):
+            server = await asyncio.start_server(stall, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            slot = fleet.nodes[3].slot
+            slot.announcement = slot.announcement._replace(address=f"127.0.0.1:{port}")
+            caller = Caller(str(fleet.nodes[0].callers_address))
+            answer = await caller.call("GET", "/b/read", HOST)
+            self.assertFalse(answer.complete)
+            admission = fleet.nodes[3].gateway.admission
+            await fleet.wait_for(lambda: admission.in_use == 0)
+            server.close()
+
+        with unittest.mock.patch.object(_caller, "STALL_SECONDS", 0.3):
+            self.run_calls(scenario)
+
     def test_long_bodies_stream_both_ways_within_bounded_memory(self):
         async def scenario(fleet):
             caller = Caller(str(fleet.nodes[0].callers_address))
