--- a/src/daisylink/process/_fleet.py
+++ b/src/daisylink/process/_fleet.py
@@ -8,18 +8,16 @@
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
-from msgspec.structs import replace
-
 from daisylink.errors import ResultCode
 from daisylink.process._claims import Claims, ClaimSettings
 from daisylink.process._detector import Detector, DetectorSettings
 from daisylink.process._directory import BUCKETS, Directory
+from daisylink.process._distribution import Distribution
 from daisylink.process._events import (
     Action,
     CallStore,
     ClaimAsked,
     ClaimEnded,
-    DirectoryChanged,
     Event,
     KeepAnswered,
     MessageReceived,
@@ -35,11 +33,11 @@
     StoreFailed,
     SuspectAnswered,
     TimePassed,
-    VersionInstalled,
 )
-from daisylink.process._installer import Installer, Offer
+from daisylink.process._installer import Installer
 from daisylink.process._keepers import Keepers, KeeperSettings
 from daisylink.process._ledger import Ledger, LedgerSettings
+from daisylink.process._membership import Membership
 from daisylink.process._messages import (
     Ack,
     Claim,
@@ -57,28 +55,23 @@
     PushAck,
     Settle,
     Strike,
-    VersionNews,
 )
 from daisylink.process._pulls import Holdings, Pulls, PullSettings
 from daisylink.process._quarantine import Quarantine, QuarantineSettings
 from daisylink.process._ration import Ration, RationSettings
-from daisylink.process._reader import Reader, ReaderResult, ReaderSettings, reader_key
+from daisylink.process._reader import Reader, ReaderSettings, reader_key
 from daisylink.process._readiness import Readiness, ReadinessSettings
-from daisylink.process._records import MemberRecord, MemberState, ServerState
+from daisylink.process._records import MemberRecord
 from daisylink.process._spreader import (
     News,
     Spreader,
     SpreaderSettings,
-    batch_records,
-    fit_news,
 )
 from daisylink.process._zones import ZoneSettings, ZoneWatch
 from daisylink.request import Fingerprint
-from daisylink.version import HEAD_KEY, HeadRecord
+from daisylink.version import HEAD_KEY
 
-MAX_HELD_PUSHES = 16
 MAX_STRIKES = 16
-MAX_RESPREAD_RECORDS = 64
 PURGE_INTERVAL = timedelta(minutes=1)
 
 
@@ -106,13 +99,6 @@
     settle: timedelta = timedelta(seconds=1)
 
 
-class HeldPush(NamedTuple):
-    """A push whose version this node lacks as yet; passed on once it has it."""
-
-    push: Push
-    deadline: float
-
-
 class FleetNode:
     """One node's part in the fleet.
 
@@ -144,16 +130,20 @@
         self.ledger = Ledger(settings.ledger, Keeper(record.node, record.boot))
         self.quarantine = Quarantine(settings.quarantine)
         self.claims = Claims(settings.claims, record.node, self.keepers, rng)
-        self.changes: dict[str, MemberRecord] = {}
-        self.changes_due = float("inf")
-        self.changed_at = float("-inf")
-        self.held: list[HeldPush] = []
-        self.second_news: VersionNews | None = None
-        self.second_due = float("inf")
+        self.members = Membership(
+            self.directory, self.detector, self.spreader, settings.batch
+        )
+        self.versions = Distribution(
+            self.installer,
+            self.spreader,
+            self.detector,
+            self.pulls,
+            self.reader,
+            settings.gap_patience,
+        )
         self.head_due = float("inf")
         self.purge_due = 0.0
         self.joined = False
-        self.leaving = False
 
     @property
     def own(self) -> MemberRecord:
@@ -163,24 +153,22 @@
     @property
     def wake_at(self) -> float:
         """Return when :class:`TimePassed` is due."""
-        held = min((item.deadline for item in self.held), default=float("inf"))
         return min(
-            self.detector.wake_at,
+            self.members.wake_at,
+            self.versions.wake_at,
             self.spreader.wake_at,
             self.pulls.wake_at,
             self.reader.wake_at,
             self.zones.wake_at,
             self.keepers.wake_at,
             self.claims.wake_at,
-            self.changes_due,
-            self.second_due,
             self.head_due,
-            held,
         )
 
     def is_ready(self, now: float) -> bool:
         """Return whether the node may take calls."""
-        return self.readiness.check(self.installer.number, now) and not self.leaving
+        is_ready = self.readiness.check(self.installer.number, now)
+        return is_ready and not self.members.leaving
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take an event and return what is to be done.
@@ -202,7 +190,7 @@
             case StoreFailed():
                 actions = self._take_store_failure(event, now)
             case ServerChanged(record):
-                actions = self._change_own(record, now)
+                actions = self.members.change_own(record, now)
             case KeepAnswered(address, reply):
                 actions = list(self.keepers.take_reply(address, reply, now))
             case ClaimAsked(ticket, key):
@@ -262,11 +250,8 @@
         actions: list[Action] = []
         self.detector.number = self.installer.number
         self.detector.keepers = self.keepers.map.number
-        if now >= self.detector.wake_at:
-            sends, dead = self.detector.tick(now)
-            actions += sends
-            for node in dead:
-                actions += self._declare_dead(node, now)
+        if now >= self.members.wake_at:
+            actions += self.members.tick(now)
         if now >= self.spreader.wake_at:
             actions += self.spreader.tick(now)
         if now >= self.zones.wake_at:
@@ -286,8 +271,6 @@
             actions += self.keepers.tick(now, is_first)
             if is_first:
                 actions += self.keepers.propose_first(now)
-        if now >= self.second_due:
-            actions += self._spread_second(now)
         if now >= self.head_due:
             self.head_due = float("inf")
             actions += self._read_for_readiness()
@@ -295,10 +278,7 @@
             self.purge_due = now + PURGE_INTERVAL.total_seconds()
             self.directory.purge(now)
             self.quarantine.purge(now)
-        actions += self._pass_on_held(now)
-        if now >= self.changes_due:
-            actions += self._spread_changes(now)
-        return actions
+        return actions + self.versions.tick(now)
 
     def _tick_reader(self, now: float) -> list[Action]:
         return list(
@@ -353,76 +333,25 @@
         self.readiness.note_peer(sender, number)
         if number > self.installer.number:
             self.pulls.want_version(sender, number, now)
-        settled = now - self.changed_at > self.settings.settle.total_seconds()
+        settled = now - self.members.changed_at > self.settings.settle.total_seconds()
         if digest != self.directory.digest and settled:
             self.pulls.want_directory(sender, now)
 
     def _take_push(self, push: Push, now: float) -> list[Action]:
+        """Take news, confirm it, and pass it on if it was new."""
         actions: list[Action] = []
-        fresh = bool(self._merge(push.records, now, actions))
+        fresh = bool(self.members.merge(push.records, now, actions))
         fresh |= self._take_map(push.keepers, now)
         fresh |= bool(self.quarantine.take(push.strikes, now))
-        news = push.version
-        if news is not None and self.second_news is not None:
-            self._drop_second(news)
-        if news is not None and news.number > self.installer.number:
-            fresh = True
-            self._offer(news, now, actions)
-            if self.installer.number < news.number:
-                self._hold(push, now)
+        fresh |= self.versions.take_push(push, now, actions)
         own = self.own.node
         actions.append(Send(push.sender, PushAck(push.push_id, own, fresh)))
-        if news is not None and self.installer.number < news.number:
-            self._want_missing(push.sender, news, now)
-        elif fresh:
-            actions += self._pass_on(push, now)
-        return actions
-
-    def _want_missing(self, sender: str, news: VersionNews, now: float) -> None:
-        """Pull a version; one whose delta came early may yet be completed."""
-        if news.number in self.installer.waiting:
-            self.pulls.want_version(sender, news.number, now)
-        else:
-            self.pulls.want_version_now(sender, news.number, now)
-
-    def _pass_on(self, push: Push, now: float) -> list[Action]:
-        news = News(push.version, push.records, push.keepers, push.strikes)
-        avoid = tuple(self.detector.suspects)
-        return list(self.spreader.spread(news, now, push.low, push.high, avoid))
-
-    def _hold(self, push: Push, now: float) -> None:
-        deadline = now + self.settings.gap_patience.total_seconds()
-        self.held.append(HeldPush(push, deadline))
-        del self.held[:-MAX_HELD_PUSHES]
-
-    def _pass_on_held(self, now: float) -> list[Action]:
-        """Pass on the pushes whose version has come, or whose time is over."""
-        if not self.held:
-            return []
-        ready = [
-            item
-            for item in self.held
-            if item.push.version.number <= self.installer.number or now >= item.deadline
-        ]
-        self.held = [item for item in self.held if item not in ready]
-        actions: list[Action] = []
-        for item in ready:
-            actions += self._pass_on(item.push, now)
+        news = push.version
+        is_held = news is not None and self.installer.number < news.number
+        if fresh and not is_held:
+            actions += self.versions.pass_on(push, now)
         return actions
 
-    # Versions
-
-    def _offer(self, news: VersionNews, now: float, actions: list[Action]) -> Offer:
-        before = self.installer.number
-        offer = self.installer.offer(news)
-        self._report_install(before, actions)
-        return offer
-
-    def _report_install(self, before: int, actions: list[Action]) -> None:
-        if self.installer.number > before:
-            self.detector.number = self.installer.number
-            actions.append(VersionInstalled(self.installer.current))
-
     def _take_pull(self, address: str, reply: PullReply, now: float) -> list[Action]:
         actions: list[Action] = []
         before = self.installer.number
@@ -431,37 +360,18 @@
         self.pulls.take_reply(address, reply, now)
         if reply.retry_ms:
             return actions
-        for news in reply.news:
-            if reply.snapshot:
-                self.installer.offer_snapshot(news, reply.snapshot)
-            else:
-                self.installer.offer(news)
-        self._report_install(before, actions)
+        self.versions.take_pull(reply, actions)
         self._take_map(reply.keepers, now)
-        fresh = self._merge(reply.records, now, actions)
+        fresh = self.members.merge(reply.records, now, actions)
         if not self.joined and reply.records:
             self.joined = True
-            self._note_change(self.own, now)
-        if self._is_abroad(address):
-            self._spread_foreign(fresh, now)
+            self.members.note_change(self.own, now)
+        if self.members.is_abroad(address):
+            self.members.respread(fresh, now)
             if self.installer.number > before:
-                actions += self._spread_version(reply.news[-1], now)
+                actions += self.versions.spread_version(reply.news[-1], now)
         return actions
 
-    def _spread_foreign(self, fresh: list[MemberRecord], now: float) -> None:
-        """Tell the own zone what another zone told, unless it is a great deal."""
-        if len(fresh) <= MAX_RESPREAD_RECORDS:
-            for record in fresh:
-                self._note_change(record, now)
-
-    def _is_abroad(self, node: str) -> bool:
-        record = self.directory.records.get(node)
-        return record is not None and record.zone != self.own.zone
-
-    def _spread_version(self, news: VersionNews, now: float) -> list[Action]:
-        avoid = tuple(self.detector.suspects)
-        return list(self.spreader.spread(News(fit_news(news)), now, avoid=avoid))
-
     # Requests
 
     def _strike(
@@ -477,11 +387,7 @@
     def _spread_strikes(self, strikes: tuple[Strike, ...], now: float) -> list[Action]:
         if not self.quarantine.take(strikes, now):
             return []
-        news = News(strikes=strikes)
-        return [
-            *self.spreader.spread(news, now),
-            *self.spreader.spread_abroad(news, now),
-        ]
+        return list(self.spreader.spread_everywhere(News(strikes=strikes), now))
 
     # The platform
 
@@ -494,11 +400,12 @@
         if answer.call == ReadKey(HEAD_KEY):
             number = result.record.number if result.record is not None else 0
             self.readiness.note_platform(number)
-        actions += self._take_reader_result(result, now)
+        actions += self.versions.take_reader_result(result, now)
         keeper_map = self.keepers.take_answer(answer, now)
         if keeper_map is not None:
             self.ledger.take_map(keeper_map, now)
-            actions += self._spread_map(keeper_map, now)
+            news = News(keepers=keeper_map)
+            actions += self.spreader.spread_everywhere(news, now)
         return actions
 
     def _take_map(self, keeper_map: KeeperMap | None, now: float) -> bool:
@@ -508,66 +415,6 @@
         self.ledger.take_map(keeper_map, now)
         return True
 
-    def _spread_map(self, keeper_map: KeeperMap, now: float) -> list[Action]:
-        """Tell all zones of a map read from or written to the platform."""
-        news = News(keepers=keeper_map)
-        return [
-            *self.spreader.spread(news, now),
-            *self.spreader.spread_abroad(news, now),
-        ]
-
-    def _take_reader_result(self, result: ReaderResult, now: float) -> list[Action]:
-        actions: list[Action] = []
-        before = self.installer.number
-        if result.record is not None and result.record.number > before:
-            self._take_record(result.record, now, actions)
-        if result.snapshot is not None:
-            news, packed = result.snapshot
-            self.installer.offer_snapshot(news, packed)
-            self._report_install(before, actions)
-            actions += self._announce_version(news, before, now)
-        return actions
-
-    def _take_record(
-        self, record: HeadRecord, now: float, actions: list[Action]
-    ) -> None:
-        """Install the version that the head names, or fetch its content."""
-        before = self.installer.number
-        news = VersionNews(
-            record.number, record.digest, record.accepted_at, record.delta
-        )
-        self._offer(news, now, actions)
-        if self.installer.number >= record.number:
-            actions += self._announce_version(news, before, now)
-        elif self.reader.is_holding:
-            actions += self.reader.fetch(record)
-
-    def _announce_version(
-        self, news: VersionNews, before: int, now: float
-    ) -> list[Action]:
-        """Spread a version read from the platform; the second reader waits a while."""
-        if self.installer.number <= before or not self.reader.is_holding:
-            return []
-        if self.reader.slot == 0:
-            return self._spread_version(news, now)
-        self.second_news = news
-        self.second_due = now + self.settings.reader.second_delay.total_seconds()
-        return []
-
-    def _drop_second(self, news: VersionNews) -> None:
-        """Leave a version to the first reader, whose push has come."""
-        if news.number >= self.second_news.number:
-            self.second_news = None
-            self.second_due = float("inf")
-
-    def _spread_second(self, now: float) -> list[Action]:
-        """Spread what the first reader should have spread by now."""
-        self.second_due = float("inf")
-        news, self.second_news = self.second_news, None
-        if news is None or news.number < self.installer.number:
-            return []
-        return self._spread_version(news, now)
-
     def _take_store_failure(self, failure: StoreFailed, now: float) -> list[Action]:
         self.reader.take_failure(failure, now)
         self.keepers.take_failure(failure)
@@ -576,66 +423,11 @@
             self.head_due = now + self.rng.uniform(0.2, 1.0)
         return []
 
-    # Members
-
-    def _merge(
-        self, records: tuple[MemberRecord, ...], now: float, actions: list[Action]
-    ) -> list[MemberRecord]:
-        """Take records and return those that were new."""
-        fresh: list[MemberRecord] = []
-        for record in records:
-            if record.node == self.own.node:
-                refuted = self.directory.refute(record, now)
-                if refuted is not None and not self.leaving:
-                    self._note_change(refuted, now)
-                continue
-            if self.directory.merge(record, now):
-                fresh.append(record)
-        if fresh:
-            self.changed_at = now
-            actions.append(DirectoryChanged())
-        return fresh
-
-    def _declare_dead(self, node: str, now: float) -> list[Action]:
-        record = self.directory.records[node]
-        dead = replace(record, state=MemberState.DEAD)
-        if not self.directory.merge(dead, now):
-            return []
-        self._note_change(dead, now)
-        push = Push(0, self.own.node, 1, 0, records=(dead,))
-        return [DirectoryChanged(), Send(node, push)]
-
-    def _change_own(self, record: MemberRecord, now: float) -> list[Action]:
-        self.changed_at = now
-        own = self.directory.change_own(record, now)
-        self._note_change(own, now)
-        return [DirectoryChanged(), *self._spread_changes(now)]
-
     def _leave(self, now: float) -> list[Action]:
         """Leave the fleet: give up the slot and tell everyone."""
-        self.leaving = True
-        own = self.own
-        left = replace(own, state=MemberState.LEFT, server=ServerState.ABSENT)
         actions: list[Action] = list(self.reader.stop(now))
         self.keepers.stop()
-        actions += self._change_own(left, now)
-        return actions
-
-    def _note_change(self, record: MemberRecord, now: float) -> None:
-        self.changes[record.node] = record
-        due = now + self.settings.batch.total_seconds()
-        self.changes_due = min(self.changes_due, due)
-
-    def _spread_changes(self, now: float) -> list[Action]:
-        records = list(self.changes.values())
-        self.changes.clear()
-        self.changes_due = float("inf")
-        avoid = tuple(self.detector.suspects)
-        actions: list[Action] = []
-        for news in batch_records(records):
-            actions += self.spreader.spread(news, now, avoid=avoid)
-            actions += self.spreader.spread_abroad(news, now)
-        return actions
+        return actions + self.members.leave(now)
 
 
 def first_incarnation(started_at: datetime) -> int:
--- /dev/null
+++ b/src/daisylink/process/_membership.py
@@ -0,0 +1,130 @@
+"""The members' side of a node: its directory, and the changes that it spreads."""
+
+from datetime import timedelta
+
+from msgspec.structs import replace
+
+from daisylink.process._detector import Detector
+from daisylink.process._directory import Directory
+from daisylink.process._events import Action, DirectoryChanged, Send
+from daisylink.process._messages import Push
+from daisylink.process._records import MemberRecord, MemberState, ServerState
+from daisylink.process._spreader import Spreader, batch_records
+
+MAX_RESPREAD_RECORDS = 64
+
+
+class Membership:
+    """Takes news of members and spreads what changes here.
+
+    :param batch: how long changes are collected before they are spread.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        detector: Detector,
+        spreader: Spreader,
+        batch: timedelta,
+    ):
+        self.directory = directory
+        self.detector = detector
+        self.spreader = spreader
+        self.batch = batch.total_seconds()
+        self.changes: dict[str, MemberRecord] = {}
+        self.changes_due = float("inf")
+        self.changed_at = float("-inf")
+        self.leaving = False
+
+    @property
+    def own(self) -> MemberRecord:
+        """Return the own record."""
+        return self.directory.own
+
+    @property
+    def wake_at(self) -> float:
+        """Return when something is due."""
+        return min(self.detector.wake_at, self.changes_due)
+
+    def tick(self, now: float) -> list[Action]:
+        """Ping, declare the dead, and spread what was collected."""
+        actions: list[Action] = []
+        if now >= self.detector.wake_at:
+            sends, dead = self.detector.tick(now)
+            actions += sends
+            for node in dead:
+                actions += self._declare_dead(node, now)
+        if now >= self.changes_due:
+            actions += self._spread_changes(now)
+        return actions
+
+    def merge(
+        self, records: tuple[MemberRecord, ...], now: float, actions: list[Action]
+    ) -> list[MemberRecord]:
+        """Take records; return those that were new.
+
+        News of the own node that it did not make is refuted.
+
+        :param actions: where what is to be done is added.
+        """
+        fresh: list[MemberRecord] = []
+        for record in records:
+            if record.node == self.own.node:
+                refuted = self.directory.refute(record, now)
+                if refuted is not None and not self.leaving:
+                    self.note_change(refuted, now)
+            elif self.directory.merge(record, now):
+                fresh.append(record)
+        if fresh:
+            self.changed_at = now
+            actions.append(DirectoryChanged())
+        return fresh
+
+    def respread(self, fresh: list[MemberRecord], now: float) -> None:
+        """Tell the own zone what another zone told, unless it is a great deal."""
+        if len(fresh) <= MAX_RESPREAD_RECORDS:
+            for record in fresh:
+                self.note_change(record, now)
+
+    def is_abroad(self, node: str) -> bool:
+        """Return whether a node is known to be in another zone."""
+        record = self.directory.records.get(node)
+        return record is not None and record.zone != self.own.zone
+
+    def change_own(self, record: MemberRecord, now: float) -> list[Action]:
+        """Change the own record and tell everyone at once."""
+        self.changed_at = now
+        own = self.directory.change_own(record, now)
+        self.note_change(own, now)
+        return [DirectoryChanged(), *self._spread_changes(now)]
+
+    def leave(self, now: float) -> list[Action]:
+        """Tell everyone that this node leaves."""
+        self.leaving = True
+        left = replace(self.own, state=MemberState.LEFT, server=ServerState.ABSENT)
+        return self.change_own(left, now)
+
+    def note_change(self, record: MemberRecord, now: float) -> None:
+        """Collect a change that is to be spread."""
+        self.changes[record.node] = record
+        self.changes_due = min(self.changes_due, now + self.batch)
+
+    def _declare_dead(self, node: str, now: float) -> list[Action]:
+        """Note a death, and tell the node itself, in case it lives."""
+        record = self.directory.records[node]
+        dead = replace(record, state=MemberState.DEAD)
+        if not self.directory.merge(dead, now):
+            return []
+        self.note_change(dead, now)
+        push = Push(0, self.own.node, 1, 0, records=(dead,))
+        return [DirectoryChanged(), Send(node, push)]
+
+    def _spread_changes(self, now: float) -> list[Action]:
+        records = list(self.changes.values())
+        self.changes.clear()
+        self.changes_due = float("inf")
+        avoid = tuple(self.detector.suspects)
+        actions: list[Action] = []
+        for news in batch_records(records):
+            actions += self.spreader.spread_everywhere(news, now, avoid)
+        return actions
--- a/src/daisylink/process/_spreader.py
+++ b/src/daisylink/process/_spreader.py
@@ -159,6 +159,15 @@
             sends.append(self._open(part, news, now))
         return sends
 
+    def spread_everywhere(
+        self, news: News, now: float, avoid: Sequence[str] = ()
+    ) -> list[Send]:
+        """Push news to all nodes of all zones."""
+        return [
+            *self.spread(news, now, avoid=avoid),
+            *self.spread_abroad(news, now),
+        ]
+
     def take_ack(self, ack: PushAck, now: float) -> list[Send]:
         """Note a confirmation; ask the next node if the receiver does not pass on."""
         push = self.open.get(ack.push_id)
