Split the exchange: the request's body and the answer stand alone

The body that is kept for a resend and the answer that is reframed for the caller are objects of their own now; a replayed answer is told to the caller through two nodes too (the entry node used to strip the header).

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -213,7 +213,7 @@
     ),
     Mutant(
         "a server's headers may speak for daisylink",
-        "request/_exchange.py",
+        "request/_answer.py",
         "            if name not in dropped and not name.startswith(OWN_PREFIX):\n",
         "            if name not in dropped:\n",
         "tests.test_framing",
--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -5,6 +5,8 @@
 
 import httptools
 
+from daisylink.request import AnswerHead
+
 HTTP_CONTINUE = 100
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset({204, 304})
@@ -116,7 +118,8 @@
         chunked = any(name == b"transfer-encoding" for name, _ in self.headers)
         self.until_close = not bodiless and self.length is None and not chunked
         self.reusable = self.parser.should_keep_alive() and not self.until_close
-        self.exchange.take_answer_head(status, self.headers, self.length, bodiless)
+        head = AnswerHead(status, self.headers, self.length, bodiless)
+        self.exchange.take_answer_head(head)
         if self.is_head:
             self.reusable = False
             self.ended = True
--- a/src/daisylink/process/_gateway.py
+++ b/src/daisylink/process/_gateway.py
@@ -184,7 +184,7 @@
 
     def note_answered(self, exchange: Exchange) -> None:
         """Count a request that a backend server answered."""
-        failed = exchange.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        failed = exchange.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         self._count(exchange, "error" if failed else "ok")
 
     def note_refused(self, exchange: Exchange, refusal: Refusal) -> None:
@@ -214,7 +214,9 @@
         seconds = self.now() - exchange.started_at
         self.metrics.note_request(service, code, seconds, exchange.attempt)
         if plan is not None:
-            self.burn.note(service, code, seconds, plan.slo_ms, exchange.replayed)
+            self.burn.note(
+                service, code, seconds, plan.slo_ms, exchange.answer.replayed
+            )
 
     def _own_load(self) -> float:
         admission = self.admission
--- a/src/daisylink/request/__init__.py
+++ b/src/daisylink/request/__init__.py
@@ -1,5 +1,6 @@
 """What lives as long as one request: its head, plan, attempts and refusal."""
 
+from daisylink.request._answer import AnswerHead
 from daisylink.request._attempts import (
     Attempts,
     Begin,
@@ -68,6 +69,7 @@
     "RETRY_HEADER",
     "SHED_HEADER",
     "Admitted",
+    "AnswerHead",
     "Attempts",
     "Begin",
     "ClaimFate",
--- /dev/null
+++ b/src/daisylink/request/_answer.py
@@ -0,0 +1,129 @@
+"""The answer of the next hop on its way to the caller."""
+
+from http import HTTPStatus
+from typing import NamedTuple
+
+from daisylink.errors import ResultCode
+from daisylink.request._body import LAST_CHUNK, frame_chunk
+from daisylink.request._head import (
+    LOAD_HEADER,
+    OWN_PREFIX,
+    SHED_HEADER,
+    Header,
+    find_dropped,
+)
+from daisylink.request._outcome import (
+    CODE_HEADER,
+    OUTCOME_HEADER,
+    RETRY_HEADER,
+    Outcome,
+    Refusal,
+    refuse,
+)
+from daisylink.request._recording import REPLAY_HEADER, Recording
+
+PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+class AnswerHead(NamedTuple):
+    """The head of an answer as the next hop sent it.
+
+    :param headers: names in lower case.
+    :param length: length of the body in bytes, None if not stated.
+    :param bodiless: whether the answer has no body.
+    """
+
+    status: int
+    headers: list[Header]
+    length: int | None
+    bodiless: bool
+
+
+class Answer:
+    """An answer that passes through, reframed for the caller."""
+
+    def __init__(self):
+        self.started = False
+        self.status = 0
+        self.replayed = False
+        self.chunked = False
+        self.recording: Recording | None = None
+        self.out: list[bytes] = []
+
+    def take_head(
+        self, head: AnswerHead, is_old_http: bool, extra: list[bytes]
+    ) -> None:
+        """Take the head.
+
+        :param is_old_http: whether the caller speaks HTTP/1.0, which has no chunks.
+        :param extra: header lines that this node adds.
+        """
+        self.started = True
+        self.status = head.status
+        lines = [b"HTTP/1.1 %d %b" % (head.status, PHRASES.get(head.status, b""))]
+        dropped = find_dropped(head.headers)
+        for name, value in head.headers:
+            if name not in dropped and not name.startswith(OWN_PREFIX):
+                lines.append(name + b": " + value)
+        if self.recording is not None:
+            self.recording.take_head(lines)
+        if head.length is not None:
+            lines.append(b"content-length: %d" % head.length)
+        elif not head.bodiless and not is_old_http:
+            self.chunked = True
+            lines.append(b"transfer-encoding: chunked")
+        lines += extra
+        self.out.append(b"\r\n".join(lines) + b"\r\n\r\n")
+
+    def take_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        if self.recording is not None:
+            self.recording.take_body(data)
+        self.out.append(frame_chunk(data) if self.chunked else data)
+
+    def end(self) -> None:
+        """Note the end of the body."""
+        if self.chunked:
+            self.out.append(LAST_CHUNK)
+
+    def drain(self) -> bytes:
+        """Return what is to be written to the caller now."""
+        data = b"".join(self.out)
+        self.out.clear()
+        return data
+
+
+def is_shed(head: AnswerHead) -> bool:
+    """Return whether a backend server says that it did not run the request."""
+    return (
+        head.status == HTTPStatus.SERVICE_UNAVAILABLE
+        and (SHED_HEADER, b"not-run") in head.headers
+    )
+
+
+def read_refusal(head: AnswerHead) -> Refusal | None:
+    """Return the refusal that a node's answer stands for, if it is one."""
+    values = dict(item for item in head.headers if item[0].startswith(OWN_PREFIX))
+    if CODE_HEADER not in values:
+        return None
+    try:
+        return Refusal(
+            ResultCode(int(values[CODE_HEADER])),
+            Outcome(values[OUTCOME_HEADER].decode()),
+            int(values.get(RETRY_HEADER, b"0")),
+        )
+    except (KeyError, ValueError):
+        return refuse(ResultCode.REQUEST_ANSWER_LOST)
+
+
+def read_load(head: AnswerHead) -> bytes | None:
+    """Return the load that a node stated with its answer, if it did."""
+    for name, value in head.headers:
+        if name == LOAD_HEADER:
+            return value
+    return None
+
+
+def is_replay(head: AnswerHead) -> bool:
+    """Return whether a node gave an answer from its record."""
+    return (REPLAY_HEADER, b"1") in head.headers
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -5,10 +5,17 @@
 """
 
 import asyncio
-from http import HTTPStatus
 from typing import Any
 
 from daisylink.errors import ResultCode
+from daisylink.request._answer import (
+    Answer,
+    AnswerHead,
+    is_replay,
+    is_shed,
+    read_load,
+    read_refusal,
+)
 from daisylink.request._attempts import (
     Action,
     Attempts,
@@ -20,6 +27,7 @@
     Try,
     TurnedDown,
 )
+from daisylink.request._body import RequestBody
 from daisylink.request._decision import (
     Admitted,
     ClaimFate,
@@ -41,19 +49,12 @@
     DEPTH_HEADER,
     HOP_HEADER,
     LOAD_HEADER,
-    OWN_PREFIX,
-    SHED_HEADER,
-    Header,
     Hop,
     RequestHead,
     build_hop_head,
     encode_hop,
-    find_dropped,
 )
 from daisylink.request._outcome import (
-    CODE_HEADER,
-    OUTCOME_HEADER,
-    RETRY_HEADER,
     Outcome,
     Refusal,
     encode_refusal,
@@ -67,7 +68,6 @@
     find_key,
 )
 
-REPLAY_BYTES = 64 * 1024
 HOP_MARGIN_MS = 5
 MILLISECONDS = 1000
 KEY_RETRY_MS = 500
@@ -80,8 +80,6 @@
         ResultCode.REQUEST_QUARANTINED,
     }
 )
-LAST_CHUNK = b"0\r\n\r\n"
-PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
 class Exchange:
@@ -120,20 +118,11 @@
         self.awaits_claim = False
         self.awaits_body = False
         self.suspect: Fingerprint | None = None
-        self.recording: Recording | None = None
         self.head_sent = False
-        self.body: list[bytes] = []
-        self.body_bytes = 0
-        self.kept_bytes = 0
-        self.replayable = True
-        self.body_done = False
+        self.body = RequestBody(head.length is None)
         self.continued = False
+        self.answer = Answer()
         self.swallowed: Refusal | None = None
-        self.answering = False
-        self.status = 0
-        self.replayed = False
-        self.answer_chunked = False
-        self.out: list[bytes] = []
         self.done = False
 
     # From the caller
@@ -152,7 +141,7 @@
         if plan.deadline <= now:
             self._answer_refusal(refuse(ResultCode.REQUEST_DEADLINE_NOT_RUN))
             return
-        if self.body_bytes > plan.body_limit:
+        if self.body.size > plan.body_limit:
             self._answer_refusal(refuse(ResultCode.REQUEST_BODY_TOO_LARGE))
             return
         self.attempts = Attempts(plan, self.gateway.budget)
@@ -165,28 +154,20 @@
         """Take a piece of the request's body."""
         if self.done:
             return
-        self.body_bytes += len(data)
-        if self.plan is not None and self.body_bytes > self.plan.body_limit:
+        piece = self.body.take(data, keep=self.hop is None)
+        if self.plan is not None and self.body.size > self.plan.body_limit:
             self.fail(ResultCode.REQUEST_BODY_TOO_LARGE)
-            return
-        if self.head.length is None:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        if self.hop is not None:
-            self.hop.push(data)
-        if self.replayable or self.hop is None:
-            self.body.append(data)
-            self.kept_bytes += len(data)
-            self._trim_body()
+        elif self.hop is not None:
+            self.hop.push(piece)
+            self.body.trim()
 
     def end_body(self) -> None:
         """Note the end of the request's body."""
-        self.body_done = True
+        piece = self.body.end()
         if self.done:
             return
-        if self.head.length is None:
-            if self.hop is not None:
-                self.hop.push(LAST_CHUNK)
-            self.body.append(LAST_CHUNK)
+        if self.hop is not None and piece:
+            self.hop.push(piece)
         if self.awaits_body:
             self.awaits_body = False
             self.run_own()
@@ -199,7 +180,17 @@
     @property
     def wants_body(self) -> bool:
         """Return whether more of the body may be read now."""
-        return self.hop is not None or self.kept_bytes < REPLAY_BYTES
+        return self.hop is not None or not self.body.is_full
+
+    @property
+    def answering(self) -> bool:
+        """Return whether a backend server's answer has begun to pass."""
+        return self.answer.started
+
+    @property
+    def body_done(self) -> bool:
+        """Return whether the whole request has come."""
+        return self.body.done
 
     def is_answer_stalled(self, now: float, patience: float) -> bool:
         """Return whether the answer has not gone on for a time in seconds."""
@@ -297,7 +288,7 @@
         quarantine = gateway.quarantine
         if not quarantine.knows_head(digest_head(self.head, self.plan.pool)):
             return True
-        if not self.body_done and self.replayable and self.wants_body:
+        if not self.body.done and self.body.replayable and self.wants_body:
             self.awaits_body = True
             if self.head.expects_continue:
                 self.send_continue()
@@ -319,7 +310,7 @@
 
     def take_fingerprint(self) -> Fingerprint:
         """Return the request's fingerprint, by as much of its body as is kept."""
-        return take_fingerprint(self.head, self.plan.pool, self.body)
+        return take_fingerprint(self.head, self.plan.pool, self.body.pieces)
 
     def take_claim(self, outcome: ClaimOutcome) -> bool:
         """Take what came of the claim; return whether the request now runs."""
@@ -328,7 +319,7 @@
         self.awaits_claim = False
         match outcome:
             case ClaimGranted():
-                self.recording = Recording()
+                self.answer.recording = Recording()
                 self._send_own()
                 return True
             case ClaimKnown(_, answer) if answer:
@@ -345,7 +336,7 @@
 
     def _replay(self, packed: bytes) -> None:
         """Give the answer recorded for the request's key."""
-        self.replayed = True
+        self.answer.replayed = True
         is_head = self.head.method == b"HEAD"
         self.caller.write(build_replay(packed, is_head, not self.keeps_caller))
         self.gateway.note_answered(self)
@@ -394,10 +385,10 @@
         self.swallowed = None
         hop.begin(self, self.head.method == b"HEAD")
         hop.push(self._make_hop_head())
-        for piece in self.body:
+        for piece in self.body.pieces:
             hop.push(piece)
         hop.flush()
-        self._trim_body()
+        self.body.trim()
         self.caller.resume()
 
     def _make_hop_head(self) -> bytes:
@@ -417,12 +408,6 @@
         expect = self.head.expects_continue and not self.continued
         return build_hop_head(self.head, extra, expect)
 
-    def _trim_body(self) -> None:
-        """Drop the kept body once it is too long to be sent again."""
-        if self.hop is not None and self.kept_bytes > REPLAY_BYTES:
-            self.replayable = False
-            self.body.clear()
-
     def _turn_down(self, code: ResultCode, retry_ms: int = 0) -> None:
         """Note a certain refusal and go on."""
         if self.target:
@@ -433,7 +418,9 @@
         if self.is_relay:
             self._answer_refusal(refuse(code, retry_ms))
             return
-        self._act(self.attempts.handle(TurnedDown(code, retry_ms), self.replayable))
+        self._act(
+            self.attempts.handle(TurnedDown(code, retry_ms), self.body.replayable)
+        )
 
     def _lose(self) -> None:
         """Note that the next hop may have run the request, and go on."""
@@ -444,7 +431,7 @@
         if self.is_relay:
             self._answer_refusal(refuse(ResultCode.REQUEST_ANSWER_LOST))
             return
-        self._act(self.attempts.handle(Lost(), self.replayable))
+        self._act(self.attempts.handle(Lost(), self.body.replayable))
 
     def _note_failure(self) -> None:
         if self.target:
@@ -452,7 +439,7 @@
 
     def _end_claim(self, fate: ClaimFate) -> None:
         """Tell the keepers what became of a granted claim."""
-        recording, self.recording = self.recording, None
+        recording, self.answer.recording = self.answer.recording, None
         self.awaits_claim = False
         if recording is not None:
             is_answered = fate is ClaimFate.ANSWERED
@@ -494,96 +481,64 @@
             self.continued = True
             self.caller.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def take_answer_head(
-        self, status: int, headers: list[Header], length: int | None, bodiless: bool
-    ) -> None:
-        """Take the head of the next hop's answer.
-
-        :param length: length of the body in bytes, None if not stated.
-        :param bodiless: whether the answer has no body.
-        """
-        self.swallowed = self._find_refusal(status, headers)
+    def take_answer_head(self, head: AnswerHead) -> None:
+        """Take the head of the next hop's answer."""
+        self.swallowed = self._find_refusal(head)
         if self.swallowed is not None:
             return
-        self.answering = True
-        self.status = status
-        lines = [b"HTTP/1.1 %d %b" % (status, PHRASES.get(status, b""))]
-        dropped = find_dropped(headers)
-        self.replayed = (REPLAY_HEADER, b"1") in headers
-        for name, value in headers:
-            if name not in dropped and not name.startswith(OWN_PREFIX):
-                lines.append(name + b": " + value)
-        if self.recording is not None:
-            self.recording.take_head(lines)
-        if length is not None:
-            lines.append(b"content-length: %d" % length)
-        elif not bodiless and not self.is_old_http:
-            self.answer_chunked = True
-            lines.append(b"transfer-encoding: chunked")
-        elif not bodiless:
+        if self.is_old_http and head.length is None and not head.bodiless:
             self.keep_alive = False
+        extra = []
         if self.is_relay:
-            lines.append(LOAD_HEADER + b": " + self.gateway.load_text())
+            extra.append(LOAD_HEADER + b": " + self.gateway.load_text())
+        if self.answer.replayed:
+            extra.append(REPLAY_HEADER + b": 1")
         if not self.keeps_caller:
-            lines.append(b"connection: close")
-        self.out.append(b"\r\n".join(lines) + b"\r\n\r\n")
+            extra.append(b"connection: close")
+        self.answer.take_head(head, self.is_old_http, extra)
 
     @property
     def keeps_caller(self) -> bool:
         """Return whether the caller's connection stays open after the answer."""
-        if self.head.expects_continue and not self.continued and not self.body_done:
+        if self.head.expects_continue and not self.continued and not self.body.done:
             return False
         return self.keep_alive and not self.gateway.stopping
 
-    def _find_refusal(self, status: int, headers: list[Header]) -> Refusal | None:
+    def _find_refusal(self, head: AnswerHead) -> Refusal | None:
         """Return the refusal that an answer stands for, if it is one."""
         if self.slot_since is not None:
-            is_shed = status == HTTPStatus.SERVICE_UNAVAILABLE and any(
-                name == SHED_HEADER and value == b"not-run" for name, value in headers
-            )
-            return refuse(ResultCode.REQUEST_SHED_BY_SERVER) if is_shed else None
-        values = {name: value for name, value in headers if name.startswith(OWN_PREFIX)}
-        load = values.get(LOAD_HEADER)
+            if is_shed(head):
+                return refuse(ResultCode.REQUEST_SHED_BY_SERVER)
+            return None
+        load = read_load(head)
         if load is not None:
             self.gateway.note_load(self.target, load)
-        if CODE_HEADER not in values:
-            return None
-        return Refusal(
-            ResultCode(int(values[CODE_HEADER])),
-            Outcome(values[OUTCOME_HEADER].decode()),
-            int(values.get(RETRY_HEADER, b"0")),
-        )
+        self.answer.replayed = is_replay(head)
+        return read_refusal(head)
 
     def take_answer_body(self, data: bytes) -> None:
         """Take a piece of the answer's body."""
-        if self.swallowed is not None:
-            return
-        if self.recording is not None:
-            self.recording.take_body(data)
-        if self.answer_chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self.out.append(data)
+        if self.swallowed is None:
+            self.answer.take_body(data)
 
     def flush_answer(self) -> None:
         """Write to the caller what came from the next hop."""
-        if self.out and not self.done:
-            data = b"".join(self.out)
-            self.out.clear()
-            self.caller.write(data)
+        if self.answer.out and not self.done:
+            self.caller.write(self.answer.drain())
 
     def end_answer(self, hop: Any, reusable: bool) -> None:
         """Note the whole answer."""
-        if reusable and self.body_done:
+        if reusable and self.body.done:
             self.hop = None
             self.gateway.hops.give_back(hop)
         refusal = self.swallowed
         if refusal is not None:
             self._take_refusal(refusal)
             return
+        self.answer.end()
+        self.flush_answer()
         if self.target:
             self.gateway.chooser.note_success(self.target)
-        if self.answer_chunked:
-            self.caller.write(LAST_CHUNK)
         self._end_claim(ClaimFate.ANSWERED)
         suspect, self.suspect = self.suspect, None
         if suspect is not None:
@@ -633,5 +588,5 @@
     def _release(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        self.body.clear()
+        self.body.pieces.clear()
         self._end_attempt()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -238,7 +238,8 @@
         async def stall(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf")
-            await asyncio.sleep(60)
+            await reader.read()
+            writer.close()
 
         async def scenario(fleet):
             server = await asyncio.start_server(stall, "127.0.0.1", 0)
