--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -31,18 +31,9 @@
 from daisylink.request._decision import (
     Admitted,
     ClaimFate,
-    ClaimGranted,
-    ClaimKnown,
     ClaimOutcome,
-    ClaimRefused,
     Queued,
     Refused,
-    Standing,
-)
-from daisylink.request._fingerprint import (
-    Fingerprint,
-    digest_head,
-    take_fingerprint,
 )
 from daisylink.request._head import (
     DEADLINE_HEADER,
@@ -54,6 +45,7 @@
     build_hop_head,
     encode_hop,
 )
+from daisylink.request._local_run import LocalRun
 from daisylink.request._outcome import (
     Outcome,
     Refusal,
@@ -63,15 +55,11 @@
 from daisylink.request._plan import RequestPlan, plan_relayed, plan_request
 from daisylink.request._recording import (
     REPLAY_HEADER,
-    Recording,
     build_replay,
-    find_key,
 )
 
 HOP_MARGIN_MS = 5
 MILLISECONDS = 1000
-KEY_RETRY_MS = 500
-SUSPECT_RETRY_MS = 100
 DISPLACED_MS = 200
 FINAL_CODES = frozenset(
     {
@@ -113,11 +101,8 @@
         self.attempt = 0
         self.hop: Any = None
         self.is_connecting = False
-        self.slot_since: float | None = None
+        self.local: LocalRun | None = None
         self.is_queued = False
-        self.awaits_claim = False
-        self.awaits_body = False
-        self.suspect: Fingerprint | None = None
         self.head_sent = False
         self.body = RequestBody(head.length is None)
         self.continued = False
@@ -135,14 +120,14 @@
         else:
             plan = plan_request(self.head, self.gateway.version, now)
         if isinstance(plan, Refusal):
-            self._answer_refusal(plan)
+            self.refuse(plan)
             return
         self.plan = plan
         if plan.deadline <= now:
-            self._answer_refusal(refuse(ResultCode.REQUEST_DEADLINE_NOT_RUN))
+            self.refuse(refuse(ResultCode.REQUEST_DEADLINE_NOT_RUN))
             return
         if self.body.size > plan.body_limit:
-            self._answer_refusal(refuse(ResultCode.REQUEST_BODY_TOO_LARGE))
+            self.refuse(refuse(ResultCode.REQUEST_BODY_TOO_LARGE))
             return
         self.attempts = Attempts(plan, self.gateway.budget)
         self.timer = self.gateway.loop.call_later(
@@ -168,9 +153,8 @@
             return
         if self.hop is not None and piece:
             self.hop.push(piece)
-        if self.awaits_body:
-            self.awaits_body = False
-            self.run_own()
+        if self.local is not None:
+            self.local.take_end_of_body()
 
     def flush_body(self) -> None:
         """Write to the next hop what :meth:`take_body` collected."""
@@ -207,7 +191,7 @@
         if self.head_sent:
             refusal = refusal._replace(outcome=Outcome.UNKNOWN)
         self.keep_alive = False
-        self._answer_refusal(refusal)
+        self.refuse(refusal)
 
     def cancel(self) -> None:
         """Stop: the caller has gone."""
@@ -233,7 +217,7 @@
             case Try():
                 self._try()
             case GiveUp(refusal):
-                self._answer_refusal(refusal)
+                self.refuse(refusal)
 
     def _try(self) -> None:
         self.attempt += 1
@@ -241,7 +225,7 @@
         own = gateway.own
         if self.is_relay:
             if own.pool != self.plan.pool:
-                self._turn_down(ResultCode.REQUEST_WRONG_NODE)
+                self.turn_down(ResultCode.REQUEST_WRONG_NODE)
                 return
             self._try_own()
             return
@@ -267,74 +251,21 @@
                 if displaced is not None:
                     displaced.turn_down(ResultCode.REQUEST_OVERLOADED, DISPLACED_MS)
             case Refused(code, retry_ms):
-                self._turn_down(code, retry_ms)
+                self.turn_down(code, retry_ms)
 
     def run_own(self) -> None:
-        """Run the request here: a slot is held for it. A key is claimed first."""
+        """Run the request here: a slot is held for it."""
         self.is_queued = False
-        self.slot_since = self.gateway.now()
-        if not self.gateway.quarantine.is_empty and not self._pass_quarantine():
-            return
-        key = None if self.plan.idempotent else find_key(self.head, self.plan.pool)
-        if key is None:
-            self._send_own()
-            return
-        self.awaits_claim = True
-        self.gateway.ask_claim(self, key)
-
-    def _pass_quarantine(self) -> bool:
-        """Return whether the request may run now, given the strikes held against it."""
-        gateway = self.gateway
-        quarantine = gateway.quarantine
-        if not quarantine.knows_head(digest_head(self.head, self.plan.pool)):
-            return True
-        if not self.body.done and self.body.replayable and self.wants_body:
-            self.awaits_body = True
-            if self.head.expects_continue:
-                self.send_continue()
-            return False
-        fingerprint = self.take_fingerprint()
-        now = gateway.now()
-        match quarantine.standing(fingerprint, now):
-            case Standing.CLEAR:
-                return True
-            case Standing.QUARANTINED:
-                retry_ms = quarantine.retry_ms(fingerprint, now)
-                self._answer_refusal(refuse(ResultCode.REQUEST_QUARANTINED, retry_ms))
-                return False
-            case Standing.SUSPECT if quarantine.begin(fingerprint):
-                self.suspect = fingerprint
-                return True
-        self._turn_down(ResultCode.REQUEST_OVERLOADED, SUSPECT_RETRY_MS)
-        return False
-
-    def take_fingerprint(self) -> Fingerprint:
-        """Return the request's fingerprint, by as much of its body as is kept."""
-        return take_fingerprint(self.head, self.plan.pool, self.body.pieces)
+        self.local = LocalRun(self, self.gateway.now())
+        self.local.begin()
 
     def take_claim(self, outcome: ClaimOutcome) -> bool:
         """Take what came of the claim; return whether the request now runs."""
-        if self.done or not self.awaits_claim:
+        if self.done or self.local is None:
             return False
-        self.awaits_claim = False
-        match outcome:
-            case ClaimGranted():
-                self.answer.recording = Recording()
-                self._send_own()
-                return True
-            case ClaimKnown(_, answer) if answer:
-                self._replay(answer)
-            case ClaimKnown(done, _):
-                code = ResultCode.REQUEST_KEY_RUNNING
-                retry_ms = KEY_RETRY_MS
-                if done:
-                    code, retry_ms = ResultCode.REQUEST_KEY_DONE, 0
-                self._answer_refusal(refuse(code, retry_ms))
-            case ClaimRefused(code, retry_ms):
-                self._turn_down(code, retry_ms)
-        return False
-
-    def _replay(self, packed: bytes) -> None:
+        return self.local.take_claim(outcome)
+
+    def replay(self, packed: bytes) -> None:
         """Give the answer recorded for the request's key."""
         self.answer.replayed = True
         is_head = self.head.method == b"HEAD"
@@ -342,17 +273,11 @@
         self.gateway.note_answered(self)
         self._finish()
 
-    def _send_own(self) -> None:
+    def send_own(self) -> None:
         """Send the request to the own backend server."""
-        if self.head.expects_continue and not self.continued:
-            self.send_continue()
+        self.send_continue()
         self._connect(self.gateway.server_address)
 
-    def turn_down(self, code: ResultCode, retry_ms: int = 0) -> None:
-        """Take the request out of the own queue."""
-        self.is_queued = False
-        self._turn_down(code, retry_ms)
-
     def _connect(self, address: str) -> None:
         hop = self.gateway.hops.take(address)
         if hop is not None:
@@ -374,10 +299,10 @@
         if self.done or attempt != self.attempt or not self.is_connecting:
             return
         self.is_connecting = False
-        if self.slot_since is not None:
+        if self.local is not None:
             self.gateway.note_server_unreachable()
         self._note_failure()
-        self._turn_down(ResultCode.REQUEST_CONNECT_FAILED)
+        self.turn_down(ResultCode.REQUEST_CONNECT_FAILED)
 
     def _attach(self, hop: Any) -> None:
         self.hop = hop
@@ -395,7 +320,7 @@
         left = self.plan.deadline - self.gateway.now()
         left_ms = max(1, round(left * MILLISECONDS))
         depth = self.head.depth
-        if self.slot_since is not None:
+        if self.local is not None:
             extra = [
                 (DEADLINE_HEADER, b"%d" % left_ms),
                 (DEPTH_HEADER, b"%d" % (depth + 1)),
@@ -408,19 +333,17 @@
         expect = self.head.expects_continue and not self.continued
         return build_hop_head(self.head, extra, expect)
 
-    def _turn_down(self, code: ResultCode, retry_ms: int = 0) -> None:
-        """Note a certain refusal and go on."""
+    def turn_down(self, code: ResultCode, retry_ms: int = 0) -> None:
+        """Note a certain refusal, here or at the next hop, and go on."""
         if self.target:
             self.tried.add(self.target)
-        self._end_claim(ClaimFate.NOT_RUN)
-        self._end_attempt()
+        self._end_attempt(ClaimFate.NOT_RUN)
         self.head_sent = False
         if self.is_relay:
-            self._answer_refusal(refuse(code, retry_ms))
+            self.refuse(refuse(code, retry_ms))
             return
-        self._act(
-            self.attempts.handle(TurnedDown(code, retry_ms), self.body.replayable)
-        )
+        event = TurnedDown(code, retry_ms)
+        self._act(self.attempts.handle(event, self.body.replayable))
 
     def _lose(self) -> None:
         """Note that the next hop may have run the request, and go on."""
@@ -429,7 +352,7 @@
         self._note_failure()
         self._end_attempt()
         if self.is_relay:
-            self._answer_refusal(refuse(ResultCode.REQUEST_ANSWER_LOST))
+            self.refuse(refuse(ResultCode.REQUEST_ANSWER_LOST))
             return
         self._act(self.attempts.handle(Lost(), self.body.replayable))
 
@@ -437,22 +360,8 @@
         if self.target:
             self.gateway.chooser.note_failure(self.target, self.gateway.now())
 
-    def _end_claim(self, fate: ClaimFate) -> None:
-        """Tell the keepers what became of a granted claim."""
-        recording, self.answer.recording = self.answer.recording, None
-        self.awaits_claim = False
-        if recording is not None:
-            is_answered = fate is ClaimFate.ANSWERED
-            answer = recording.pack() if is_answered else b""
-            self.gateway.end_claim(self, fate, answer)
-
-    def _end_attempt(self) -> None:
+    def _end_attempt(self, fate: ClaimFate = ClaimFate.UNKNOWN) -> None:
         """Give back what the attempt held."""
-        self._end_claim(ClaimFate.UNKNOWN)
-        self.awaits_body = False
-        suspect, self.suspect = self.suspect, None
-        if suspect is not None:
-            self.gateway.end_suspect(suspect, answered=False)
         if self.target:
             self.gateway.chooser.end(self.target)
             self.target = ""
@@ -463,9 +372,9 @@
         if hop is not None:
             hop.drop()
         self.is_connecting = False
-        slot_since, self.slot_since = self.slot_since, None
-        if slot_since is not None:
-            self.gateway.free_slot(slot_since)
+        local, self.local = self.local, None
+        if local is not None:
+            local.end(fate)
 
     def _on_deadline(self) -> None:
         if self.answering or self.done:
@@ -506,7 +415,7 @@
 
     def _find_refusal(self, head: AnswerHead) -> Refusal | None:
         """Return the refusal that an answer stands for, if it is one."""
-        if self.slot_since is not None:
+        if self.local is not None:
             if is_shed(head):
                 return refuse(ResultCode.REQUEST_SHED_BY_SERVER)
             return None
@@ -539,18 +448,14 @@
         self.flush_answer()
         if self.target:
             self.gateway.chooser.note_success(self.target)
-        self._end_claim(ClaimFate.ANSWERED)
-        suspect, self.suspect = self.suspect, None
-        if suspect is not None:
-            self.gateway.end_suspect(suspect, answered=True)
         self.gateway.note_answered(self)
-        self._finish()
+        self._finish(ClaimFate.ANSWERED)
 
     def _take_refusal(self, refusal: Refusal) -> None:
         if refusal.code in FINAL_CODES:
-            self._answer_refusal(refusal)
+            self.refuse(refusal)
         elif refusal.outcome is Outcome.NOT_RUN:
-            self._turn_down(refusal.code, refusal.retry_ms)
+            self.turn_down(refusal.code, refusal.retry_ms)
         else:
             self._lose()
 
@@ -559,8 +464,8 @@
         self.hop = None
         if self.done:
             return
-        if self.slot_since is not None:
-            self.gateway.note_server_lost(self.take_fingerprint())
+        if self.local is not None:
+            self.gateway.note_server_lost(self.local.take_fingerprint())
         if self.answering:
             self._note_failure()
             self.abort()
@@ -569,7 +474,8 @@
 
     # The end
 
-    def _answer_refusal(self, refusal: Refusal) -> None:
+    def refuse(self, refusal: Refusal) -> None:
+        """Give the request its final answer: a refusal."""
         close = not self.keeps_caller
         data = encode_refusal(refusal, close)
         if self.head.method == b"HEAD":
@@ -578,15 +484,15 @@
         self.gateway.note_refused(self, refusal)
         self._finish()
 
-    def _finish(self) -> None:
+    def _finish(self, fate: ClaimFate = ClaimFate.UNKNOWN) -> None:
         if self.done:
             return
         self.done = True
-        self._release()
+        self._release(fate)
         self.caller.finish(self, self.keeps_caller)
 
-    def _release(self) -> None:
+    def _release(self, fate: ClaimFate = ClaimFate.UNKNOWN) -> None:
         if self.timer is not None:
             self.timer.cancel()
+        self._end_attempt(fate)
         self.body.pieces.clear()
-        self._end_attempt()
--- /dev/null
+++ b/src/daisylink/request/_local_run.py
@@ -0,0 +1,128 @@
+"""The run of a request at the own backend server: its slot, claim and strikes.
+
+A request runs once it holds a slot, no strike stands against it, and, if it has a key
+and is not idempotent, a majority of the key's keepers granted its claim.
+"""
+
+from typing import Any
+
+from daisylink.errors import ResultCode
+from daisylink.request._decision import (
+    ClaimFate,
+    ClaimGranted,
+    ClaimKnown,
+    ClaimOutcome,
+    ClaimRefused,
+    Standing,
+)
+from daisylink.request._fingerprint import Fingerprint, digest_head, take_fingerprint
+from daisylink.request._outcome import refuse
+from daisylink.request._recording import Recording, find_key
+
+KEY_RETRY_MS = 500
+SUSPECT_RETRY_MS = 100
+
+
+class LocalRun:
+    """One attempt to run a request here; a slot is held for it.
+
+    :param exchange: the :class:`~daisylink.request.Exchange` that it belongs to.
+    :param since: when the slot was taken, in seconds of the monotonic clock.
+    """
+
+    def __init__(self, exchange: Any, since: float):
+        self.exchange = exchange
+        self.gateway = exchange.gateway
+        self.since = since
+        self.awaits_claim = False
+        self.awaits_body = False
+        self.suspect: Fingerprint | None = None
+
+    def begin(self) -> None:
+        """Send the request, or first wait for what it needs."""
+        if not self.gateway.quarantine.is_empty and not self._pass_quarantine():
+            return
+        exchange = self.exchange
+        plan = exchange.plan
+        key = None if plan.idempotent else find_key(exchange.head, plan.pool)
+        if key is None:
+            exchange.send_own()
+            return
+        self.awaits_claim = True
+        self.gateway.ask_claim(exchange, key)
+
+    def take_end_of_body(self) -> None:
+        """Go on, if the whole body was waited for."""
+        if self.awaits_body:
+            self.awaits_body = False
+            self.begin()
+
+    def take_claim(self, outcome: ClaimOutcome) -> bool:
+        """Take what came of the claim; return whether the request now runs."""
+        if not self.awaits_claim:
+            return False
+        self.awaits_claim = False
+        exchange = self.exchange
+        match outcome:
+            case ClaimGranted():
+                exchange.answer.recording = Recording()
+                exchange.send_own()
+                return True
+            case ClaimKnown(_, answer) if answer:
+                exchange.replay(answer)
+            case ClaimKnown(True, _):
+                exchange.refuse(refuse(ResultCode.REQUEST_KEY_DONE))
+            case ClaimKnown():
+                exchange.refuse(refuse(ResultCode.REQUEST_KEY_RUNNING, KEY_RETRY_MS))
+            case ClaimRefused(code, retry_ms):
+                exchange.turn_down(code, retry_ms)
+        return False
+
+    def take_fingerprint(self) -> Fingerprint:
+        """Return the request's fingerprint, by as much of its body as is kept."""
+        exchange = self.exchange
+        pieces = exchange.body.pieces
+        return take_fingerprint(exchange.head, exchange.plan.pool, pieces)
+
+    def end(self, fate: ClaimFate) -> None:
+        """Give back what the run held.
+
+        :param fate: what became of the request, for the keepers of its key.
+        """
+        answer = self.exchange.answer
+        recording, answer.recording = answer.recording, None
+        self.awaits_claim = self.awaits_body = False
+        is_answered = fate is ClaimFate.ANSWERED
+        if recording is not None:
+            packed = recording.pack() if is_answered else b""
+            self.gateway.end_claim(self.exchange, fate, packed)
+        if self.suspect is not None:
+            self.gateway.end_suspect(self.suspect, is_answered)
+            self.suspect = None
+        self.gateway.free_slot(self.since)
+
+    def _pass_quarantine(self) -> bool:
+        """Return whether the request may run now, given the strikes against it."""
+        exchange = self.exchange
+        quarantine = self.gateway.quarantine
+        if not quarantine.knows_head(digest_head(exchange.head, exchange.plan.pool)):
+            return True
+        body = exchange.body
+        if not body.done and body.replayable and not body.is_full:
+            self.awaits_body = True
+            exchange.send_continue()
+            return False
+        fingerprint = self.take_fingerprint()
+        now = self.gateway.now()
+        match quarantine.standing(fingerprint, now):
+            case Standing.CLEAR:
+                return True
+            case Standing.QUARANTINED:
+                retry_ms = quarantine.retry_ms(fingerprint, now)
+                exchange.refuse(refuse(ResultCode.REQUEST_QUARANTINED, retry_ms))
+                return False
+            case Standing.SUSPECT if quarantine.begin(fingerprint):
+                self.suspect = fingerprint
+                return True
+        exchange.turn_down(ResultCode.REQUEST_OVERLOADED, SUSPECT_RETRY_MS)
+        return False
