--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -1,9 +1,11 @@
 """The run of a request at the own backend server: its slot, claim and strikes.
 
 A request runs once it holds a slot, no strike stands against it, and, if it has a key
-and is not idempotent, a majority of the key's keepers granted its claim.
+and is not idempotent, a majority of the key's keepers granted its claim. A request with
+one strike waits its turn while another such request runs.
 """
 
+import asyncio
 from typing import Any
 
 from daisylink.errors import ResultCode
@@ -20,7 +22,7 @@
 from daisylink.request._recording import Recording, find_key
 
 KEY_RETRY_MS = 500
-SUSPECT_RETRY_MS = 100
+SUSPECT_TURN_SECONDS = 0.02
 
 
 class LocalRun:
@@ -37,6 +39,7 @@
         self.awaits_claim = False
         self.awaits_body = False
         self.suspect: Fingerprint | None = None
+        self.turn: asyncio.TimerHandle | None = None
 
     def begin(self) -> None:
         """Send the request, or first wait for what it needs."""
@@ -92,6 +95,8 @@
         answer = self.exchange.answer
         recording, answer.recording = answer.recording, None
         self.awaits_claim = self.awaits_body = False
+        if self.turn is not None:
+            self.turn.cancel()
         is_answered = fate is ClaimFate.ANSWERED
         if recording is not None:
             packed = recording.pack() if is_answered else b""
@@ -124,5 +129,5 @@
             case Standing.SUSPECT if quarantine.begin(fingerprint):
                 self.suspect = fingerprint
                 return True
-        exchange.turn_down(ResultCode.REQUEST_OVERLOADED, SUSPECT_RETRY_MS)
+        self.turn = self.gateway.loop.call_later(SUSPECT_TURN_SECONDS, self.begin)
         return False
