--- a/src/daisylink/standin/_backend.py
+++ b/src/daisylink/standin/_backend.py
@@ -21,6 +21,7 @@
 CRASH_HEADER = b"x-standin-crash"
 SIZE_HEADER = b"x-standin-answer-bytes"
 DEADLINE_HEADER = b"daisylink-deadline-ms"
+BEHAVIOUR_URL = b"/standin/behaviour"
 PIECE_BYTES = 16 * 1024
 
 log = get_logger("backend")
@@ -201,6 +202,7 @@
         self.headers: dict[bytes, bytes] = {}
         self.url = b""
         self.received = 0
+        self.switches = b""
         self.hash = hashlib.sha256()
         self.timer: asyncio.TimerHandle | None = None
         self.is_running = False
@@ -247,6 +249,7 @@
         self.headers = {}
         self.url = b""
         self.received = 0
+        self.switches = b""
         self.hash = hashlib.sha256()
 
     def on_url(self, url: bytes) -> None:
@@ -261,6 +264,8 @@
         """Take a piece of the body."""
         self.received += len(data)
         self.hash.update(data)
+        if self.url == BEHAVIOUR_URL:
+            self.switches += data
 
     def on_message_complete(self) -> None:
         """Run the request."""
@@ -354,8 +359,19 @@
                 self._write(200, b"%.3f" % backend.show_report().load)
             case b"/standin/runs":
                 self._write(200, msgspec.json.encode(dict(backend.runs)))
+            case b"/standin/behaviour" if method == b"PUT":
+                self._set_behaviour()
             case b"/standin/drain" if method == b"POST":
                 backend.loop.create_task(backend.drain())
                 self._write(200, b"")
             case _:
                 self._write(404, b"")
+
+    def _set_behaviour(self) -> None:
+        try:
+            behaviour = msgspec.json.decode(self.switches, type=Behaviour)
+        except msgspec.MsgspecError as error:
+            self._write(400, str(error).encode())
+            return
+        self.backend.behaviour = behaviour
+        self._write(200, msgspec.json.encode(behaviour))
