--- a/bench/baseline_proxy.py
+++ b/bench/baseline_proxy.py
@@ -1,5 +1,6 @@
 """Baseline: a proxy whose callers' path is circuits.web, with one pooled next hop."""
 
+import asyncio
 import http.client
 import sys
 
@@ -28,8 +29,6 @@
 
 
 async def serve(application, port, address):
-    import asyncio
-
     web = WebServer(application, "127.0.0.1", port)
     forwarder = Forwarder(address).register(application)
     web.add_route("POST", "/", forwarder.forward)
--- a/bench/hotpath.py
+++ b/bench/hotpath.py
@@ -8,11 +8,16 @@
 import asyncio
 import cProfile
 import pstats
+import random
 import sys
 import time
 
+from daisylink.clock import SystemClock
+from daisylink.commands import Operations
 from daisylink.connection import HopConnection
 from daisylink.loop import Main
+from daisylink.platform import HttpStore
+from daisylink.process import ControlClient
 from daisylink.standin import LocalFleet, Place
 from tests.support import HOST, make_content
 
@@ -53,13 +58,6 @@
 
 
 async def run(application, calls, profile):
-    import random
-
-    from daisylink.clock import SystemClock
-    from daisylink.commands import Operations
-    from daisylink.platform import HttpStore
-    from daisylink.process import ControlClient
-
     fleet = LocalFleet(application, 1)
     await fleet.start([Place("z", "a")])
     store = HttpStore(fleet.platform.address)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,6 +19,7 @@
     Keeper,
     KeeperMap,
     Ping,
+    Push,
     ShardPlace,
     VersionNews,
     decode_message,
@@ -78,8 +79,6 @@
 
 
 def _push(news):
-    from daisylink.process._messages import Push
-
     return Push(1, "10.0.0.1:8082", version=news)
 
 
--- a/src/daisylink/commands/_operations.py
+++ b/src/daisylink/commands/_operations.py
@@ -4,6 +4,7 @@
 import getpass
 import random
 import uuid
+from collections.abc import Callable
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -196,7 +197,11 @@
         return tuple(found)
 
     async def wait(
-        self, number: int, timeout: timedelta, nodes: tuple[str, ...], note
+        self,
+        number: int,
+        timeout: timedelta,
+        nodes: tuple[str, ...],
+        note: Callable[[list[ZoneReport]], None],
     ) -> WaitReport:
         """Wait until every live node routes by a version or a newer one.
 
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -20,7 +20,13 @@
     part_key,
     unpack_content,
 )
-from tests.support import make_content, make_proposal, make_store, run_acceptance
+from tests.support import (
+    make_content,
+    make_proposal,
+    make_store,
+    perform,
+    run_acceptance,
+)
 
 OLD = make_content("a")
 NEW = make_content("a", "b")
@@ -73,8 +79,6 @@
             self.assertEqual(outcome.record.number, head.number + 1)
 
     def _crash_after(self, steps, store, last):
-        from tests.support import perform
-
         event = None
         for _ in range(last):
             try:
@@ -107,8 +111,6 @@
     def _swap_step(self):
         steps = Acceptance(make_proposal(NEW, "new")).steps()
         store = store_with(OLD)
-        from tests.support import perform
-
         event, count = None, 0
         while True:
             action = steps.send(event)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,7 +15,13 @@
     reader_key,
 )
 from daisylink.process._directory import Directory
-from daisylink.process._events import CallStore, Send, StopAsked, WatchKey
+from daisylink.process._events import (
+    CallStore,
+    MessageReceived,
+    Send,
+    StopAsked,
+    WatchKey,
+)
 from daisylink.process._messages import Ping, PingRequest
 from daisylink.process._ration import Ration, RationSettings
 from daisylink.process._slot import Announcement, Slot, SlotSettings
@@ -400,8 +406,6 @@
     def test_a_ping_with_a_huge_number_makes_no_harm(self):
         fabric = Fabric(1)
         host = fabric.add("z0")
-        from daisylink.process._events import MessageReceived
-
         ping = Ping(1, "10.9.9.9:1", 2**40, 7, 2**40)
         fabric.feed(host, MessageReceived(ping))
         fabric.run(5.0)
