--- a/src/daisylink/process/_node.py
+++ b/src/daisylink/process/_node.py
@@ -7,7 +7,6 @@
 
 from daisylink.clock import Clock, SystemClock
 from daisylink.errors import (
-    DaisylinkError,
     NodeError,
     PlatformError,
     ResultCode,
@@ -27,17 +26,12 @@
     ClaimSettled,
     DirectoryChanged,
     Event,
-    GrantLease,
-    HoldKey,
     KeepAnswered,
     KeepCall,
     MessageReceived,
     Pull,
     PullAnswered,
     PullFailed,
-    ReadKey,
-    RenewLease,
-    RevokeLease,
     Send,
     ServerChanged,
     ServerCrashed,
@@ -47,10 +41,8 @@
     StoreCall,
     StoreFailed,
     SuspectAnswered,
-    SwapKey,
     TimePassed,
     VersionInstalled,
-    WatchKey,
 )
 from daisylink.process._fleet import FleetNode, FleetSettings, first_incarnation
 from daisylink.process._gateway import Gateway
@@ -66,6 +58,7 @@
 from daisylink.process._metrics import Metrics
 from daisylink.process._records import MemberRecord
 from daisylink.process._slot import Slot, SlotSettings
+from daisylink.process._store_calls import perform_call
 from daisylink.process._survey import Surveyor
 from daisylink.process._transport import ControlClient, ControlServer, DatagramEndpoint
 from daisylink.request import (
@@ -441,33 +434,13 @@
 
     async def _call_store(self, call: StoreCall) -> None:
         try:
-            result = await self._ask_store(call)
+            result = await perform_call(self.store, call)
         except PlatformError as error:
             log.debug("platform call failed: {}", error)
             self._feed(StoreFailed(call, ResultCode(error.code)))
             return
         self._feed(StoreAnswered(call, result))
 
-    async def _ask_store(self, call: StoreCall):
-        store = self.store
-        match call:
-            case ReadKey(key):
-                return await store.get(key)
-            case WatchKey(key, watch_index, wait):
-                return await store.watch(key, watch_index, wait)
-            case GrantLease(duration):
-                return await store.grant_lease(duration)
-            case RenewLease(lease_id):
-                return await store.renew_lease(lease_id)
-            case RevokeLease(lease_id):
-                await store.revoke_lease(lease_id)
-                return True
-            case HoldKey(key, value, lease_id):
-                return await store.hold(key, value, lease_id)
-            case SwapKey(key, value, index):
-                return await store.put(key, value, index)
-        raise DaisylinkError(f"unknown store call {call}")
-
 
 def _address_error(setting: str, address: Address, error: OSError) -> SettingError:
     return SettingError(
--- /dev/null
+++ b/src/daisylink/process/_store_calls.py
@@ -0,0 +1,36 @@
+"""Performs the store calls that the decision objects ask for."""
+
+from daisylink.platform import Entry, KeyValueStore
+from daisylink.process._events import (
+    GrantLease,
+    HoldKey,
+    ReadKey,
+    RenewLease,
+    RevokeLease,
+    StoreCall,
+    SwapKey,
+    WatchKey,
+)
+
+
+async def perform_call(store: KeyValueStore, call: StoreCall) -> Entry | str | bool:
+    """Do one call; return an entry, a lease identifier, or whether it was done.
+
+    :raises PlatformError: if the platform did not do it, or its answer was lost.
+    """
+    match call:
+        case ReadKey(key):
+            return await store.get(key)
+        case WatchKey(key, watch_index, wait):
+            return await store.watch(key, watch_index, wait)
+        case GrantLease(duration):
+            return await store.grant_lease(duration)
+        case RenewLease(lease_id):
+            return await store.renew_lease(lease_id)
+        case RevokeLease(lease_id):
+            await store.revoke_lease(lease_id)
+            return True
+        case HoldKey(key, value, lease_id):
+            return await store.hold(key, value, lease_id)
+        case SwapKey(key, value, index):
+            return await store.put(key, value, index)
