Let the paused-detector test lose the answer to its last ping too

Cause: the mutant 'the paused detector blames others' survived: the suspect's answer lay in the queue and cleared the suspicion before the detector's timer ran.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -192,6 +192,7 @@
         fabric.tap = tap
         suspects = subject.fleet.detector.suspects
         self.assertTrue(fabric.run(60.0, until=lambda: name in suspects))
+        fabric.run(0.05)
         fabric.tap = None
         subject.paused_until = fabric.now + 5.0
         fabric.run(12.0)
