--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -1,7 +1,7 @@
 """Convergence time, control bytes and platform calls against the size of the fleet.
 
 Drives the real decision objects through :mod:`bench.fabric`.
-Usage: python -m bench.distribution [sizes...]
+Usage: python -m bench.distribution [sizes...] [--zone-returns]
 """
 
 import argparse
@@ -33,6 +33,7 @@
 CHANGE_SECONDS = 16.0
 QUIET_SECONDS = 10.0
 KILL_SECONDS = 0.0036
+CUT_SECONDS = 20.0
 
 
 def make_content(services, change=0):
@@ -167,12 +168,45 @@
     )
 
 
+def measure_return(size, services):
+    """Print how a zone that was cut off catches up when it is healed."""
+    fabric = build_fleet(size, services=services)
+    quiet = quiet_cost(fabric)
+    others = [zone for zone in fabric.zones if zone != "z0"]
+    for zone in (*others, "platform"):
+        fabric.cut("z0", zone)
+    fabric.run(CUT_SECONDS)
+    for change in (1, 2, 3):
+        record = accept(fabric, make_content(services, change), f"cut-{change}")
+        fabric.run(1.0)
+    reset_counters(fabric)
+    healed = fabric.now
+    fabric.heal()
+    fabric.run(CHANGE_SECONDS)
+    hosts = [h for h in fabric.hosts.values() if h.fleet.own.zone == "z0"]
+    times = sorted(h.installed[record.number] - healed for h in hosts)
+    spent = sum(h.bytes_out for h in hosts) / len(hosts)
+    print(
+        f"| {size} | {quantile(times, 0.5) * 1000:.0f} | "
+        f"{quantile(times, 0.99) * 1000:.0f} | {times[-1] * 1000:.0f} | "
+        f"{spent - quiet[1] * CHANGE_SECONDS:.0f} |",
+        flush=True,
+    )
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("sizes", nargs="*", type=int, default=[90, 270, 810])
     parser.add_argument("--services", type=int, default=SERVICES)
+    parser.add_argument("--zone-returns", action="store_true")
     arguments = parser.parse_args()
     gc.set_threshold(100_000, 50, 50)
+    if arguments.zone_returns:
+        print("| nodes | p50 ms | p99 ms | last ms | B a node of the zone, out |")
+        print("| --- " * 5 + "|")
+        for size in arguments.sizes:
+            measure_return(size, arguments.services)
+        return
     print(
         "| nodes | p50 ms | p99 ms | last ms | all | tenth dies: last s | all | "
         "quiet B/s a node (in+out) | messages/s | change B a node (out) | worst B/s "
