Bound the queue by the objective; choose servers by their pace

Change: admission estimates by kind how long a request holds a slot, queues it only if it meets its objective, keeps a short queue of late ones for lulls, gives up what can no longer be answered, and never calls urgent work late. The entry node weighs a server's stated time a request. Where callers go by the status alone, what was not run is answered 503.

--- a/src/daisylink/platform/_headers.py
+++ b/src/daisylink/platform/_headers.py
@@ -10,5 +10,5 @@
     origin=b"x-daisylink-caller-service",
     proof=b"x-daisylink-response-seal",
     server_load=b"x-daisylink-server-load",
-    fractional_retry=True,
+    status_promises=True,
 )
--- a/src/daisylink/request/_dialect.py
+++ b/src/daisylink/request/_dialect.py
@@ -18,7 +18,8 @@
     :param origin: service beside the node at which the request began.
     :param proof: on an answer: shows that the backend server itself made it.
     :param server_load: on an answer: running, waiting and slots of the server.
-    :param fractional_retry: whether ``Retry-After`` may have a fraction.
+    :param status_promises: whether callers go by the status alone: 503 promises that a
+        request was not run, 504 nothing; and ``Retry-After`` may have a fraction.
     """
 
     deadline: bytes
@@ -29,7 +30,7 @@
     origin: bytes = b""
     proof: bytes = b""
     server_load: bytes = b""
-    fractional_retry: bool = False
+    status_promises: bool = False
 
     @property
     def consumed(self) -> frozenset[bytes]:
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -360,11 +360,20 @@
             gateway.origin,
             self.instance,
             gateway.version_number,
+            self._slo_left_ms(),
+            plan.route,
         )
         extra = [(HOP_HEADER, encode_hop(hop)), (DEPTH_HEADER, b"%d" % depth)]
         expect = self.head.expects_continue and not self.continued
         return build_hop_head(self.head, extra, expect)
 
+    def _slo_left_ms(self) -> int:
+        """Return what is left of the objective, at least 1; 0 if there is none."""
+        if self.plan.on_time == float("inf"):
+            return 0
+        left = self.plan.on_time - self.gateway.now()
+        return max(1, round(left * MILLISECONDS) - HOP_MARGIN_MS)
+
     def _server_headers(self, left_ms: int) -> list[Header]:
         """Return the headers that the own backend server gets from this node."""
         gateway = self.gateway
@@ -544,8 +553,7 @@
         """Give the request its final answer: a refusal."""
         close = not self.keeps_caller
         self.refusal = refusal
-        fractional = self.gateway.dialect.fractional_retry
-        data = encode_refusal(refusal, close, fractional)
+        data = encode_refusal(refusal, close, self.gateway.dialect.status_promises)
         if self.head.method == b"HEAD":
             data = data[: data.index(b"\r\n\r\n") + 4]
         self.caller.write(self, data)
--- a/src/daisylink/request/_head.py
+++ b/src/daisylink/request/_head.py
@@ -65,6 +65,8 @@
     :param origin: service of the entry node's own backend server.
     :param instance: backend server that alone may run the request, "" for any.
     :param version: number of the entry node's version in force.
+    :param slo_ms: what is left of the request's objective, 0 for none.
+    :param route: name of the route.
     """
 
     pool: str
@@ -74,6 +76,8 @@
     origin: str = ""
     instance: str = ""
     version: int = 0
+    slo_ms: int = 0
+    route: str = ""
 
 
 def parse_head(
@@ -175,6 +179,8 @@
         hop.origin or NO_NAME,
         hop.instance or NO_NAME,
         hop.version,
+        hop.slo_ms,
+        hop.route or NO_NAME,
     )
     return " ".join(str(field) for field in fields).encode()
 
@@ -187,8 +193,9 @@
     try:
         fields = value.decode("ascii").split(" ")
         if len(fields) == OLD_HOP_FIELDS:
-            fields += [NO_NAME, NO_NAME, "0"]
-        pool, deadline_ms, kind, priority, origin, instance, version = fields
+            fields += [NO_NAME, NO_NAME, "0", "0", NO_NAME]
+        pool, deadline_ms, kind, priority, *rest = fields
+        origin, instance, version, slo_ms, route = rest
         return Hop(
             pool,
             int(deadline_ms),
@@ -197,6 +204,8 @@
             "" if origin == NO_NAME else origin,
             "" if instance == NO_NAME else instance,
             int(version),
+            int(slo_ms),
+            "" if route == NO_NAME else route,
         )
     except ValueError as error:
         raise RequestError("bad hop header") from error
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -106,7 +106,7 @@
         if self.suspect is not None:
             self.gateway.end_suspect(self.suspect, is_answered)
             self.suspect = None
-        self.gateway.free_slot(self.since)
+        self.gateway.free_slot(self.since, self.exchange.plan.route)
 
     def _pass_quarantine(self) -> bool:
         """Return whether the request may run now, given the strikes against it."""
--- a/src/daisylink/request/_outcome.py
+++ b/src/daisylink/request/_outcome.py
@@ -66,12 +66,13 @@
 
 
 def encode_refusal(
-    refusal: Refusal, close: bool, fractional_retry: bool = False
+    refusal: Refusal, close: bool, status_promises: bool = False
 ) -> bytes:
     """Return the HTTP/1.1 answer of a refusal.
 
     :param close: whether the connection closes after it.
-    :param fractional_retry: whether ``Retry-After`` may have a fraction.
+    :param status_promises: whether callers go by the status alone, so that one which
+        promises nothing must not stand for a request that was not run.
     """
     body = msgspec.json.encode(
         {
@@ -82,6 +83,9 @@
         }
     )
     status = refusal.status
+    is_certain = refusal.outcome is Outcome.NOT_RUN
+    if status_promises and is_certain and status is HTTPStatus.GATEWAY_TIMEOUT:
+        status = HTTPStatus.SERVICE_UNAVAILABLE
     lines = [
         b"HTTP/1.1 %d %s" % (status, status.phrase.encode()),
         b"content-type: application/json",
@@ -90,7 +94,7 @@
         b"%s: %s" % (OUTCOME_HEADER, refusal.outcome.value.encode()),
     ]
     if refusal.retry_ms:
-        lines.append(_format_retry(refusal.retry_ms, fractional_retry))
+        lines.append(_format_retry(refusal.retry_ms, status_promises))
         lines.append(b"%s: %d" % (RETRY_HEADER, refusal.retry_ms))
     if close:
         lines.append(b"connection: close")
--- a/src/daisylink/request/_plan.py
+++ b/src/daisylink/request/_plan.py
@@ -24,6 +24,7 @@
     :param origin: service beside the node at which the request began.
     :param instance: backend server that alone may run it, "" for any.
     :param max_attempts: servers that it may reach.
+    :param on_time: until when an answer meets the objective, in monotonic seconds.
     """
 
     service: str
@@ -39,6 +40,7 @@
     origin: str = ""
     instance: str = ""
     max_attempts: int = MAX_ATTEMPTS
+    on_time: float = float("inf")
 
 
 def first_target(entry: RouteEntry) -> Target:
@@ -73,6 +75,7 @@
     if head.deadline_ms is not None:
         deadline_ms = min(deadline_ms, head.deadline_ms)
     target = pick(entry)
+    slo_ms = route.slo_ms or target.service.slo_ms
     return RequestPlan(
         service=target.service.name,
         pool=target.pool.name,
@@ -82,9 +85,10 @@
         body_limit=body_limit,
         version=version.number,
         slots=target.pool.slots,
-        slo_ms=route.slo_ms or target.service.slo_ms,
+        slo_ms=slo_ms,
         route=route.name,
         max_attempts=route.max_attempts or MAX_ATTEMPTS,
+        on_time=_find_end(now, slo_ms),
     )
 
 
@@ -100,7 +104,14 @@
         body_limit=head.length if head.length is not None else 2**62,
         version=0,
         slots=0,
-        slo_ms=0,
+        slo_ms=hop.slo_ms,
+        route=hop.route,
+        on_time=_find_end(now, hop.slo_ms),
         origin=hop.origin,
         instance=hop.instance,
     )
+
+
+def _find_end(now: float, milliseconds: int) -> float:
+    """Return when a time is over; 0 stands for none."""
+    return now + milliseconds / MILLISECONDS if milliseconds else float("inf")
--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -1,4 +1,10 @@
-"""Admits requests to the own backend server: slots, a short queue and drain."""
+"""Admits requests to the own backend server: slots, a short queue and drain.
+
+The load it answers: more work than slots, for seconds, with requests of unequal length
+and urgency, some of which are calls of work that already runs. A request is queued only
+if it is expected to be answered within its objective; what would be late waits behind
+all others, in a short queue of its own; the rest is refused at once.
+"""
 
 from collections import deque
 from typing import Any, NamedTuple
@@ -12,6 +18,10 @@
 MILLISECONDS = 1000
 MIN_RETRY_MS = 50
 LOAD_PARTS = 3
+# Late requests that may wait for each slot: enough to fill a lull, few enough that
+# nearly all are served.
+LATE_PER_SLOT = 1
+MAX_KINDS = 1000
 
 
 class Limits(NamedTuple):
@@ -26,10 +36,21 @@
     """A request in the queue.
 
     :param ticket: what the shell knows the request by.
+    :param deadline: when its caller gives up, in seconds of the monotonic clock.
+    :param on_time: until when an answer meets its objective.
+    :param seconds: expected time in a slot.
     """
 
     ticket: Any
+    priority: Priority
     deadline: float
+    on_time: float
+    seconds: float
+
+    def is_late(self, now: float) -> bool:
+        """Return whether its objective would be missed; nothing urgent counts so."""
+        urgent = self.priority is Priority.URGENT
+        return not urgent and now + self.seconds > self.on_time
 
 
 class Admission:
@@ -41,7 +62,10 @@
         self.queues: dict[Priority, deque[Waiting]] = {
             priority: deque() for priority in PRIORITIES
         }
+        self.late: deque[Waiting] = deque()
+        self.expired: list[Any] = []
         self.service_time = 0.0
+        self.service_times: dict[str, float] = {}
         self.server_waiting = 0
         self.closed: ResultCode | None = ResultCode.REQUEST_NO_SERVER
 
@@ -53,7 +77,7 @@
     @property
     def queued(self) -> int:
         """Return how many requests wait."""
-        return sum(len(queue) for queue in self.queues.values())
+        return sum(len(queue) for queue in self.queues.values()) + len(self.late)
 
     @property
     def is_open(self) -> bool:
@@ -68,37 +92,52 @@
     def close(self, code: ResultCode) -> list[Any]:
         """Take no new work; return the tickets of those that waited."""
         self.closed = code
-        tickets = [item.ticket for queue in self.queues.values() for item in queue]
-        for queue in self.queues.values():
+        queues = (*self.queues.values(), self.late)
+        tickets = [item.ticket for queue in queues for item in queue]
+        for queue in queues:
             queue.clear()
         return tickets
 
     def arrive(
-        self, ticket: Any, priority: Priority, deadline: float, now: float
+        self,
+        ticket: Any,
+        priority: Priority,
+        deadline: float,
+        now: float,
+        on_time: float = float("inf"),
+        kind: str = "",
     ) -> Decision:
-        """Decide on a new request."""
+        """Decide on a new request.
+
+        :param on_time: until when an answer meets the request's objective.
+        :param kind: requests of one kind take about the same time in a slot.
+        """
         if self.closed is not None:
             return Refused(self.closed)
         if self.in_use < self.capacity:
             self.in_use += 1
             return Admitted()
-        wait = self._expected_wait(self._count_ahead(priority) + 1)
-        if now + wait >= deadline:
-            return Refused(ResultCode.REQUEST_OVERLOADED, self._retry_ms(wait))
+        seconds = self.service_times.get(kind, self.service_time)
+        waiting = Waiting(ticket, priority, deadline, on_time, seconds)
+        wait = self._expected_wait(priority)
+        if now + wait + seconds >= deadline:
+            return self._refuse(waiting, wait, now)
+        if waiting.is_late(now + wait):
+            return self._queue_late(waiting, wait, now)
         displaced = None
         if self.queued >= self.limits.queue:
             displaced = self._displace(priority)
             if displaced is None:
-                return Refused(ResultCode.REQUEST_OVERLOADED, self._retry_ms(wait))
-        self.queues[priority].append(Waiting(ticket, deadline))
+                return self._refuse(waiting, wait, now)
+        self.queues[priority].append(waiting)
         return Queued(displaced)
 
-    def finish(self, seconds: float, now: float) -> list[Any]:
+    def finish(self, seconds: float, now: float, kind: str = "") -> list[Any]:
         """Free a slot; return the tickets that are admitted in its place.
 
         :param seconds: how long the request held the slot.
         """
-        self.service_time += SERVICE_TIME_WEIGHT * (seconds - self.service_time)
+        self._learn(seconds, kind)
         self.in_use -= 1
         admitted = []
         while self.in_use < self.capacity:
@@ -109,6 +148,11 @@
             admitted.append(waiting.ticket)
         return admitted
 
+    def take_expired(self) -> list[Any]:
+        """Return the tickets that waited and can no longer be answered in time."""
+        expired, self.expired = self.expired, []
+        return expired
+
     def note_server_load(self, text: bytes) -> None:
         """Note the load that the server states: running, waiting and slots."""
         parts = text.split(b",")
@@ -117,38 +161,80 @@
 
     def withdraw(self, ticket: Any) -> None:
         """Take a request out of the queue: its caller or its time is gone."""
-        for queue in self.queues.values():
+        for queue in (*self.queues.values(), self.late):
             for waiting in queue:
                 if waiting.ticket is ticket:
                     queue.remove(waiting)
                     return
 
+    def _learn(self, seconds: float, kind: str) -> None:
+        self.service_time += SERVICE_TIME_WEIGHT * (seconds - self.service_time)
+        known = self.service_times.get(kind, seconds)
+        if len(self.service_times) >= MAX_KINDS:
+            self.service_times.clear()
+        learnt = known + SERVICE_TIME_WEIGHT * (seconds - known)
+        self.service_times[kind] = learnt
+
     def _next_waiting(self, now: float) -> Waiting | None:
+        """Take the next request out of the queues: late ones only when no other is."""
         for priority in PRIORITIES:
             queue = self.queues[priority]
             while queue:
                 waiting = queue.popleft()
-                if waiting.deadline > now:
+                if now + waiting.seconds / 2 >= waiting.deadline:
+                    self.expired.append(waiting.ticket)
+                elif waiting.is_late(now):
+                    self._make_late(waiting)
+                else:
                     return waiting
+        while self.late:
+            waiting = self.late.popleft()
+            if now + waiting.seconds / 2 < waiting.deadline:
+                return waiting
+            self.expired.append(waiting.ticket)
         return None
 
-    def _count_ahead(self, priority: Priority) -> int:
-        """Return how many waiting requests go before a new one."""
-        ahead = PRIORITIES[: PRIORITIES.index(priority) + 1]
-        return sum(len(self.queues[item]) for item in ahead)
+    def _queue_late(self, waiting: Waiting, wait: float, now: float) -> Decision:
+        """Queue a request behind all others, if it is likely to be served there."""
+        ahead = sum(item.seconds for item in self.late) / max(1, self.capacity)
+        ends = now + self._expected_wait(PRIORITIES[-1]) + ahead + waiting.seconds
+        if ends >= waiting.deadline or not self._has_room_for_late():
+            return self._refuse(waiting, wait, now)
+        self.late.append(waiting)
+        return Queued()
+
+    def _make_late(self, waiting: Waiting) -> None:
+        """Keep a request that waited too long for a lull, or give it up."""
+        if self._has_room_for_late():
+            self.late.append(waiting)
+        else:
+            self.expired.append(waiting.ticket)
+
+    def _has_room_for_late(self) -> bool:
+        return len(self.late) < self.capacity * LATE_PER_SLOT
 
     def _displace(self, priority: Priority) -> Any:
         """Take the newest of the least urgent waiting requests out for another one.
 
         :returns: its ticket, or None if none is less urgent than ``priority``.
         """
+        if self.late:
+            return self.late.pop().ticket
         for item in reversed(PRIORITIES[PRIORITIES.index(priority) + 1 :]):
             if self.queues[item]:
                 return self.queues[item].pop().ticket
         return None
 
-    def _expected_wait(self, place: int) -> float:
-        return place * self.service_time / max(1, self.capacity)
-
-    def _retry_ms(self, wait: float) -> int:
-        return max(MIN_RETRY_MS, round(wait * MILLISECONDS))
+    def _expected_wait(self, priority: Priority) -> float:
+        """Return how long a new request waits: for a slot, and for those ahead."""
+        capacity = max(1, self.capacity)
+        ahead = PRIORITIES[: PRIORITIES.index(priority) + 1]
+        seconds = sum(item.seconds for name in ahead for item in self.queues[name])
+        return self.service_time / (capacity + 1) + seconds / capacity
+
+    def _refuse(self, waiting: Waiting, wait: float, now: float) -> Refused:
+        """Refuse, and say when a request like this one would fit."""
+        room = min(waiting.on_time, waiting.deadline) - now
+        retry = max(0.0, wait + waiting.seconds - room)
+        retry_ms = max(MIN_RETRY_MS, round(retry * MILLISECONDS))
+        return Refused(ResultCode.REQUEST_OVERLOADED, retry_ms)
--- a/src/daisylink/serving/_chooser.py
+++ b/src/daisylink/serving/_chooser.py
@@ -7,7 +7,6 @@
 
 from daisylink.serving._records import MemberRecord
 
-PICKS = 2
 MAX_COMPARED = 16
 EJECT_AFTER = 3
 EJECT_SECONDS = 2.0
@@ -16,6 +15,8 @@
 REPORT_LIFE_SECONDS = 1.0
 FULL = 1.0
 OWN_PREFERENCE = 0.5
+# What an answer from another zone costs more, in time and traffic.
+FAR_FACTOR = 1.25
 
 
 class Members(Protocol):
@@ -31,10 +32,15 @@
 
 
 class Report(NamedTuple):
-    """Load that a node stated with an answer: requests in use per slot."""
+    """Load that a node stated with an answer.
+
+    :param load: requests in use and waiting per slot.
+    :param service_time: seconds that a request holds a slot there, 0 if not stated.
+    """
 
     load: float
     at: float
+    service_time: float = 0.0
 
 
 class Health(NamedTuple):
@@ -53,9 +59,10 @@
 
 
 class Chooser:
-    """Chooses the node with the fewest requests from here, in the own zone first.
+    """Chooses the node expected to answer first, in the own zone while it has slots.
 
-    Among equals, the better of two random ones by the load they stated last.
+    The load it answers: servers of unequal pace, some slowed or just started, asked by
+    many nodes that do not know of each other's requests.
 
     A node that fails several times on end is left out for a while; if more than half
     of the candidates would be left out, the signal is not trusted and none is.
@@ -95,13 +102,16 @@
         if is_own_pool and own_load < OWN_PREFERENCE:
             return own
         candidates = self.cache.get(pool) or self._find(pool)
-        for group in (candidates.own_zone, candidates.elsewhere):
-            best = self._best(group, tried, slots, now)
-            if best is not None and self._score(best, slots, now) < FULL:
-                return best
-        return self._best(candidates.own_zone, tried, slots, now) or self._best(
-            candidates.elsewhere, tried, slots, now
-        )
+        near = self._best(candidates.own_zone, tried, slots, now)
+        if near is not None and self._score(near, slots, now) < FULL:
+            return near
+        far = self._best(candidates.elsewhere, tried, slots, now)
+        if near is None or far is None:
+            return near or far
+        if self._score(far, slots, now) < FULL:
+            return far
+        own_cost = self._cost(near, slots, now)
+        return far if self._cost(far, slots, now) * FAR_FACTOR < own_cost else near
 
     def begin(self, node: str) -> None:
         """Count a request that goes to a node."""
@@ -113,9 +123,11 @@
         if not self.in_flight[node]:
             del self.in_flight[node]
 
-    def note_report(self, node: str, load: float, now: float) -> None:
-        """Note the load that a node stated."""
-        self.reports[node] = Report(load, now)
+    def note_report(
+        self, node: str, load: float, now: float, service_time: float = 0.0
+    ) -> None:
+        """Note the load, and the time a request takes, that a node stated."""
+        self.reports[node] = Report(load, now, service_time)
 
     def note_success(self, node: str, now: float) -> None:
         """Note that a node answered."""
@@ -158,11 +170,11 @@
             group = tuple(self.rng.sample(group, MAX_COMPARED))
         if not group:
             return None
-        flight = self.in_flight
-        least = min(flight.get(record.node, 0) for record in group)
-        idle = [record for record in group if flight.get(record.node, 0) == least]
-        picks = idle if len(idle) <= PICKS else self.rng.sample(idle, PICKS)
-        return min(picks, key=lambda record: self._score(record, slots, now))
+        if len(group) == 1:
+            return group[0]
+        costs = [(self._cost(record, slots, now), record) for record in group]
+        least = min(cost for cost, _ in costs)
+        return self.rng.choice([record for cost, record in costs if cost == least])
 
     def _without_ejected(
         self, group: tuple[MemberRecord, ...], now: float
@@ -177,6 +189,28 @@
             return group
         return kept
 
+    def _cost(self, record: MemberRecord, slots: int, now: float) -> float:
+        """Return the expected time to an answer, in mean service times.
+
+        A server that is slow for its load gets less of it; one that nothing is known
+        of counts as an ordinary one.
+        """
+        report = self.reports.get(record.node)
+        service_time = report.service_time if report is not None else 0.0
+        pace = service_time / self._mean_service_time(record.pool) or 1.0
+        own = self.in_flight.get(record.node, 0) / max(1, record.slots or slots)
+        waiting = max(self._score(record, slots, now) - 1, 0.0)
+        return pace * (1 + waiting) + own
+
+    def _mean_service_time(self, pool: str) -> float:
+        """Return the mean of what a pool's servers stated, 1 if none did."""
+        times = [
+            report.service_time
+            for node in self.directory.serving(pool)
+            if (report := self.reports.get(node)) and report.service_time
+        ]
+        return sum(times) / len(times) if times else 1.0
+
     def _score(self, record: MemberRecord, slots: int, now: float) -> float:
         """Return the expected load of a node, in requests per slot."""
         own = self.in_flight.get(record.node, 0) / max(1, record.slots or slots)
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -178,13 +178,23 @@
 
     def arrive(self, exchange: Exchange, plan: RequestPlan) -> Decision:
         """Decide on a request for the own backend server."""
-        return self.admission.arrive(exchange, plan.priority, plan.deadline, self.now())
+        decision = self.admission.arrive(
+            exchange,
+            plan.priority,
+            plan.deadline,
+            self.now(),
+            plan.on_time,
+            plan.route,
+        )
+        return decision
 
-    def free_slot(self, since: float) -> None:
+    def free_slot(self, since: float, kind: str) -> None:
         """Free a slot held since a time, and run the requests that waited for it."""
         now = self.now()
-        for exchange in self.admission.finish(now - since, now):
+        for exchange in self.admission.finish(now - since, now, kind):
             exchange.run_own()
+        for exchange in self.admission.take_expired():
+            exchange.turn_down(ResultCode.REQUEST_OVERLOADED)
 
     def update_server(self) -> None:
         """Open or close admission as the own record says."""
@@ -257,12 +267,15 @@
 
     def load_text(self) -> bytes:
         """Return the own backend server's load for the load header."""
-        return b"%.3f" % self._own_load()
+        service_ms = self.admission.service_time * MILLISECONDS
+        return b"%.3f %.1f" % (self._own_load(), service_ms)
 
     def note_load(self, node: str, text: bytes) -> None:
         """Note the load that a node stated with its answer."""
         try:
-            self.chooser.note_report(node, float(text), self.now())
+            load, _, service_ms = text.partition(b" ")
+            seconds = float(service_ms or 0) / MILLISECONDS
+            self.chooser.note_report(node, float(load), self.now(), seconds)
         except ValueError:
             return
 
