Find nodes that fell silent by probes; count time that a caller spent

Change: a node that owes an answer longer than usual, with nothing else heard from it, is probed; one that a probe or a connection does not reach within 250 ms gets no requests until a probe does, and what it holds and may run again goes elsewhere. A caller that states less time than its route gives has spent the rest already.

--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -10,7 +10,9 @@
 HTTP_CONTINUE = 100
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset({204, 304})
-CONNECT_SECONDS = 1.0
+# Several round trips between regions; an opening packet that was lost comes again
+# only after a second, when another node has long answered.
+CONNECT_SECONDS = 0.25
 IDLE_SECONDS = 30.0
 # An idle connection is given up well before the other end closes it.
 IDLE_SHARE = 0.6
@@ -244,6 +246,24 @@
         if idle and hop in idle:
             idle.remove(hop)
 
+    def drop(self, address: str) -> None:
+        """Close the idle connections to an address that does not answer."""
+        for hop in self.idle.pop(address, []):
+            hop.transport.abort()
+
+    async def probe(self, address: str) -> bool:
+        """Return whether a new connection is answered; it is kept for requests."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                _, hop = await self.gateway.loop.create_connection(
+                    lambda: HopConnection(self, address), host, int(port)
+                )
+        except (OSError, TimeoutError, ValueError):
+            return False
+        self.give_back(hop)
+        return True
+
     def sweep(self, now: float) -> None:
         """Close connections that were not used for a while."""
         for address, idle in list(self.idle.items()):
@@ -267,8 +287,8 @@
                 _, hop = await loop.create_connection(
                     lambda: HopConnection(self, address), host, int(port)
                 )
-        except (OSError, TimeoutError, ValueError):
-            exchange.take_connect_failure(attempt)
+        except (OSError, TimeoutError, ValueError) as error:
+            exchange.take_connect_failure(attempt, isinstance(error, TimeoutError))
             return
         if not exchange.take_connection(hop, attempt):
             self.give_back(hop)
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -260,7 +260,7 @@
             return
         self.target = record.node
         self.instance = record.instance
-        gateway.chooser.begin(record.node)
+        gateway.begin_flight(self, record.node)
         if record.node == own.node:
             self._try_own()
         else:
@@ -321,13 +321,15 @@
         self._attach(hop)
         return True
 
-    def take_connect_failure(self, attempt: int) -> None:
-        """Note that no connection could be opened."""
+    def take_connect_failure(self, attempt: int, timed_out: bool) -> None:
+        """Note that no connection could be opened, or none in time."""
         if self.done or attempt != self.attempt or not self.is_connecting:
             return
         self.is_connecting = False
         if self.local is not None:
             self.gateway.note_server_unreachable()
+        elif timed_out and self.target:
+            self.gateway.note_unreachable(self.target)
         self._note_failure()
         self.turn_down(ResultCode.REQUEST_CONNECT_FAILED)
 
@@ -414,6 +416,18 @@
         now = self.gateway.now()
         self._act(self.attempts.handle(Lost(), now, self.body.replayable))
 
+    def lose_target(self) -> None:
+        """Go on elsewhere: the node that the request went to does not answer.
+
+        What may run only once stays, in case the answer comes after all.
+        """
+        if self.done or self.local is not None or self.answering:
+            return
+        if not self.head_sent:
+            self.turn_down(ResultCode.REQUEST_CONNECT_FAILED)
+        elif self.plan.idempotent:
+            self._lose()
+
     def _note_step(self, what: str) -> None:
         """Add a line to the trail: where an attempt went, when and how it ended."""
         ms = (self.gateway.now() - self.started_at) * MILLISECONDS
@@ -426,7 +440,7 @@
     def _end_attempt(self, fate: ClaimFate = ClaimFate.UNKNOWN) -> None:
         """Give back what the attempt held."""
         if self.target:
-            self.gateway.chooser.end(self.target)
+            self.gateway.end_flight(self, self.target)
             self.target = ""
         if self.is_queued:
             self.is_queued = False
--- a/src/daisylink/request/_plan.py
+++ b/src/daisylink/request/_plan.py
@@ -56,6 +56,9 @@
 ) -> RequestPlan | Refusal:
     """Plan a caller's request by a version, or refuse it.
 
+    A caller that states less time than the route gives has spent the rest already, in
+    earlier attempts; that counts against the objective.
+
     :param pick: chooses a target of a split route.
     """
     if version is None:
@@ -76,6 +79,8 @@
         deadline_ms = min(deadline_ms, head.deadline_ms)
     target = pick(entry)
     slo_ms = route.slo_ms or target.service.slo_ms
+    spent_ms = entry.deadline_ms - deadline_ms
+    slo_left_ms = max(1, slo_ms - spent_ms) if slo_ms else 0
     return RequestPlan(
         service=target.service.name,
         pool=target.pool.name,
@@ -88,7 +93,7 @@
         slo_ms=slo_ms,
         route=route.name,
         max_attempts=route.max_attempts or MAX_ATTEMPTS,
-        on_time=_find_end(now, slo_ms),
+        on_time=_find_end(now, slo_left_ms),
     )
 
 
--- a/src/daisylink/serving/_chooser.py
+++ b/src/daisylink/serving/_chooser.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, Protocol
 
 from daisylink.serving._records import MemberRecord
+from daisylink.serving._silence import SilenceWatch
 
 MAX_COMPARED = 16
 EJECT_AFTER = 3
@@ -77,6 +78,7 @@
         self.reports: dict[str, Report] = {}
         self.health: dict[str, Health] = {}
         self.heard_at: dict[str, float] = {}
+        self.silence = SilenceWatch()
         self.cache: dict[str, Candidates] = {}
 
     def note_directory(self) -> None:
@@ -113,6 +115,24 @@
         own_cost = self._cost(near, slots, now)
         return far if self._cost(far, slots, now) * FAR_FACTOR < own_cost else near
 
+    def relays(self) -> dict[str, str]:
+        """Return where each node that serves a pool takes requests."""
+        return {
+            node: record.relay
+            for group in self.cache.values()
+            for record in (*group.own_zone, *group.elsewhere)
+            for node in (record.node,)
+        }
+
+    def note_reachable(self, node: str) -> None:
+        """Note that a node answers again: earlier failures say nothing of it now."""
+        self.health.pop(node, None)
+
+    def usual_times(self) -> dict[str, float]:
+        """Return the seconds that a request takes at each node that stated it."""
+        reports = self.reports.items()
+        return {node: report.service_time for node, report in reports}
+
     def begin(self, node: str) -> None:
         """Count a request that goes to a node."""
         self.in_flight[node] += 1
@@ -162,6 +182,9 @@
         slots: int,
         now: float,
     ) -> MemberRecord | None:
+        unreachable = self.silence.unreachable
+        if unreachable:
+            group = tuple(item for item in group if item.node not in unreachable)
         if self.health:
             group = self._without_ejected(group, now)
         if tried:
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -32,9 +32,12 @@
 
 MILLISECONDS = 1000
 SWEEP_SECONDS = 1.0
+WATCH_SECONDS = 0.05
 CRASH_LOOK_SECONDS = 0.02
 PROBE_SECONDS = 0.5
 DEFAULT_LIMITS = Limits(slots=8, connections=64, queue=20)
+# Where no length is stated, the requests' time limits bound the queue.
+UNSTATED_QUEUE = 256
 
 log = get_logger("request")
 
@@ -92,6 +95,8 @@
         self.budget_settings = budget_settings or BudgetSettings()
         self.budgets: dict[str, RetryBudget] = {}
         self.splitter = Splitter()
+        self.flights: dict[str, dict[Exchange, float]] = {}
+        self.watcher: asyncio.TimerHandle | None = None
         self.hops = HopPool(self)
         self.version: Version | None = None
         self.callers: set[CallerConnection] = set()
@@ -176,6 +181,28 @@
         load = self._own_load()
         return self.chooser.choose(plan.pool, tried, plan.slots, load, self.now())
 
+    def begin_flight(self, exchange: Exchange, node: str) -> None:
+        """Count a request that goes to a node, which owes an answer from now on."""
+        self.chooser.begin(node)
+        if node == self.own.node:
+            return
+        self.flights.setdefault(node, {})[exchange] = self.now()
+        self._watch_silence()
+
+    def end_flight(self, exchange: Exchange, node: str) -> None:
+        """Count a request back."""
+        self.chooser.end(node)
+        flights = self.flights.get(node)
+        if flights is not None:
+            flights.pop(exchange, None)
+            if not flights:
+                del self.flights[node]
+
+    def note_unreachable(self, node: str) -> None:
+        """Send no requests to a node that does not answer a new connection."""
+        if self.chooser.silence.note_unreachable(node, self.now()):
+            self._leave_node(node)
+
     def arrive(self, exchange: Exchange, plan: RequestPlan) -> Decision:
         """Decide on a request for the own backend server."""
         decision = self.admission.arrive(
@@ -299,6 +326,8 @@
     def close(self) -> None:
         """Close every connection."""
         self.sweeper.cancel()
+        if self.watcher is not None:
+            self.watcher.cancel()
         for caller in list(self.callers):
             caller.close()
         self.hops.close()
@@ -341,6 +370,47 @@
         level = "DEBUG" if code == "ok" else "INFO"
         log.bind(**fields).log(level, "request ended")
 
+    def _watch_silence(self) -> None:
+        if self.watcher is None:
+            self.watcher = self.loop.call_later(WATCH_SECONDS, self._look_for_silence)
+
+    def _look_for_silence(self) -> None:
+        """Probe the nodes that owe answers for too long, while any does."""
+        self.watcher = None
+        silence = self.chooser.silence
+        for node in [*silence.unreachable]:
+            if node not in self.chooser.relays():
+                silence.forget(node)
+        oldest = {node: min(flights.values()) for node, flights in self.flights.items()}
+        probes = silence.choose_probes(
+            oldest, self.chooser.heard_at, self.chooser.usual_times(), self.now()
+        )
+        for node in probes:
+            task = self.loop.create_task(self._probe_node(node))
+            self.probes.add(task)
+            task.add_done_callback(self.probes.discard)
+        if self.flights or silence.unreachable:
+            self._watch_silence()
+
+    async def _probe_node(self, node: str) -> None:
+        address = self.chooser.relays().get(node)
+        reached = address is not None and await self.hops.probe(address)
+        if not self.chooser.silence.take_probe(node, reached, self.now()):
+            return
+        if reached:
+            log.bind(node=node).info("node answers again")
+            self.chooser.note_reachable(node)
+        else:
+            self._leave_node(node)
+
+    def _leave_node(self, node: str) -> None:
+        """Take the requests back that a silent node holds."""
+        flights = list(self.flights.get(node, ()))
+        log.bind(node=node, in_flight=len(flights)).warning("node does not answer")
+        self.hops.drop(self.chooser.relays().get(node, ""))
+        for exchange in flights:
+            exchange.lose_target()
+
     def _own_load(self) -> float:
         admission = self.admission
         if not admission.is_open:
@@ -352,7 +422,7 @@
         pool = pools.get(own.pool)
         if pool is None:
             return DEFAULT_LIMITS._replace(slots=own.slots or DEFAULT_LIMITS.slots)
-        queue = pool.queue or DEFAULT_LIMITS.queue
+        queue = pool.queue or UNSTATED_QUEUE
         return Limits(own.slots or pool.slots, pool.connections, queue)
 
     def _sweep(self) -> None:
