Take one failed connection once; wait for nodes that stop

Change: the failed try ends before its node is marked; only a probe without any answer is silence; a request is moved only if a try is left.

Tests: both fail on the code before.

--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from daisylink.logs import get_logger
 from daisylink.request import AnswerHead
 
 HTTP_CONTINUE = 100
@@ -19,6 +20,8 @@
 MAX_IDLE_PER_ADDRESS = 32
 HIGH_WATER_BYTES = 256 * 1024
 
+log = get_logger("hop")
+
 
 class HopConnection(asyncio.Protocol):
     """One connection to a backend server or to another node's relay listener.
@@ -252,15 +255,22 @@
             hop.transport.abort()
 
     async def probe(self, address: str) -> bool:
-        """Return whether a new connection is answered; it is kept for requests."""
+        """Return whether a new connection is answered; it is kept for requests.
+
+        A refusal is an answer too: the process is gone or stops, and what it still has
+        in hand comes or breaks off on the connections that are open.
+        """
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 _, hop = await self.gateway.loop.create_connection(
                     lambda: HopConnection(self, address), host, int(port)
                 )
-        except (OSError, TimeoutError, ValueError):
+        except TimeoutError:
             return False
+        except (OSError, ValueError) as error:
+            log.bind(address=address).debug("probe was refused: {}", error)
+            return True
         self.give_back(hop)
         return True
 
--- a/src/daisylink/request/_attempts.py
+++ b/src/daisylink/request/_attempts.py
@@ -87,8 +87,8 @@
         """Count a first attempt."""
         self.tokens = min(self.burst, self.tokens + self.ratio)
 
-    def spend(self, now: float) -> bool:
-        """Take a retry from the budget; return whether there was one.
+    def has_token(self, now: float) -> bool:
+        """Return whether a retry is left.
 
         :param now: seconds of the monotonic clock.
         """
@@ -97,7 +97,11 @@
             self.filled_at = now
             gained = self.tokens + elapsed * self.per_second
             self.tokens = min(self.burst, gained)
-        if self.tokens < 1:
+        return self.tokens >= 1
+
+    def spend(self, now: float) -> bool:
+        """Take a retry from the budget; return whether there was one."""
+        if not self.has_token(now):
             return False
         self.tokens -= 1
         return True
@@ -151,6 +155,15 @@
             case NoServer():
                 return self._give_up()
 
+    def may_move(self, now: float) -> bool:
+        """Return whether a request that may have run could be tried once more."""
+        return (
+            self.plan.idempotent
+            and self.count < MAX_HOPS
+            and self.reached + 1 < self.plan.max_attempts
+            and self.budget.has_token(now)
+        )
+
     def _give_up(self) -> GiveUp:
         """Answer with the last refusal; none is certain after a loss."""
         if self.lost:
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -326,12 +326,14 @@
         if self.done or attempt != self.attempt or not self.is_connecting:
             return
         self.is_connecting = False
+        target = self.target
         if self.local is not None:
             self.gateway.note_server_unreachable()
-        elif timed_out and self.target:
-            self.gateway.note_unreachable(self.target)
+            target = ""
         self._note_failure()
         self.turn_down(ResultCode.REQUEST_CONNECT_FAILED)
+        if timed_out and target:
+            self.gateway.note_unreachable(target)
 
     def _attach(self, hop: Any) -> None:
         self.hop = hop
@@ -416,16 +418,16 @@
         now = self.gateway.now()
         self._act(self.attempts.handle(Lost(), now, self.body.replayable))
 
-    def lose_target(self) -> None:
-        """Go on elsewhere: the node that the request went to does not answer.
+    def lose_target(self, node: str) -> None:
+        """Go on elsewhere if the request is at a node that does not answer.
 
-        What may run only once stays, in case the answer comes after all.
+        What may run only once, or has no try left, stays in case the answer comes.
         """
-        if self.done or self.local is not None or self.answering:
+        if self.done or self.target != node or self.answering:
             return
         if not self.head_sent:
             self.turn_down(ResultCode.REQUEST_CONNECT_FAILED)
-        elif self.plan.idempotent:
+        elif self.body.replayable and self.attempts.may_move(self.gateway.now()):
             self._lose()
 
     def _note_step(self, what: str) -> None:
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -409,7 +409,7 @@
         log.bind(node=node, in_flight=len(flights)).warning("node does not answer")
         self.hops.drop(self.chooser.relays().get(node, ""))
         for exchange in flights:
-            exchange.lose_target()
+            exchange.lose_target(node)
 
     def _own_load(self) -> float:
         admission = self.admission
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,105 @@
+"""Nodes that fall silent: which are probed, and what becomes of requests sent there."""
+
+import asyncio
+import unittest
+import unittest.mock
+
+from daisylink.connection import HopConnection, HopPool
+from daisylink.serving._silence import SilenceWatch
+from daisylink.standin import Caller, Place
+from tests.support import HOST, FleetTestCase, make_content
+
+SENT_AT = 10.0
+
+
+class SilenceWatchTests(unittest.TestCase):
+    def choose(self, watch, now, heard=None, usual=None):
+        return watch.choose_probes({"n": SENT_AT}, heard or {}, usual or {}, now)
+
+    def test_a_node_that_owes_an_answer_too_long_is_probed_once(self):
+        watch = SilenceWatch()
+        self.assertEqual(self.choose(watch, SENT_AT + 0.05), [])
+        self.assertEqual(self.choose(watch, SENT_AT + 0.15), ["n"])
+        self.assertEqual(self.choose(watch, SENT_AT + 0.2), [])
+
+    def test_a_slow_node_that_answers_others_is_not_probed(self):
+        watch = SilenceWatch()
+        now = SENT_AT + 1.0
+        self.assertEqual(self.choose(watch, now, heard={"n": now - 0.05}), [])
+
+    def test_a_node_whose_requests_take_long_is_given_that_time(self):
+        watch = SilenceWatch()
+        self.assertEqual(self.choose(watch, SENT_AT + 0.5, usual={"n": 0.6}), [])
+        self.assertEqual(self.choose(watch, SENT_AT + 0.8, usual={"n": 0.6}), ["n"])
+
+    def test_an_unreachable_node_is_probed_until_it_answers(self):
+        watch = SilenceWatch()
+        self.assertTrue(watch.note_unreachable("n", 1.0))
+        self.assertEqual(watch.choose_probes({}, {}, {}, 1.1), [])
+        self.assertEqual(watch.choose_probes({}, {}, {}, 2.0), ["n"])
+        self.assertTrue(watch.take_probe("n", True, 2.1))
+        self.assertEqual(watch.unreachable, set())
+
+
+class SilentNodeTests(FleetTestCase):
+    """The zone cut of hanbit's trouble-1: opening packets to some nodes vanish."""
+
+    places = (Place("x", "b"), Place("x", "a"), Place("y", "a"), Place("z", "a"))
+
+    def test_a_request_whose_connection_hangs_runs_once_elsewhere(self):
+        async def scenario(fleet, operations):
+            await fleet.start(self.places, service_ms=50.0)
+            await operations.accept(make_content("a", "b"), "")
+            await fleet.wait_for_servers()
+            silent = str(fleet.nodes[1].relay_address)
+            loop = fleet.application.loop
+            original = HopPool.open
+
+            def open_hop(pool, address, exchange, attempt):
+                if address != silent:
+                    original(pool, address, exchange, attempt)
+                    return
+                loop.call_later(0.05, exchange.take_connect_failure, attempt, True)
+
+            for node in fleet.nodes[2:]:
+                await fleet.nodes[0].gateway.hops.probe(str(node.relay_address))
+            sendings = []
+            begin = HopConnection.begin
+
+            def note_sending(hop, exchange, is_head):
+                if not exchange.is_relay:
+                    sendings.append(hop.address)
+                begin(hop, exchange, is_head)
+
+            with (
+                unittest.mock.patch.object(HopPool, "open", open_hop),
+                unittest.mock.patch.object(HopConnection, "begin", note_sending),
+            ):
+                caller = Caller(str(fleet.nodes[0].callers_address))
+                answer = await caller.call("POST", "/a/write", HOST, b"x")
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(len(sendings), 1, "another sending was dropped midway")
+            runs = sum(sum(backend.runs.values()) for backend in fleet.backends)
+            self.assertEqual(runs, 1)
+
+        self.run_fleet(scenario)
+
+    def test_what_a_stopping_node_has_in_hand_is_waited_for(self):
+        """A closed listener is no silence: roll_term of hanbit's trouble-2."""
+
+        async def scenario(fleet, operations):
+            await fleet.start(self.places, service_ms=600.0)
+            await operations.accept(make_content("a", "b"), "")
+            await fleet.wait_for_servers()
+            caller = Caller(str(fleet.nodes[0].callers_address))
+            call = asyncio.ensure_future(caller.call("POST", "/a/read", HOST, b"x"))
+            busy = fleet.nodes[1].gateway.admission
+            await fleet.wait_for(lambda: busy.in_use == 1)
+            for listener in fleet.nodes[1].listeners:
+                listener.close()
+            answer = await call
+            self.assertEqual(answer.status, 200)
+            runs = sum(sum(backend.runs.values()) for backend in fleet.backends)
+            self.assertEqual(runs, 1)
+
+        self.run_fleet(scenario)
