Probe silent nodes at the address they were reached at

Change: the gateway keeps the address of each node that it sends requests to. Tests: the new one fails on the code before; replays of the worst loads on the decision objects; the adapter, the registry and the check of names.

--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -110,6 +110,7 @@
         self.refusal: Refusal | None = None
         self.held: list[bytes] = []
         self.trail: list[str] = []
+        self.choice = ""
         self.head_sent = False
         self.body = RequestBody(head.length is None)
         self.continued = False
@@ -260,7 +261,8 @@
             return
         self.target = record.node
         self.instance = record.instance
-        gateway.begin_flight(self, record.node)
+        self.choice = gateway.chooser.describe(record.node, gateway.now())
+        gateway.begin_flight(self, record)
         if record.node == own.node:
             self._try_own()
         else:
@@ -433,7 +435,7 @@
     def _note_step(self, what: str) -> None:
         """Add a line to the trail: where an attempt went, when and how it ended."""
         ms = (self.gateway.now() - self.started_at) * MILLISECONDS
-        self.trail.append(f"{self.target or 'own'} {what} {ms:.0f}ms")
+        self.trail.append(f"{self.choice or 'own'} {what} {ms:.0f}ms")
 
     def _note_failure(self) -> None:
         if self.target:
--- a/src/daisylink/request/_plan.py
+++ b/src/daisylink/request/_plan.py
@@ -12,7 +12,8 @@
 MAX_ATTEMPTS = 4
 MILLISECONDS = 1000
 KILOBYTE = 1024
-NOT_READY_RETRY_MS = 1000
+# A node that starts knows a version after a few calls to the store.
+NOT_READY_RETRY_MS = 250
 
 
 class RequestPlan(NamedTuple):
--- a/src/daisylink/serving/_chooser.py
+++ b/src/daisylink/serving/_chooser.py
@@ -115,14 +115,14 @@
         own_cost = self._cost(near, slots, now)
         return far if self._cost(far, slots, now) * FAR_FACTOR < own_cost else near
 
-    def relays(self) -> dict[str, str]:
-        """Return where each node that serves a pool takes requests."""
-        return {
-            node: record.relay
-            for group in self.cache.values()
-            for record in (*group.own_zone, *group.elsewhere)
-            for node in (record.node,)
-        }
+    def describe(self, node: str, now: float) -> str:
+        """Return what a choice of a node rests on, for the log."""
+        report = self.reports.get(node)
+        own = self.in_flight.get(node, 0)
+        if report is None:
+            return f"{node} in_flight={own} no_report"
+        age_ms = (now - report.at) * 1000
+        return f"{node} in_flight={own} load={report.load:.2f} age={age_ms:.0f}ms"
 
     def note_reachable(self, node: str) -> None:
         """Note that a node answers again: earlier failures say nothing of it now."""
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -96,6 +96,7 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.splitter = Splitter()
         self.flights: dict[str, dict[Exchange, float]] = {}
+        self.relays: dict[str, str] = {}
         self.watcher: asyncio.TimerHandle | None = None
         self.hops = HopPool(self)
         self.version: Version | None = None
@@ -181,11 +182,17 @@
         load = self._own_load()
         return self.chooser.choose(plan.pool, tried, plan.slots, load, self.now())
 
-    def begin_flight(self, exchange: Exchange, node: str) -> None:
+    def forget_node(self, node: str) -> None:
+        """Forget a node that is no member any more."""
+        self.chooser.silence.forget(node)
+
+    def begin_flight(self, exchange: Exchange, record: MemberRecord) -> None:
         """Count a request that goes to a node, which owes an answer from now on."""
+        node = record.node
         self.chooser.begin(node)
         if node == self.own.node:
             return
+        self.relays[node] = record.relay
         self.flights.setdefault(node, {})[exchange] = self.now()
         self._watch_silence()
 
@@ -354,6 +361,7 @@
             "ms": round((self.now() - exchange.started_at) * MILLISECONDS, 1),
             "at_slot": exchange.is_relay,
             "trail": exchange.trail,
+            "last": exchange.choice,
         }
         if plan is not None:
             fields["pool"] = plan.pool
@@ -378,9 +386,6 @@
         """Probe the nodes that owe answers for too long, while any does."""
         self.watcher = None
         silence = self.chooser.silence
-        for node in [*silence.unreachable]:
-            if node not in self.chooser.relays():
-                silence.forget(node)
         oldest = {node: min(flights.values()) for node, flights in self.flights.items()}
         probes = silence.choose_probes(
             oldest, self.chooser.heard_at, self.chooser.usual_times(), self.now()
@@ -393,8 +398,7 @@
             self._watch_silence()
 
     async def _probe_node(self, node: str) -> None:
-        address = self.chooser.relays().get(node)
-        reached = address is not None and await self.hops.probe(address)
+        reached = await self.hops.probe(self.relays[node])
         if not self.chooser.silence.take_probe(node, reached, self.now()):
             return
         if reached:
@@ -407,7 +411,7 @@
         """Take the requests back that a silent node holds."""
         flights = list(self.flights.get(node, ()))
         log.bind(node=node, in_flight=len(flights)).warning("node does not answer")
-        self.hops.drop(self.chooser.relays().get(node, ""))
+        self.hops.drop(self.relays[node])
         for exchange in flights:
             exchange.lose_target(node)
 
--- a/src/daisylink/sidecar/_knowledge.py
+++ b/src/daisylink/sidecar/_knowledge.py
@@ -11,7 +11,7 @@
 from daisylink.errors import VersionError
 from daisylink.logs import get_logger
 from daisylink.registry import Item, Members
-from daisylink.serving import MemberRecord
+from daisylink.serving import MemberRecord, MemberState
 from daisylink.version import Version
 
 MEMBER_PREFIX = "daisylink/members/"
@@ -32,6 +32,7 @@
     :param now: the monotonic clock.
     :param on_version: told each version that comes in force.
     :param on_members: told that members changed.
+    :param on_gone: told each node that is no member any more.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         now: Callable[[], float],
         on_version: Callable[[Version], None],
         on_members: Callable[[], None],
+        on_gone: Callable[[str], None],
     ):
         self.members = members
         self.config_key = config_key
@@ -49,6 +51,7 @@
         self.now = now
         self.on_version = on_version
         self.on_members = on_members
+        self.on_gone = on_gone
         self.version: Version | None = None
         self.is_own_missing = False
 
@@ -69,6 +72,7 @@
         dropped = self.members.tick(now)
         for node in dropped:
             log.bind(node=node).info("member gone: its record did not come back")
+            self.on_gone(node)
         if dropped:
             self.on_members()
 
@@ -105,6 +109,8 @@
         except msgspec.MsgspecError as error:
             fields.warning("member's record cannot be read: {}", error)
             return
+        if record.state is MemberState.LEFT:
+            self.on_gone(node)
         if self.members.put(record):
             fields.bind(
                 state=record.state.name,
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,178 @@
+"""The adapter: what the platform's files and calls say, and what of them is refused."""
+
+import unittest
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+
+from daisylink.errors import NodeError, SettingError, VersionError
+from daisylink.http_server import WebRequest
+from daisylink.platform import (
+    read_announcement,
+    read_configuration,
+    read_settings,
+)
+from daisylink.serving import Announcement, Departure, ServerState
+from daisylink.version import Priority
+
+SOURCES = Path(__file__).parent.parent / "src" / "daisylink"
+# Words of the platform's pages that only the adapter may hold.
+PLATFORM_NAMES = (
+    "x-daisylink",
+    "op/config",
+    "kv-",
+    "instances.",
+    "daisylink_config",
+    "weighted_split",
+    "non_idempotent",
+    "/-/",
+)  # fmt: skip
+SETTINGS = {
+    "node": "sidecar-a-1",
+    "zone": "a",
+    "ip": "127.0.0.1",
+    "service": "svc",
+    "app_addr": "127.0.0.1:8301",
+    "listen": {
+        "inbound": "127.0.0.1:8300",
+        "outbound": "127.0.0.1:8304",
+        "ready": "127.0.0.1:8302",
+        "control": "127.0.0.1:8306",
+    },
+    "port_range": [7620, 7635],
+    "heartbeat": "870ms",
+    "platform": {"address": "127.0.0.1:8309", "ttl_min": "1000ms"},
+    "bounds": {"grace": "6s", "retry_ratio": 0.2, "retry_slack": 60},
+    "a_field_of_tomorrow": 1,
+}
+BEAT = {
+    "service": "svc",
+    "address": "10.0.0.1:80",
+    "slots": 6,
+    "state": "ready",
+    "cold_left": "1500ms",
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+def make_call(call, body, instance="i-1"):
+    query = {"call": f"instances.{call}", "of": instance}
+    return WebRequest("POST", "/-/rpc", query, msgspec.json.encode(body))
+
+
+def make_configuration(**route):
+    spec = {
+        "host": "A.example",
+        "prefix": "/x/",
+        "kind": "idempotent",
+        "timeout": "800ms",
+        "slo": "300ms",
+        "priority": 2,
+        "service": "one",
+        "max_attempts": 2,
+    }
+    spec.update(route)
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1048576,
+        "header_timeout": "3000ms",
+        "idle_timeout": "15s",
+    }
+    resources = [
+        {"resource_type": "routes", "metadata": {"name": "r"}, "spec": spec},
+        {"resource_type": "limits", "metadata": {}, "spec": limits},
+        {"resource_type": "unheard-of", "metadata": {}, "spec": {}},
+    ]
+    for name in ("one", "two"):
+        row = {"resource_type": "services", "metadata": {"name": name}}
+        resources.append({**row, "spec": {"max_conns": 120}})
+    return msgspec.json.encode({"version": "r12", "resources": resources})
+
+
+class SettingsTests(unittest.TestCase):
+    def test_settings_are_decoded(self):
+        settings = read_settings(msgspec.json.encode(SETTINGS))
+        self.assertEqual(settings.pool, "svc")
+        self.assertEqual(settings.peers.port, 7620)
+        self.assertEqual(settings.announce_interval, timedelta(milliseconds=870))
+        self.assertEqual(settings.retry_slack, 60)
+
+    def test_bad_settings_are_named(self):
+        for name, value in (("heartbeat", "soon"), ("listen", {}), ("zone", 3)):
+            broken = msgspec.json.encode({**SETTINGS, name: value})
+            with self.subTest(name=name), self.assertRaises(SettingError):
+                read_settings(broken)
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_a_route_is_decoded(self):
+        version = read_configuration(make_configuration())
+        self.assertEqual(version.number, 12)
+        entry = version.table.find_route("a.example", "/x/1")
+        self.assertEqual(entry.deadline_ms, 800)
+        self.assertEqual(entry.route.priority, Priority.BULK)
+        self.assertEqual(entry.route.slo_ms, 300)
+        self.assertTrue(entry.route.idempotent)
+        self.assertEqual(version.limits.header_seconds, 3.0)
+
+    def test_a_prefix_ends_with_its_slash(self):
+        table = read_configuration(make_configuration()).table
+        self.assertIsNone(table.find_route("a.example", "/x"))
+        self.assertIsNone(table.find_route("a.example", "/xy/1"))
+        self.assertIsNotNone(table.find_route("a.example", "/x/"))
+
+    def test_a_split_names_its_services(self):
+        split = [{"service": "one", "weight": 90}, {"service": "two", "weight": 10}]
+        data = make_configuration(weighted_split=split, service="")
+        targets = read_configuration(data).table.find_route("a.example", "/x/1").targets
+        self.assertEqual([target.service.name for target in targets], ["one", "two"])
+
+    def test_a_damaged_configuration_is_refused_whole(self):
+        data = make_configuration()
+        for broken in (data[:-9], b"", make_configuration(service="missing")):
+            with self.subTest(broken=broken[-20:]), self.assertRaises(VersionError):
+                read_configuration(broken)
+
+
+class AnnouncementTests(unittest.TestCase):
+    def test_a_heartbeat_is_decoded(self):
+        message = read_announcement(make_call("heartbeat", BEAT))
+        self.assertIsInstance(message, Announcement)
+        self.assertEqual(message.instance, "i-1")
+        self.assertEqual(message.state, ServerState.SERVING)
+        self.assertEqual(message.cold_left, timedelta(seconds=1.5))
+
+    def test_a_leave_is_decoded(self):
+        message = read_announcement(make_call("leave", {"born": 3}))
+        self.assertEqual(message, Departure("i-1", 3))
+
+    def test_words_of_other_writers_name_no_server(self):
+        """Fields missing, of another type, or a state that is not known."""
+        for name, value in (
+            ("state", "gone"),
+            ("state", None),
+            ("seq", "4"),
+            ("born", None),
+            ("slots", 1.5),
+            ("cold_left", 0),
+        ):
+            call = make_call("heartbeat", {**BEAT, name: value})
+            with self.subTest(name=name), self.assertRaises(NodeError):
+                read_announcement(call)
+        with self.assertRaises(NodeError):
+            read_announcement(make_call("heartbeat", BEAT)._replace(body=b"\xff{"))
+        with self.assertRaises(NodeError):
+            read_announcement(make_call("heartbeat", BEAT, instance=""))
+
+
+class NamesTests(unittest.TestCase):
+    def test_no_module_outside_the_adapter_holds_the_platforms_names(self):
+        for path in sorted(SOURCES.rglob("*.py")):
+            if path.relative_to(SOURCES).parts[0] == "platform":
+                continue
+            text = path.read_text().lower()
+            for name in PLATFORM_NAMES:
+                with self.subTest(path=path.name, name=name):
+                    self.assertFalse(name in text)
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,179 @@
+"""Own record, copy of the store's keys and members, while the store fails."""
+
+import random
+import unittest
+from datetime import timedelta
+
+from daisylink.errors import ResultCode
+from daisylink.registry import (
+    Changes,
+    EndLease,
+    Follower,
+    FollowerSettings,
+    GrantLease,
+    Item,
+    Lease,
+    Listing,
+    ListKeys,
+    Members,
+    MemberSettings,
+    Registration,
+    RegistrationSettings,
+    RenewLease,
+    WatchKeys,
+    WriteRecord,
+)
+from daisylink.serving import MemberRecord, MemberState, ServerState
+
+LEASE = Lease(7, timedelta(seconds=3))
+
+
+def make_registration():
+    registration = Registration(RegistrationSettings(), random.Random(1))
+    registration.set_record(b"one")
+    return registration
+
+
+def register(registration, now=0.0):
+    """Drive a registration until its record is written."""
+    assert isinstance(registration.tick(now), GrantLease)
+    registration.take_answer(LEASE, now)
+    assert registration.tick(now) == WriteRecord(7, registration.wanted)
+    registration.take_answer(None, now)
+
+
+class RegistrationTests(unittest.TestCase):
+    def test_the_record_is_written_and_kept(self):
+        registration = make_registration()
+        register(registration)
+        self.assertIsNone(registration.tick(0.9))
+        self.assertEqual(registration.tick(1.1), RenewLease(7))
+
+    def test_a_change_is_written_while_the_lease_lasts(self):
+        registration = make_registration()
+        register(registration)
+        registration.set_record(b"two")
+        self.assertEqual(registration.tick(0.1), WriteRecord(7, b"two"))
+
+    def test_a_lapsed_lease_is_replaced_at_once(self):
+        registration = make_registration()
+        register(registration)
+        registration.tick(1.1)
+        registration.take_answer(False, 1.1)
+        register(registration, 1.1)
+
+    def test_a_write_whose_answer_was_lost_is_made_again(self):
+        registration = make_registration()
+        registration.tick(0.0)
+        registration.take_answer(LEASE, 0.0)
+        registration.tick(0.0)
+        registration.take_failure(ResultCode.PLATFORM_ANSWER_LOST, 0.0)
+        self.assertIsNone(registration.tick(0.0))
+        self.assertEqual(registration.tick(1.0), WriteRecord(7, b"one"))
+
+    def test_a_store_that_is_away_is_asked_again_within_a_second(self):
+        registration = make_registration()
+        now = 0.0
+        for _ in range(20):
+            now = max(now, registration.wake_at)
+            self.assertIsNotNone(registration.tick(now))
+            registration.take_failure(ResultCode.PLATFORM_UNAVAILABLE, now)
+            self.assertLessEqual(registration.wake_at - now, 0.8)
+
+    def test_a_record_taken_away_without_a_word_is_written_again(self):
+        registration = make_registration()
+        register(registration)
+        registration.note_missing()
+        self.assertEqual(registration.tick(0.1), WriteRecord(7, b"one"))
+
+    def test_leaving_says_so_and_ends_the_lease(self):
+        registration = make_registration()
+        register(registration)
+        registration.leave(b"left")
+        self.assertEqual(registration.tick(0.1), WriteRecord(7, b"left"))
+        registration.take_answer(None, 0.1)
+        self.assertEqual(registration.tick(0.1), EndLease(7))
+
+
+class FollowerTests(unittest.TestCase):
+    def setUp(self):
+        self.taken = []
+        self.follower = Follower(
+            FollowerSettings(), self.taken.append, lambda: None, random.Random(1)
+        )
+
+    def list(self, items, revision, now=0.0):
+        self.assertEqual(self.follower.tick(now), ListKeys())
+        self.follower.take_listing_answer(Listing(items, revision), now)
+
+    def test_the_watch_begins_where_the_listing_ended(self):
+        self.list([Item("a", b"1", 3)], 5)
+        call = self.follower.tick(0.0)
+        self.assertEqual(call, WatchKeys(5, FollowerSettings().wait))
+
+    def test_a_dropped_history_leads_to_a_listing_at_once(self):
+        self.list([Item("a", b"1", 3)], 5)
+        self.follower.tick(0.0)
+        self.follower.take_failure(ResultCode.PLATFORM_HISTORY_GONE, 0.0)
+        self.list([Item("b", b"2", 9)], 9)
+        self.assertEqual(self.taken[1:], [Item("a", None, 9), Item("b", b"2", 9)])
+
+    def test_word_of_a_peer_never_takes_a_key_back(self):
+        self.list([Item("a", b"new", 8)], 8)
+        self.follower.take_word([Item("a", b"old", 4)])
+        self.assertEqual(self.follower.values["a"], b"new")
+
+    def test_late_word_does_not_bring_a_deleted_key_back(self):
+        self.list([Item("a", b"1", 3)], 5)
+        self.follower.tick(0.0)
+        self.follower.take_changes(Changes([Item("a", None, 6)], 6), 0.0)
+        self.follower.take_word([Item("a", b"1", 3)])
+        self.assertNotIn("a", self.follower.values)
+
+    def test_a_store_that_is_away_is_asked_again_within_a_second(self):
+        now = 0.0
+        for _ in range(20):
+            now = max(now, self.follower.wake_at)
+            self.assertIsNotNone(self.follower.tick(now))
+            self.follower.take_failure(ResultCode.PLATFORM_UNAVAILABLE, now)
+            self.assertLessEqual(self.follower.wake_at - now, 0.8)
+
+
+class MembersTests(unittest.TestCase):
+    def setUp(self):
+        self.heard = {}
+        own = MemberRecord("own", "x", 0)
+        self.members = Members(
+            MemberSettings(), own, lambda node: self.heard.get(node, float("-inf"))
+        )
+        self.record = MemberRecord("n", "x", 0, pool="p", server=ServerState.SERVING)
+        self.members.put(self.record)
+
+    def test_a_lapsed_record_has_time_to_come_back(self):
+        self.members.lapse("n", 10.0)
+        self.assertEqual(self.members.tick(12.0), [])
+        self.members.put(self.record)
+        self.assertEqual(self.members.tick(20.0), [])
+        self.assertIn("n", self.members.serving("p"))
+
+    def test_a_lapsed_record_that_stays_away_is_dropped(self):
+        self.members.lapse("n", 10.0)
+        self.assertEqual(self.members.tick(13.0), ["n"])
+        self.assertNotIn("n", self.members.serving("p"))
+
+    def test_a_node_that_answers_stays_though_the_store_lost_its_record(self):
+        """platform_down with revoke: keys go while their owners are kept out."""
+        self.members.lapse("n", 10.0)
+        self.heard["n"] = 12.4
+        self.assertEqual(self.members.tick(12.6), [])
+        self.assertEqual(self.members.tick(14.5), ["n"])
+
+    def test_a_node_that_says_it_leaves_is_out_at_once(self):
+        left = MemberRecord("n", "x", 0, MemberState.LEFT, pool="p")
+        self.members.put(left)
+        self.assertNotIn("n", self.members.serving("p"))
+
+    def test_the_own_record_is_never_taken_from_others(self):
+        false = MemberRecord("own", "x", 0, pool="p", server=ServerState.SERVING)
+        self.assertFalse(self.members.put(false))
+        self.assertNotIn("own", self.members.serving("p"))
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -84,6 +84,24 @@
 
         self.run_fleet(scenario)
 
+    def test_news_of_members_makes_no_node_silent(self):
+        """A pool's members change while a request is at one of its nodes."""
+
+        async def scenario(fleet, operations):
+            await fleet.start(self.places, service_ms=800.0)
+            await operations.accept(make_content("a", "b"), "")
+            await fleet.wait_for_servers()
+            entry = fleet.nodes[0].gateway
+            caller = Caller(str(fleet.nodes[0].callers_address))
+            call = asyncio.ensure_future(caller.call("POST", "/a/read", HOST, b"x"))
+            await fleet.wait_for(lambda: entry.flights)
+            entry.chooser.note_directory()
+            await fleet.wait_for(lambda: entry.chooser.silence.probe_at)
+            self.assertEqual(entry.chooser.silence.unreachable, set())
+            self.assertEqual((await call).status, 200)
+
+        self.run_fleet(scenario)
+
     def test_what_a_stopping_node_has_in_hand_is_waited_for(self):
         """A closed listener is no silence: roll_term of hanbit's trouble-2."""
 
--- /dev/null
+++ b/tests/test_worst_load.py
@@ -0,0 +1,246 @@
+"""Replays of the worst loads on the decision objects, without sockets or clocks."""
+
+import heapq
+import itertools
+import random
+import unittest
+from collections import Counter
+
+from daisylink.errors import ResultCode
+from daisylink.process import MemberRecord, ServerState
+from daisylink.process._directory import Directory
+from daisylink.request import (
+    Admitted,
+    Attempts,
+    Begin,
+    Lost,
+    Queued,
+    Refused,
+    RequestPlan,
+    RetryBudget,
+    Try,
+    TurnedDown,
+)
+from daisylink.serving._admission import Admission, Limits
+from daisylink.serving._chooser import Chooser
+from daisylink.serving._splitter import Splitter
+from daisylink.version import (
+    Content,
+    Pool,
+    Priority,
+    Route,
+    RouteTable,
+    Service,
+    Share,
+)
+
+SLOTS = 6
+SECONDS = 0.09
+OBJECTIVE = 0.3
+DEADLINE = 0.8
+BURST_SECONDS = 8.0
+
+
+class Server:
+    """Drives an admission with a server behind it; counts what became of requests."""
+
+    def __init__(self, seed=1):
+        self.admission = Admission()
+        self.admission.open(Limits(SLOTS, 120, 256))
+        self.rng = random.Random(seed)
+        self.events = []
+        self.numbers = itertools.count()
+        self.fates = Counter()
+
+    def push(self, at, action, *arguments):
+        heapq.heappush(self.events, (at, next(self.numbers), action, arguments))
+
+    def offer(self, at, priority=Priority.NORMAL, seconds=SECONDS, kind="view"):
+        request = (at, priority, seconds, kind)
+        self.push(at, self.arrive, request)
+
+    def arrive(self, now, request):
+        at, priority, _, kind = request
+        decision = self.admission.arrive(
+            request, priority, at + DEADLINE, now, at + OBJECTIVE, kind
+        )
+        match decision:
+            case Admitted():
+                self.run(now, request)
+            case Queued(displaced) if displaced is not None:
+                self.fates[displaced[3], "refused"] += 1
+            case Refused():
+                self.fates[kind, "refused"] += 1
+
+    def run(self, now, request):
+        seconds = request[2] * self.rng.uniform(0.5, 1.5)
+        self.push(now + seconds, self.end, request, now)
+
+    def end(self, now, request, since):
+        at, _, _, kind = request
+        in_time = now <= at + OBJECTIVE
+        fate = "in time" if in_time else "late" if now <= at + DEADLINE else "lost"
+        self.fates[kind, fate] += 1
+        for ticket in self.admission.finish(now - since, now, kind):
+            self.run(now, ticket)
+        for ticket in self.admission.take_expired():
+            self.fates[ticket[3], "refused"] += 1
+
+    def play(self):
+        while self.events:
+            now, _, action, arguments = heapq.heappop(self.events)
+            action(now, *arguments)
+
+
+class WorstLoadTests(unittest.TestCase):
+    """A burst at 1.7 times what the servers do, as in the burst of hanbit's days."""
+
+    def offer_burst(self, server, load, **request):
+        rate = load * SLOTS / SECONDS
+        at = 0.0
+        while at < BURST_SECONDS:
+            at += server.rng.expovariate(rate)
+            server.offer(at, **request)
+
+    def test_a_burst_keeps_the_slots_busy_with_answers_in_time(self):
+        """Queued by the deadline alone, nearly all answers of a burst come late."""
+        server = Server()
+        self.offer_burst(server, 1.7)
+        server.play()
+        capacity = SLOTS / SECONDS * BURST_SECONDS
+        self.assertGreater(server.fates["view", "in time"], 0.8 * capacity)
+        self.assertEqual(server.fates["view", "lost"], 0)
+
+    def test_what_is_late_waits_behind_what_can_be_in_time(self):
+        server = Server()
+        admission = server.admission
+        for number in range(SLOTS):
+            admission.arrive(number, Priority.NORMAL, 9.0, 0.0, 9.0, "view")
+        admission.service_time = SECONDS
+        admission.service_times["view"] = SECONDS
+        late = admission.arrive("late", Priority.NORMAL, 0.8, 0.0, 0.01, "view")
+        admission.arrive("in time", Priority.BULK, 0.8, 0.0, 0.3, "view")
+        self.assertEqual(late, Queued())
+        self.assertEqual(admission.finish(SECONDS, 0.05, "view"), ["in time"])
+        self.assertEqual(admission.finish(SECONDS, 0.06, "view"), ["late"])
+
+    def test_calls_of_work_that_runs_go_first_in_a_burst(self):
+        """A refused call fails its parent, which already holds a slot elsewhere."""
+        server = Server()
+        self.offer_burst(server, 1.4)
+        for _ in range(round(0.25 * SLOTS / 0.02 * BURST_SECONDS)):
+            at = server.rng.uniform(0, BURST_SECONDS)
+            server.offer(at, Priority.URGENT, 0.02, "call")
+        server.play()
+        calls = {fate: n for (kind, fate), n in server.fates.items() if kind == "call"}
+        total = sum(calls.values())
+        self.assertGreater(calls["in time"], 0.98 * total)
+
+    def test_what_cannot_be_in_time_any_more_is_told_so_at_once(self):
+        admission = Server().admission
+        for number in range(SLOTS):
+            admission.arrive(number, Priority.NORMAL, 9.0, 0.0, 9.0, "view")
+        admission.service_time = admission.service_times["view"] = 1.0
+        decision = admission.arrive("n", Priority.NORMAL, 0.8, 0.0, 0.3, "view")
+        self.assertIsInstance(decision, Refused)
+
+    def test_a_request_of_a_quick_kind_is_not_judged_by_the_slow_ones(self):
+        admission = Server().admission
+        for number in range(SLOTS):
+            admission.arrive(number, Priority.NORMAL, 9.0, 0.0, 9.0, "report")
+        admission.service_time = 0.2
+        admission.service_times = {"report": 0.7, "lookup": 0.04}
+        slow = admission.arrive("s", Priority.NORMAL, 0.6, 0.0, 0.6, "report")
+        quick = admission.arrive("q", Priority.NORMAL, 0.4, 0.0, 0.15, "lookup")
+        self.assertIsInstance(slow, Refused)
+        self.assertEqual(quick, Queued())
+
+
+class UnequalServersTests(unittest.TestCase):
+    """Servers of one pool whose paces differ by 0.7 to 1.6, one of them slowed."""
+
+    def test_a_slow_server_gets_less_of_the_work(self):
+        directory = Directory(MemberRecord("10.9.9.9:1", "z", 1))
+        for number in range(3):
+            record = MemberRecord(
+                f"10.0.0.{number}:1", "z", 1, pool="p", server=ServerState.SERVING
+            )
+            directory.merge(record, 0.0)
+        chooser = Chooser(directory, random.Random(1))
+        picks = Counter()
+        for step in range(300):
+            now = step * 0.01
+            for number, seconds in enumerate((0.1, 0.1, 0.5)):
+                chooser.note_report(f"10.0.0.{number}:1", 1.0, now, seconds)
+            picks[chooser.choose("p", (), 6, 1.0, now).node] += 1
+        self.assertLess(picks["10.0.0.2:1"], 30)
+        self.assertGreater(min(picks["10.0.0.0:1"], picks["10.0.0.1:1"]), 100)
+
+
+class SplitTests(unittest.TestCase):
+    def test_shares_are_exact_over_each_round_of_weights(self):
+        services = [Service(name, name, 0, 0, 99.0) for name in "ab"]
+        pools = [Pool(name, 1, 1, 0) for name in "ab"]
+        split = (Share("a", 90), Share("b", 10))
+        route = Route(
+            "r", "h", "/", "a", (), True, Priority.NORMAL, 100, 1, split=split
+        )
+        table = RouteTable.from_content(Content.from_rows(pools, services, [route]))
+        entry = table.find_route("h", "/x")
+        splitter = Splitter()
+        picks = Counter(splitter.pick(entry).service.name for _ in range(1000))
+        self.assertEqual(picks, {"a": 900, "b": 100})
+
+
+def make_plan(idempotent=True, most=2):
+    return RequestPlan(
+        "s",
+        "p",
+        idempotent,
+        Priority.NORMAL,
+        9.0,
+        0,
+        1,
+        1,
+        0,
+        "r",
+        "",
+        "",
+        most,
+    )
+
+
+class AttemptsTests(unittest.TestCase):
+    def test_refusals_by_nodes_cost_neither_budget_nor_attempts(self):
+        budget = RetryBudget(0.0, 1.0)
+        attempts = Attempts(make_plan(), budget)
+        attempts.handle(Begin(), 0.0)
+        for _ in range(3):
+            action = attempts.handle(TurnedDown(ResultCode.REQUEST_OVERLOADED), 0.0)
+            self.assertEqual(action, Try())
+        self.assertEqual(budget.tokens, 1.0)
+
+    def test_servers_reached_are_bounded_by_the_route(self):
+        attempts = Attempts(make_plan(most=2), RetryBudget(0.0, 9.0))
+        attempts.handle(Begin(), 0.0)
+        shed = TurnedDown(ResultCode.REQUEST_SHED_BY_SERVER)
+        self.assertEqual(attempts.handle(shed, 0.0), Try())
+        self.assertNotEqual(attempts.handle(shed, 0.0), Try())
+
+    def test_nothing_is_certain_after_a_loss(self):
+        attempts = Attempts(make_plan(), RetryBudget(0.0, 9.0))
+        attempts.handle(Begin(), 0.0)
+        self.assertEqual(attempts.handle(Lost(), 0.0), Try())
+        shed = TurnedDown(ResultCode.REQUEST_SHED_BY_SERVER)
+        refusal = attempts.handle(shed, 0.0).refusal
+        self.assertEqual(refusal.outcome.value, "unknown")
+
+    def test_the_budget_of_a_window_bounds_a_flood_of_losses(self):
+        """Over any window: what is saved up, what time earns, the ratio of firsts."""
+        budget = RetryBudget(0.2, 3.0, 0.3)
+        retries = 0
+        for step in range(1000):
+            budget.earn()
+            retries += budget.spend(step * 0.01)
+        self.assertLessEqual(retries, 3.0 + 0.3 * 10 + 0.2 * 1000)
+        self.assertGreater(retries, 0.2 * 1000 - 1)
