Refusals tell the load; waits end while the caller can come back

Change: a relayed refusal states the load too; a wait ends when it can only waste the caller's time; a stop serves on for two seconds; callers are told to come back after a quarter of their time. Sidecars are tested against stand-ins of the platform's store and servers with their faults.

--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -211,7 +211,7 @@
         "The backend server is leaving.", "Tried elsewhere by the entry node."
     ),
     ResultCode.REQUEST_DEADLINE_NOT_RUN: CodeInfo(
-        "The deadline passed before the request reached a backend server.",
+        "The deadline could not be met before the request reached a backend server.",
         "Safe to send again.",
     ),
     ResultCode.REQUEST_DEADLINE_UNKNOWN: CodeInfo(
@@ -267,7 +267,7 @@
         "A backend server's announcement is not valid.", "Mend the named field."
     ),
     ResultCode.ADMIN_NOT_FOUND: CodeInfo(
-        "The admin listener has no such path.", "See `docs/OPERATING.md`."
+        "The admin listener has no such path.", "See `docs/OPERATIONS.md`."
     ),
 }
 
--- a/src/daisylink/platform/_settings.py
+++ b/src/daisylink/platform/_settings.py
@@ -12,6 +12,9 @@
 
 PATH_VARIABLE = "DAISYLINK_CONFIG"
 
+# The port that deploy/system.toml names.
+METRICS_PORT = 9464
+
 Bounds = dict[str, str | float | bool]
 
 
@@ -109,6 +112,7 @@
         ready=Address.from_text(listen.ready, "ready"),
         announcements=Address.from_text(listen.control, "control"),
         peers=Address(file.ip, file.port_range[0]),
+        metrics=Address(file.ip, METRICS_PORT),
         server=file.app_addr,
         store=file.platform.address,
         announce_interval=read_time(file.heartbeat),
--- a/src/daisylink/process/_node.py
+++ b/src/daisylink/process/_node.py
@@ -203,7 +203,8 @@
         """Stop as planned: cut no request in flight, within the grace."""
         log.info("stopping; {} requests open", self.gateway.open_requests)
         self.stopping = True
-        self.gateway.stopping = True
+        self.gateway.begin_stop()
+        self.gateway.stop_serving()
         self.slot.leave()
         self.update_server()
         await asyncio.sleep(self.settings.drain.total_seconds())
--- a/src/daisylink/request/_attempts.py
+++ b/src/daisylink/request/_attempts.py
@@ -8,6 +8,10 @@
 
 MAX_HOPS = 8
 DEFAULT_RETRY_MS = 500
+MILLISECONDS = 1000
+# When a caller comes back, as a share of its time left: late enough for a queue to
+# have moved on, early enough to be answered still.
+RETRY_SHARE = 0.25
 
 
 @dataclass(frozen=True)
@@ -138,7 +142,7 @@
                 self.count = 1
                 return Try()
             case TurnedDown(code, retry_ms):
-                self.last = refuse(code, retry_ms or DEFAULT_RETRY_MS)
+                self.last = refuse(code, retry_ms)
                 if event.reached:
                     self.reached += 1
                 return self._try_again(replayable, now)
@@ -153,7 +157,7 @@
                     refuse(ResultCode.REQUEST_DEADLINE_NOT_RUN, DEFAULT_RETRY_MS)
                 )
             case NoServer():
-                return self._give_up()
+                return self._give_up(now)
 
     def may_move(self, now: float) -> bool:
         """Return whether a request that may have run could be tried once more."""
@@ -164,18 +168,20 @@
             and self.budget.has_token(now)
         )
 
-    def _give_up(self) -> GiveUp:
+    def _give_up(self, now: float) -> GiveUp:
         """Answer with the last refusal; none is certain after a loss."""
         if self.lost:
             return GiveUp(refuse(ResultCode.REQUEST_ANSWER_LOST))
-        return GiveUp(self.last)
+        left_ms = (self.plan.deadline - now) * MILLISECONDS
+        retry_ms = max(self.last.retry_ms, round(left_ms * RETRY_SHARE))
+        return GiveUp(self.last._replace(retry_ms=retry_ms))
 
     def _try_again(self, allowed: bool, now: float) -> Action:
         if not allowed or self.count >= MAX_HOPS:
-            return self._give_up()
+            return self._give_up(now)
         if self.reached >= self.plan.max_attempts:
-            return self._give_up()
+            return self._give_up(now)
         if self.reached and not self.budget.spend(now):
-            return self._give_up()
+            return self._give_up(now)
         self.count += 1
         return Try()
--- a/src/daisylink/request/_decision.py
+++ b/src/daisylink/request/_decision.py
@@ -17,9 +17,11 @@
     """The request waits for a slot.
 
     :param displaced: ticket of a less urgent request that is refused in its place.
+    :param expires: until when waiting is of use, in seconds of the monotonic clock.
     """
 
     displaced: Any = None
+    expires: float = float("inf")
 
 
 @dataclass(frozen=True)
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -98,6 +98,7 @@
         self.plan: RequestPlan | None = None
         self.attempts: Attempts | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.wait_timer: asyncio.TimerHandle | None = None
         self.tried: set[str] = set()
         self.target = ""
         self.instance = ""
@@ -274,13 +275,26 @@
         match gateway.arrive(self, plan):
             case Admitted():
                 self.run_own()
-            case Queued(displaced):
+            case Queued(displaced, expires):
                 self.is_queued = True
+                self._limit_wait(expires)
                 if displaced is not None:
                     displaced.turn_down(ResultCode.REQUEST_OVERLOADED, DISPLACED_MS)
             case Refused(code, retry_ms):
                 self.turn_down(code, retry_ms)
 
+    def _limit_wait(self, expires: float) -> None:
+        """Refuse the request once waiting on could only waste its caller's time."""
+        if expires == float("inf"):
+            return
+        wait = max(0.0, expires - self.gateway.now())
+        attempt = self.attempt
+        self.wait_timer = self.gateway.loop.call_later(wait, self._end_wait, attempt)
+
+    def _end_wait(self, attempt: int) -> None:
+        if self.is_queued and not self.done and attempt == self.attempt:
+            self.turn_down(ResultCode.REQUEST_DEADLINE_NOT_RUN)
+
     def run_own(self) -> None:
         """Run the request here: a slot is held for it."""
         self.is_queued = False
@@ -449,6 +463,9 @@
         if self.is_queued:
             self.is_queued = False
             self.gateway.admission.withdraw(self)
+        if self.wait_timer is not None:
+            self.wait_timer.cancel()
+            self.wait_timer = None
         hop, self.hop = self.hop, None
         if hop is not None:
             hop.drop()
@@ -488,7 +505,7 @@
             self.keep_alive = False
         extra = []
         if self.is_relay:
-            extra.append(LOAD_HEADER + b": " + self.gateway.load_text())
+            extra.append(self._load_line())
         if self.answer.replayed:
             extra.append(REPLAY_HEADER + b": 1")
         if not self.keeps_caller:
@@ -500,7 +517,11 @@
         """Return whether the caller's connection stays open after the answer."""
         if self.head.expects_continue and not self.continued and not self.body.done:
             return False
-        return self.keep_alive and not self.gateway.stopping
+        return self.keep_alive and (self.is_relay or not self.gateway.stopping)
+
+    def _load_line(self) -> bytes:
+        """Return the header line that tells the entry node the load here."""
+        return LOAD_HEADER + b": " + self.gateway.load_text()
 
     def _find_refusal(self, head: AnswerHead) -> Refusal | None:
         """Return the refusal that an answer stands for, if it is one."""
@@ -571,7 +592,9 @@
         """Give the request its final answer: a refusal."""
         close = not self.keeps_caller
         self.refusal = refusal
-        data = encode_refusal(refusal, close, self.gateway.dialect.status_promises)
+        extra = (self._load_line(),) if self.is_relay else ()
+        promises = self.gateway.dialect.status_promises
+        data = encode_refusal(refusal, close, promises, extra)
         if self.head.method == b"HEAD":
             data = data[: data.index(b"\r\n\r\n") + 4]
         self.caller.write(self, data)
--- a/src/daisylink/request/_outcome.py
+++ b/src/daisylink/request/_outcome.py
@@ -66,13 +66,17 @@
 
 
 def encode_refusal(
-    refusal: Refusal, close: bool, status_promises: bool = False
+    refusal: Refusal,
+    close: bool,
+    status_promises: bool = False,
+    extra: tuple[bytes, ...] = (),
 ) -> bytes:
     """Return the HTTP/1.1 answer of a refusal.
 
     :param close: whether the connection closes after it.
     :param status_promises: whether callers go by the status alone, so that one which
         promises nothing must not stand for a request that was not run.
+    :param extra: more header lines.
     """
     body = msgspec.json.encode(
         {
@@ -96,6 +100,7 @@
     if refusal.retry_ms:
         lines.append(_format_retry(refusal.retry_ms, status_promises))
         lines.append(b"%s: %d" % (RETRY_HEADER, refusal.retry_ms))
+    lines += extra
     if close:
         lines.append(b"connection: close")
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -21,6 +21,9 @@
 # Late requests that may wait for each slot: enough to fill a lull, few enough that
 # nearly all are served.
 LATE_PER_SLOT = 1
+# Part of its time that a late request waits for a lull; with the rest its caller can
+# still come back.
+LATE_PATIENCE_SHARE = 0.5
 MAX_KINDS = 1000
 
 
@@ -130,7 +133,7 @@
             if displaced is None:
                 return self._refuse(waiting, wait, now)
         self.queues[priority].append(waiting)
-        return Queued(displaced)
+        return Queued(displaced, deadline - seconds)
 
     def finish(self, seconds: float, now: float, kind: str = "") -> list[Any]:
         """Free a slot; return the tickets that are admitted in its place.
@@ -201,7 +204,8 @@
         if ends >= waiting.deadline or not self._has_room_for_late():
             return self._refuse(waiting, wait, now)
         self.late.append(waiting)
-        return Queued()
+        patience = (waiting.deadline - now) * LATE_PATIENCE_SHARE
+        return Queued(None, now + patience)
 
     def _make_late(self, waiting: Waiting) -> None:
         """Keep a request that waited too long for a lull, or give it up."""
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -102,6 +102,7 @@
         self.version: Version | None = None
         self.callers: set[CallerConnection] = set()
         self.stopping = False
+        self.is_serving = True
         self.sweeper = loop.call_later(SWEEP_SECONDS, self._sweep)
         self.history_due = self.now() + HISTORY_INTERVAL.total_seconds()
 
@@ -233,10 +234,10 @@
     def update_server(self) -> None:
         """Open or close admission as the own record says."""
         own = self.own
-        if own.server is ServerState.SERVING and not self.stopping:
+        if own.server is ServerState.SERVING and self.is_serving:
             self.admission.open(self._find_limits(own))
             return
-        draining = own.server is ServerState.DRAINING or self.stopping
+        draining = own.server is ServerState.DRAINING or not self.is_serving
         code = ResultCode.REQUEST_DRAINING if draining else ResultCode.REQUEST_NO_SERVER
         for exchange in self.admission.close(code):
             exchange.turn_down(code)
@@ -294,6 +295,15 @@
     def end_claim(self, exchange: Exchange, fate: ClaimFate, answer: bytes) -> None:
         """Tell what became of a request whose claim was granted; set by the node."""
 
+    def begin_stop(self) -> None:
+        """Ask callers to connect elsewhere; requests are still served."""
+        self.stopping = True
+
+    def stop_serving(self) -> None:
+        """Take no new work for the own backend server; what runs is finished."""
+        self.is_serving = False
+        self.update_server()
+
     def close_idle(self) -> None:
         """Close the callers' connections that have no request open."""
         for caller in list(self.callers):
--- a/src/daisylink/settings.py
+++ b/src/daisylink/settings.py
@@ -95,6 +95,7 @@
     :param ready: where readiness is asked for.
     :param announcements: where the backend server announces itself.
     :param peers: where other nodes ask for what this one knows.
+    :param metrics: where metrics are shown.
     :param server: address of the backend server.
     :param store: address of the store.
     :param announce_interval: how often the backend server announces itself.
@@ -113,6 +114,7 @@
     ready: Address
     announcements: Address
     peers: Address
+    metrics: Address
     server: str
     store: str
     announce_interval: timedelta = timedelta(seconds=1)
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -62,8 +62,11 @@
 POLL_SECONDS = 0.05
 # An announcement may come seconds late; a crash shows by the refused connection.
 ANNOUNCEMENTS_PER_LEASE = 6
-# Two missed checks, a second apart, take new callers away from a node that stops.
-STOP_LISTEN_SECONDS = 2.5
+# Two missed checks, a second apart, take new callers away from a node that stops. Until
+# then its backend server, which may run on, goes on serving the fleet.
+STOP_SERVE_SECONDS = 2.0
+# Then callers' last connections end, while what is in hand is finished.
+STOP_LISTEN_SECONDS = 0.5
 # What a stop leaves of the grace, so that the process ends by itself.
 STOP_MARGIN_SECONDS = 1.0
 # Part of the fleet's retries that the nodes hand out; the rest covers calls made by
@@ -72,7 +75,6 @@
 PEER_CALL_SECONDS = 0.5
 PEER_INTERVAL_SECONDS = 0.5
 RESTART_INTERVAL_SECONDS = 0.5
-METRICS_PORT = 9464
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 MEMBERS_PATH = "/v1/members"
 WORD_PATH = "/v1/word"
@@ -181,9 +183,8 @@
         await self._listen_small(settings.ready, self._answer_ready)
         await self._listen_small(settings.announcements, self._answer_announcement)
         await self._listen_small(settings.peers, self._answer_peer)
-        metrics = Address(settings.peers.host, METRICS_PORT)
         try:
-            await self._listen_small(metrics, self._answer_metrics)
+            await self._listen_small(settings.metrics, self._answer_metrics)
         except SettingError as error:
             log.warning("metrics are not served: {}", error)
         self._observe()
@@ -198,10 +199,12 @@
         started_at = self.now()
         log.bind(open=self.gateway.open_requests).info("stopping")
         self.stopping = True
-        self.gateway.stopping = True
-        self.slot.leave()
+        self.gateway.begin_stop()
+        await asyncio.sleep(STOP_SERVE_SECONDS)
         left = msgspec.structs.replace(self.members.own, state=MemberState.LEFT)
         self.registration.leave(msgspec.msgpack.encode(left))
+        self.gateway.stop_serving()
+        self.slot.leave()
         self.update_server()
         await asyncio.sleep(STOP_LISTEN_SECONDS)
         for listener in self.listeners:
@@ -241,7 +244,7 @@
                 "backend server is {}", record.server.name.lower()
             )
             self._note_members()
-        if not self.stopping:
+        if not self.registration.leaving:
             self.registration.set_record(msgspec.msgpack.encode(record))
         self.gateway.update_server()
         self.step()
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,218 @@
+"""Stand-ins that speak the platform's words: its store and a heartbeating server.
+
+Tests switch their faults on. Everything runs on the loop of the test.
+"""
+
+import asyncio
+from base64 import b64decode, b64encode
+from enum import Enum
+from http import HTTPStatus
+from urllib.parse import parse_qsl
+
+import msgspec
+
+SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
+PAGE = 3
+
+
+class Fault(Enum):
+    """What the store does with calls."""
+
+    NONE = "none"
+    UNAVAILABLE = "503"
+    SILENT = "no answer, nothing done"
+    LOSE_ANSWERS = "done, no answer"
+
+
+class HttpStandIn:
+    """A listener on streams; subclasses answer whole requests."""
+
+    def __init__(self):
+        self.server = None
+        self.writers = set()
+
+    @property
+    def address(self):
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+
+    def close(self):
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                first, *lines = head.strip().split("\r\n")
+                method, target, _ = first.split(" ")
+                headers = {}
+                for line in lines:
+                    name, _, value = line.partition(":")
+                    headers[name.lower()] = value.strip()
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                await self.answer(writer, method, target, headers, body)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def answer(self, writer, method, target, headers, body):
+        raise NotImplementedError
+
+
+class StoreStandIn(HttpStandIn):
+    """The platform's store: items with revisions, leases, watches, a history."""
+
+    def __init__(self):
+        super().__init__()
+        self.fault = Fault.NONE
+        self.revision = 1
+        self.items = {}
+        self.events = []
+        self.compacted = 0
+        self.leases = {}
+        self.changed = asyncio.Event()
+        self.calls = 0
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        text = b64encode(value).decode()
+        item = {"key": key, "value": text, "rev": self.revision, "lease": lease}
+        self.items[key] = item
+        self._note({**item, "create_rev": self.revision})
+
+    def delete(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._note({"key": key, "rev": self.revision, "tombstone": True})
+
+    def end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [key for key, item in self.items.items() if item["lease"] == lease]:
+            self.delete(key)
+
+    def forget_history(self):
+        self.compacted = self.revision
+        self.events.clear()
+        self.cut_watches()
+
+    def cut_watches(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def _note(self, event):
+        self.events.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def answer(self, writer, method, target, headers, body):
+        self.calls += 1
+        if self.fault is Fault.UNAVAILABLE:
+            write(writer, HTTPStatus.SERVICE_UNAVAILABLE, b"")
+            return
+        if self.fault is Fault.SILENT:
+            return
+        path, _, text = target.partition("?")
+        query = dict(parse_qsl(text))
+        status, value = await self._perform(method, path, query, body)
+        if self.fault is not Fault.LOSE_ANSWERS:
+            write(writer, status, msgspec.json.encode(value))
+
+    async def _perform(self, method, path, query, body):
+        match method, path.split("/")[2:]:
+            case "GET", ["kv-range"]:
+                return HTTPStatus.OK, self._list(query)
+            case "GET", ["kv-watch"]:
+                return await self._watch(query)
+            case "POST", ["kv-txn"]:
+                return self._write(msgspec.json.decode(body))
+            case "POST", ["kv-lease"]:
+                lease = 100 + len(self.leases)
+                self.leases[lease] = msgspec.json.decode(body)["ttl_time"]
+                return HTTPStatus.OK, {"lease": lease, "ttl_time": self.leases[lease]}
+            case "POST", ["kv-keep", number]:
+                found = int(number) in self.leases
+                status = HTTPStatus.OK if found else HTTPStatus.NOT_FOUND
+                return status, {"ttl_time": "3000ms"}
+            case "DELETE", ["kv-lease-end", number]:
+                self.end_lease(int(number))
+                return HTTPStatus.OK, {}
+        return HTTPStatus.BAD_REQUEST, {}
+
+    def _list(self, query):
+        keys = sorted(key for key in self.items if key > query.get("after", ""))
+        items = [self.items[key] for key in keys[:PAGE]]
+        more = len(keys) > PAGE
+        return {"items": items, "more_pages": more, "current_rev": self.revision}
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        if after < self.compacted:
+            return HTTPStatus.GONE, {}
+        deadline = int(query["wait_ms"]) / 1000
+        try:
+            async with asyncio.timeout(deadline):
+                while self.revision <= after:
+                    await self.changed.wait()
+        except TimeoutError:
+            pass
+        events = [event for event in self.events if event["rev"] > after]
+        return HTTPStatus.OK, {"events": events, "current_rev": self.revision}
+
+    def _write(self, call):
+        for put in call["puts"]:
+            if put["lease"] and put["lease"] not in self.leases:
+                return HTTPStatus.NOT_FOUND, {}
+            self.put(put["key"], b64decode(put["value"]), put["lease"])
+        return HTTPStatus.OK, {"rev": self.revision}
+
+
+class ServerStandIn(HttpStandIn):
+    """A backend server that answers with its seal, or misbehaves when told to.
+
+    :param misbehave: bytes to send in place of the answer, made of the request's id.
+    """
+
+    def __init__(self, instance):
+        super().__init__()
+        self.instance = instance
+        self.misbehave = None
+        self.seconds = 0.0
+        self.runs = []
+        self.seen = []
+
+    async def answer(self, writer, method, target, headers, body):
+        self.seen.append(headers)
+        name = headers["x-daisylink-request-id"]
+        if headers.get("x-daisylink-target-instance") != self.instance:
+            write(writer, HTTPStatus.MISDIRECTED_REQUEST, b"")
+            return
+        self.runs.append(name)
+        await asyncio.sleep(self.seconds)
+        if self.misbehave is not None:
+            writer.write(self.misbehave(name))
+            return
+        writer.write(whole_answer(name, f"answer to {name}".encode()))
+
+
+def whole_answer(name, body, extra=""):
+    head = (
+        "HTTP/1.1 200 OK\r\n"
+        f"X-Daisylink-Request-Id: {name}\r\n"
+        f"X-Daisylink-Response-Seal: {SEAL}\r\n{extra}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def write(writer, status, body):
+    head = f"HTTP/1.1 {int(status)} X\r\nContent-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode() + body)
--- /dev/null
+++ b/tests/sidecar_case.py
@@ -0,0 +1,149 @@
+"""A test case that runs sidecars against stand-ins of the platform."""
+
+import asyncio
+import random
+import socket
+import unittest
+from datetime import timedelta
+
+import msgspec
+
+from daisylink import platform
+from daisylink.clock import LoopClock
+from daisylink.http_client import HttpClient
+from daisylink.logs import set_up_logs
+from daisylink.settings import Address, SidecarSettings
+from daisylink.sidecar import Deployment, Sidecar
+from daisylink.standin import Caller
+from tests.paced_loop import PacedLoop
+from tests.platform_standin import ServerStandIn, StoreStandIn
+from tests.test_platform import BEAT, make_configuration
+
+HOST = "a.example"
+LOCAL = "127.0.0.1"
+
+
+def find_port():
+    with socket.socket() as probe:
+        probe.bind((LOCAL, 0))
+        return probe.getsockname()[1]
+
+
+class Machine:
+    """A sidecar with its backend server."""
+
+    def __init__(self, store, number, pool="one"):
+        self.store_address = store.address
+        self.pool = pool
+        self.server = ServerStandIn(f"i-{number}")
+        self.sequence = 0
+        self.names = [Address(LOCAL, find_port()) for _ in range(6)]
+        self.number = number
+
+    async def start(self):
+        await self.server.start()
+        callers, relay, ready, announcements, peers, metrics = self.names
+        settings = SidecarSettings(
+            node=f"n{self.number}",
+            zone="a",
+            pool=self.pool,
+            callers=callers,
+            relay=relay,
+            ready=ready,
+            announcements=announcements,
+            peers=peers,
+            metrics=metrics,
+            server=self.server.address,
+            store=self.store_address,
+            announce_interval=timedelta(seconds=1),
+        )
+        store = platform.MetadataStore(self.store_address, timedelta(seconds=1))
+        deployment = Deployment(
+            store,
+            platform.DIALECT,
+            platform.CONFIG_KEY,
+            platform.read_configuration,
+            platform.read_announcement,
+            platform.write_reply,
+            platform.READY_PATH,
+        )
+        loop = asyncio.get_running_loop()
+        rng = random.Random(self.number)
+        self.sidecar = Sidecar.from_config(
+            settings, deployment, clock=LoopClock(loop), rng=rng
+        )
+        await self.sidecar.start()
+        self.admission = self.sidecar.gateway.admission
+
+    async def beat(self, state="ready", **fields):
+        self.sequence += 1
+        beat = {**BEAT, "service": self.pool, "seq": self.sequence, "state": state}
+        call = f"/-/rpc?call=instances.heartbeat&of={self.server.instance}"
+        return await self.call(call, {**beat, **fields})
+
+    async def leave(self):
+        call = f"/-/rpc?call=instances.leave&of={self.server.instance}"
+        return await self.call(call, {"born": BEAT["born"]})
+
+    async def call(self, target, body):
+        client = HttpClient(str(self.names[3]))
+        answer = await client.call("POST", target, 1.0, msgspec.json.encode(body))
+        client.close()
+        return answer.status
+
+    async def is_ready(self):
+        client = HttpClient(str(self.names[2]))
+        answer = await client.call("GET", "/-/ready", 1.0)
+        client.close()
+        return answer.status == 200
+
+    async def request(self, name, method="GET", deadline=800, path="/x/1"):
+        caller = Caller(str(self.names[0]))
+        headers = {"X-Daisylink-Request-Id": name}
+        if deadline:
+            headers["X-Daisylink-Deadline-Ms"] = str(deadline)
+        answer = await caller.call(method, path, HOST, b"", headers)
+        caller.close()
+        return answer
+
+    def close(self):
+        self.sidecar.close()
+        self.server.close()
+
+
+class SidecarTestCase(unittest.TestCase):
+    def run_machines(self, scenario, count=1, configuration=None):
+        set_up_logs("CRITICAL")
+        with asyncio.Runner(loop_factory=PacedLoop) as runner:
+            runner.run(self._run(scenario, count, configuration))
+
+    async def _run(self, scenario, count, configuration):
+        store = StoreStandIn()
+        await store.start()
+        if configuration is not False:
+            store.put(platform.CONFIG_KEY, configuration or make_configuration())
+        machines = [Machine(store, number) for number in range(count)]
+        for machine in machines:
+            await machine.start()
+            await machine.beat()
+        try:
+            if configuration is not False:
+                await self.wait_for(lambda: knows_all(machines))
+            await scenario(store, *machines)
+        finally:
+            for machine in machines:
+                machine.close()
+            store.close()
+
+    async def wait_for(self, condition, seconds=8.0):
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+
+def knows_all(machines):
+    return all(
+        machine.sidecar.knowledge.number
+        and len(machine.sidecar.members.serving("one")) == len(machines)
+        for machine in machines
+    )
--- /dev/null
+++ b/tests/test_server_answers.py
@@ -0,0 +1,98 @@
+"""What faulty backend servers send, and what of it may reach a caller."""
+
+import asyncio
+
+from tests.platform_standin import whole_answer
+from tests.sidecar_case import SidecarTestCase
+from tests.test_platform import make_configuration
+
+
+class ServerAnswerTests(SidecarTestCase):
+    """One request to a server that misbehaves."""
+
+    def answer_of(self, misbehave, method="GET", configuration=None):
+        answers = []
+
+        async def scenario(_store, machine):
+            machine.server.misbehave = misbehave
+            answers.append(await machine.request("r1", method))
+            answers.append(len(machine.server.runs))
+
+        self.run_machines(scenario, configuration=configuration)
+        return answers
+
+    def test_a_success_without_proof_is_not_passed_on(self):
+        def unproved(name):
+            data = whole_answer(name, b"forged")
+            return data.replace(b"X-Daisylink-Response-Seal", b"X-Other")
+
+        answer, _ = self.answer_of(unproved)
+        self.assertEqual(answer.status, 502)
+
+    def test_a_body_in_a_coding_is_not_passed_on(self):
+        def coded(name):
+            return whole_answer(name, b"zz", "Content-Encoding: gzip\r\n")
+
+        answer, _ = self.answer_of(coded)
+        self.assertEqual(answer.status, 502)
+
+    def test_a_stray_answer_is_skipped(self):
+        def stray_first(name):
+            return whole_answer("other", b"stray") + whole_answer(name, b"own")
+
+        answer, runs = self.answer_of(stray_first)
+        self.assertEqual((answer.status, answer.body, runs), (200, b"own", 1))
+
+    def test_bytes_after_an_answer_reach_nobody(self):
+        def followed(name):
+            return whole_answer(name, b"own") + whole_answer(name, b"again")
+
+        async def scenario(_store, machine):
+            machine.server.misbehave = followed
+            first = await machine.request("r1")
+            machine.server.misbehave = None
+            second = await machine.request("r2")
+            self.assertEqual((first.body, second.body), (b"own", b"answer to r2"))
+
+        self.run_machines(scenario)
+
+    def test_an_answer_cut_short_does_not_look_whole(self):
+        def short(name):
+            return whole_answer(name, b"x" * 50)[:-20]
+
+        async def scenario(_store, machine):
+            machine.server.misbehave = short
+            call = asyncio.ensure_future(machine.request("r1"))
+            await self.wait_for(lambda: machine.server.runs)
+            await asyncio.sleep(0.1)
+            for writer in list(machine.server.writers):
+                writer.transport.abort()
+            answer = await call
+            self.assertFalse(answer.complete)
+
+        self.run_machines(scenario)
+
+    def test_another_server_at_the_address_runs_nothing(self):
+        async def scenario(_store, machine):
+            machine.server.instance = "i-another"
+            answer = await machine.request("r1")
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(machine.server.runs, [])
+
+        self.run_machines(scenario)
+
+    def test_what_may_have_run_once_is_not_said_to_be_unrun(self):
+        configuration = make_configuration(kind="non_idempotent")
+
+        async def scenario(_store, machine):
+            machine.server.seconds = 0.1
+            machine.server.misbehave = lambda _name: b""
+            call = asyncio.ensure_future(machine.request("r1", "POST"))
+            await self.wait_for(lambda: machine.server.runs)
+            for writer in list(machine.server.writers):
+                writer.transport.abort()
+            answer = await call
+            self.assertEqual(answer.status, 502)
+            self.assertEqual(machine.server.runs, ["r1"])
+
+        self.run_machines(scenario, configuration=configuration)
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,129 @@
+"""Sidecars while the store fails, servers leave and the node itself stops."""
+
+import asyncio
+
+from daisylink import platform
+from tests.platform_standin import Fault
+from tests.sidecar_case import LOCAL, SidecarTestCase, find_port
+from tests.test_platform import BEAT, make_configuration
+
+
+class SidecarTests(SidecarTestCase):
+    def test_a_request_is_served_and_the_server_told_what_it_needs(self):
+        async def scenario(_store, machine):
+            answer = await machine.request("r1")
+            self.assertEqual((answer.status, answer.body), (200, b"answer to r1"))
+            self.assertIn("x-daisylink-response-seal", answer.headers)
+            seen = machine.server.seen[0]
+            self.assertEqual(seen["x-daisylink-caller-service"], "one")
+            self.assertEqual(seen["x-daisylink-target-instance"], "i-0")
+            self.assertLessEqual(int(seen["x-daisylink-deadline-ms"]), 800)
+
+        self.run_machines(scenario)
+
+    def test_a_node_that_knows_no_version_refuses_with_503(self):
+        async def scenario(store, machine):
+            self.assertFalse(await machine.is_ready())
+            self.assertEqual((await machine.request("r1")).status, 503)
+            store.put(platform.CONFIG_KEY, make_configuration())
+            await self.wait_for(lambda: machine.sidecar.is_ready)
+            self.assertTrue(await machine.is_ready())
+
+        self.run_machines(scenario, configuration=False)
+
+    def test_an_older_version_is_never_installed(self):
+        async def scenario(store, machine):
+            older = make_configuration().replace(b"r12", b"r11")
+            store.put(platform.CONFIG_KEY, older)
+            store.put("other", b"")
+            await self.wait_for(lambda: "other" in machine.sidecar.follower.values)
+            self.assertEqual(machine.sidecar.knowledge.number, 12)
+
+        self.run_machines(scenario)
+
+    def test_a_forgotten_history_loses_no_version(self):
+        async def scenario(store, machine):
+            newer = make_configuration().replace(b"r12", b"r14")
+            store.put(platform.CONFIG_KEY, newer)
+            store.forget_history()
+            await self.wait_for(lambda: machine.sidecar.knowledge.number == 14)
+
+        self.run_machines(scenario)
+
+    def test_everything_is_back_after_the_store_was_away(self):
+        for fault in (Fault.UNAVAILABLE, Fault.SILENT, Fault.LOSE_ANSWERS):
+
+            async def scenario(store, machine, fault=fault):
+                store.fault = fault
+                store.cut_watches()
+                await asyncio.sleep(3.0)
+                self.assertEqual((await machine.request("r1")).status, 200)
+                for lease in list(store.leases):
+                    store.end_lease(lease)
+                newer = make_configuration().replace(b"r12", b"r14")
+                store.put(platform.CONFIG_KEY, newer)
+                store.fault = Fault.NONE
+                store.cut_watches()
+                await self.wait_for(lambda: machine.sidecar.knowledge.number == 14, 2)
+                await self.wait_for(lambda: len(store.items) == 2, 2)
+
+            with self.subTest(fault=fault):
+                self.run_machines(scenario)
+
+    def test_a_node_cut_from_the_store_learns_from_its_peers(self):
+        async def scenario(store, first, second):
+            lonely = second.sidecar.deployment.store.client
+            lonely.close()
+            lonely.address = f"{LOCAL}:{find_port()}"
+            store.cut_watches()
+            newer = make_configuration().replace(b"r12", b"r14")
+            store.put(platform.CONFIG_KEY, newer)
+            await self.wait_for(lambda: second.sidecar.knowledge.number == 14, 4)
+
+        self.run_machines(scenario, count=2)
+
+    def test_a_draining_server_gets_nothing_from_the_acknowledgement_on(self):
+        async def scenario(_store, machine):
+            self.assertEqual(await machine.beat("draining"), 200)
+            answer = await machine.request("r1")
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(machine.server.runs, [])
+
+        self.run_machines(scenario)
+
+    def test_a_late_heartbeat_brings_no_server_back(self):
+        """One that leaves without draining; one of an earlier start."""
+
+        async def scenario(_store, machine):
+            self.assertEqual(await machine.leave(), 200)
+            await machine.beat()
+            self.assertFalse(machine.admission.is_open)
+            await machine.beat(born=BEAT["born"] + 5, seq=1)
+            self.assertTrue(machine.admission.is_open)
+            await machine.beat("draining", seq=99)
+            self.assertTrue(machine.admission.is_open)
+
+        self.run_machines(scenario)
+
+    def test_words_of_other_writers_change_nothing(self):
+        async def scenario(_store, machine):
+            self.assertEqual(await machine.beat("gone"), 400)
+            self.assertEqual(await machine.beat(service="another"), 400)
+            self.assertEqual((await machine.request("r1")).status, 200)
+
+        self.run_machines(scenario)
+
+    def test_a_planned_stop_cuts_nothing_and_serves_the_fleet_on(self):
+        async def scenario(_store, first, second):
+            second.server.seconds = 0.4
+            first.server.close()
+            call = asyncio.ensure_future(second.request("r1"))
+            await self.wait_for(lambda: second.server.runs)
+            stop = asyncio.ensure_future(second.sidecar.stop())
+            await asyncio.sleep(0)
+            self.assertFalse(await second.is_ready())
+            self.assertTrue(second.admission.is_open)
+            self.assertEqual((await call).status, 200)
+            await stop
+
+        self.run_machines(scenario, count=2)
