Watch anew from the known revision instead of reading all keys

Cause: on the grown sites' narrow links (2.5 Mbit/s) a configuration of 100 KB takes 0.4 s; a node that a peer was ahead of gave up its watch and listed all keys, over and over, and calls ended after 1 s.

Change: evidence of a newer version is given a second and then leads to a new watch from the known revision, at most every two seconds; reads have the time that their longest page takes through such a link; changes gather for 40 ms between watches.

--- a/src/daisylink/platform/_store.py
+++ b/src/daisylink/platform/_store.py
@@ -12,6 +12,8 @@
 from daisylink.platform._units import read_time, write_time
 from daisylink.registry import Changes, Item, Lease, Listing
 
+# A megabyte, the longest page, takes this long through a link of 2.5 Mbit/s.
+READ_SECONDS = 3.5
 CODES = {
     HTTPStatus.TOO_MANY_REQUESTS: ResultCode.PLATFORM_LIMITED,
     HTTPStatus.GONE: ResultCode.PLATFORM_HISTORY_GONE,
@@ -58,7 +60,7 @@
     """A :class:`~daisylink.registry.LeaseStore` over HTTP.
 
     :param address: ``ip:port`` of the store.
-    :param timeout: longest time of a call; a watch adds its waiting time.
+    :param timeout: longest time of a call that carries little.
     """
 
     def __init__(self, address: str, timeout: timedelta):
@@ -76,7 +78,8 @@
         after = ""
         while True:
             query = {"prefix": prefix, "after": after} if after else {"prefix": prefix}
-            answer = await self._call("GET", f"/-/kv-range?{urlencode(query)}")
+            target = f"/-/kv-range?{urlencode(query)}"
+            answer = await self._call("GET", target, seconds=READ_SECONDS)
             page = _decode(answer, _Page)
             items += [_convert(item) for item in page.items]
             if revision is None:
@@ -94,7 +97,7 @@
             "wait_ms": round(seconds * 1000),
         }
         target = f"/-/kv-watch?{urlencode(query)}"
-        answer = await self._call("GET", target, seconds=self.timeout + seconds)
+        answer = await self._call("GET", target, seconds=seconds + READ_SECONDS)
         events = _decode(answer, _Events)
         return Changes([_convert(item) for item in events.events], events.current_rev)
 
--- a/src/daisylink/registry/_follower.py
+++ b/src/daisylink/registry/_follower.py
@@ -18,13 +18,15 @@
 class FollowerSettings(NamedTuple):
     """Times of a follower.
 
+    :param pause: time between an answer and the next watch, in which changes gather.
     :param wait: how long a watch waits at the store; bounds how long a connection that
         fell silent goes unnoticed.
     :param retry_base: delay after the first failed call; doubles with each further one.
     :param retry_most: longest delay between calls while the store is away.
     """
 
-    wait: timedelta = timedelta(seconds=4)
+    wait: timedelta = timedelta(seconds=3)
+    pause: timedelta = timedelta(milliseconds=40)
     retry_base: timedelta = timedelta(milliseconds=100)
     retry_most: timedelta = timedelta(milliseconds=800)
 
@@ -93,10 +95,12 @@
             self.pending = ListKeys()
         return self.pending
 
-    def restart(self) -> None:
-        """List anew at the next tick: there is evidence that changes were missed."""
+    def watch_anew(self) -> None:
+        """Watch by a new call at the next tick, from the revision that is known.
+
+        The one under way may have fallen silent; whoever made it ends it.
+        """
         self.pending = None
-        self.is_listed = False
         self.retry_at = 0.0
 
     def take_listing_answer(self, listing: Listing, now: float) -> None:
@@ -115,6 +119,7 @@
         """Take the changes that a watch brought."""
         self._note_answer(now)
         self.revision = max(self.revision, changes.revision)
+        self.retry_at = now + self.settings.pause.total_seconds()
         for item in changes.items:
             self._take(item)
 
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -74,7 +74,10 @@
 RETRY_SHARE = 0.7
 PEER_CALL_SECONDS = 0.5
 PEER_INTERVAL_SECONDS = 0.5
-RESTART_INTERVAL_SECONDS = 0.5
+# A peer that is ahead may only have been told a moment sooner.
+NEWER_PATIENCE_SECONDS = 1.0
+# Time between new watches, in which a large configuration comes through a narrow link.
+REWATCH_INTERVAL_SECONDS = 2.0
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 MEMBERS_PATH = "/v1/members"
 WORD_PATH = "/v1/word"
@@ -150,7 +153,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.word_revision = 0
         self.ask_peer_at = float("inf")
-        self.restarted_at = float("-inf")
+        self.rewatched_at = float("-inf")
+        self.newer_number = 0
         self.is_asking_peer = False
         self.stopping = False
 
@@ -305,7 +309,7 @@
             self.registration.take_answer(answer, self.now())
             if had_failed:
                 log.bind(call=type(call).__name__).info("store answers again")
-                self._restart_follower("store answers again")
+                self._watch_anew("store answers again")
         self.step()
 
     async def _follow(self, call: FollowCall) -> None:
@@ -339,16 +343,16 @@
         else:
             fields.warning("store call failed: {}", error.message)
 
-    def _restart_follower(self, reason: str) -> None:
-        """Read all keys anew, at most every half second."""
+    def _watch_anew(self, reason: str) -> None:
+        """Give up the call under way, which may have fallen silent, for a new one."""
         now = self.now()
-        if now - self.restarted_at < RESTART_INTERVAL_SECONDS:
+        if now - self.rewatched_at < REWATCH_INTERVAL_SECONDS:
             return
-        self.restarted_at = now
-        log.bind(reason=reason).info("keys are read anew")
+        self.rewatched_at = now
+        log.bind(reason=reason, revision=self.follower.revision).info("watch made anew")
         if self.follow_task is not None:
             self.follow_task.cancel()
-        self.follower.restart()
+        self.follower.watch_anew()
 
     def _take_listing(self) -> None:
         key = member_key(self.members.own.node)
@@ -359,12 +363,19 @@
 
     def _note_peer_version(self, number: int) -> None:
         """Look for a version that a peer has and this node has not heard of."""
+        if number <= max(self.knowledge.number, self.newer_number):
+            return
+        self.newer_number = number
+        self.loop.call_later(NEWER_PATIENCE_SECONDS, self._look_for_version, number)
+
+    def _look_for_version(self, number: int) -> None:
+        """Find a version that a peer has had for a while and this node has not."""
         if number <= self.knowledge.number or self.stopping:
             return
         if self.follower.failures:
             self.ask_peer_at = min(self.ask_peer_at, self.now())
         else:
-            self._restart_follower("a peer has a newer version")
+            self._watch_anew("a peer has a newer version")
         self.loop.call_soon(self.step)
 
     def _ask_peer(self) -> None:
