Split the gateway and the exchange by job

Change: requests in flight and probes of nodes (_flights), the line that ends a request (_request_log) and the heads for the next hop (_next_head) stand alone. No behaviour changes.

--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -38,16 +38,12 @@
     Refused,
 )
 from daisylink.request._head import (
-    DEPTH_HEADER,
-    HOP_HEADER,
     LOAD_HEADER,
     Header,
-    Hop,
     RequestHead,
-    build_hop_head,
-    encode_hop,
 )
 from daisylink.request._local_run import LocalRun
+from daisylink.request._next_head import make_relay_head, make_server_head
 from daisylink.request._outcome import (
     Outcome,
     Refusal,
@@ -60,7 +56,6 @@
     build_replay,
 )
 
-HOP_MARGIN_MS = 5
 MILLISECONDS = 1000
 DISPLACED_MS = 200
 FINAL_CODES = frozenset(
@@ -263,7 +258,7 @@
         self.target = record.node
         self.instance = record.instance
         self.choice = gateway.chooser.describe(record.node, gateway.now())
-        gateway.begin_flight(self, record)
+        gateway.flights.begin(self, record)
         if record.node == own.node:
             self._try_own()
         else:
@@ -349,63 +344,28 @@
         self._note_failure()
         self.turn_down(ResultCode.REQUEST_CONNECT_FAILED)
         if timed_out and target:
-            self.gateway.note_unreachable(target)
+            self.gateway.flights.note_unreachable(target)
 
     def _attach(self, hop: Any) -> None:
         self.hop = hop
         self.head_sent = True
         self.swallowed = None
         hop.begin(self, self.head.method == b"HEAD")
-        hop.push(self._make_hop_head())
+        hop.push(self._make_head())
         for piece in self.body.pieces:
             hop.push(piece)
         hop.flush()
         self.body.trim()
         self.caller.resume()
 
-    def _make_hop_head(self) -> bytes:
-        left = self.plan.deadline - self.gateway.now()
-        left_ms = max(1, round(left * MILLISECONDS))
-        depth = self.head.depth
-        gateway = self.gateway
-        plan = self.plan
+    def _make_head(self) -> bytes:
+        """Return the head of the request for the next hop."""
         if self.local is not None:
-            return build_hop_head(self.head, self._server_headers(left_ms))
-        left_ms = max(1, left_ms - HOP_MARGIN_MS)
-        hop = Hop(
-            plan.pool,
-            left_ms,
-            plan.idempotent,
-            plan.priority,
-            gateway.origin,
-            self.instance,
-            gateway.version_number,
-            self._slo_left_ms(),
-            plan.route,
-        )
-        extra = [(HOP_HEADER, encode_hop(hop)), (DEPTH_HEADER, b"%d" % depth)]
+            return make_server_head(self.head, self.plan, self.gateway)
         expect = self.head.expects_continue and not self.continued
-        return build_hop_head(self.head, extra, expect)
-
-    def _slo_left_ms(self) -> int:
-        """Return what is left of the objective, at least 1; 0 if there is none."""
-        if self.plan.on_time == float("inf"):
-            return 0
-        left = self.plan.on_time - self.gateway.now()
-        return max(1, round(left * MILLISECONDS) - HOP_MARGIN_MS)
-
-    def _server_headers(self, left_ms: int) -> list[Header]:
-        """Return the headers that the own backend server gets from this node."""
-        gateway = self.gateway
-        dialect = gateway.dialect
-        origin = self.plan.origin if self.is_relay else gateway.origin
-        headers = [(dialect.deadline, b"%d" % left_ms)]
-        if dialect.target:
-            headers.append((dialect.target, gateway.own.instance.encode()))
-        if dialect.origin:
-            headers.append((dialect.origin, origin.encode()))
-        headers.append((DEPTH_HEADER, b"%d" % (self.head.depth + 1)))
-        return headers
+        return make_relay_head(
+            self.head, self.plan, self.gateway, self.instance, expect
+        )
 
     def turn_down(self, code: ResultCode, retry_ms: int = 0) -> None:
         """Note a certain refusal, here or at the next hop, and go on."""
@@ -458,7 +418,7 @@
     def _end_attempt(self, fate: ClaimFate = ClaimFate.UNKNOWN) -> None:
         """Give back what the attempt held."""
         if self.target:
-            self.gateway.end_flight(self, self.target)
+            self.gateway.flights.end(self, self.target)
             self.target = ""
         if self.is_queued:
             self.is_queued = False
--- /dev/null
+++ b/src/daisylink/request/_next_head.py
@@ -0,0 +1,69 @@
+"""The heads of a request for the next hop: another node, or the backend server."""
+
+from typing import Any
+
+from daisylink.request._head import (
+    DEPTH_HEADER,
+    HOP_HEADER,
+    Header,
+    Hop,
+    RequestHead,
+    build_hop_head,
+    encode_hop,
+)
+from daisylink.request._plan import RequestPlan
+
+# What the next node needs to answer before this one's deadline.
+HOP_MARGIN_MS = 5
+MILLISECONDS = 1000
+
+
+def make_relay_head(
+    head: RequestHead, plan: RequestPlan, gateway: Any, instance: str, expect: bool
+) -> bytes:
+    """Return the head for the node beside the chosen backend server.
+
+    :param instance: backend server that alone may run the request, "" for any.
+    :param expect: whether that node is to say when it wants the body.
+    """
+    now = gateway.now()
+    hop = Hop(
+        plan.pool,
+        max(1, _count_left_ms(plan.deadline, now) - HOP_MARGIN_MS),
+        plan.idempotent,
+        plan.priority,
+        gateway.origin,
+        instance,
+        gateway.version_number,
+        _count_slo_ms(plan, now),
+        plan.route,
+    )
+    extra = [(HOP_HEADER, encode_hop(hop)), (DEPTH_HEADER, b"%d" % head.depth)]
+    return build_hop_head(head, extra, expect)
+
+
+def make_server_head(head: RequestHead, plan: RequestPlan, gateway: Any) -> bytes:
+    """Return the head for the own backend server."""
+    dialect = gateway.dialect
+    origin = plan.origin if head.hop is not None else gateway.origin
+    left_ms = _count_left_ms(plan.deadline, gateway.now())
+    headers: list[Header] = [(dialect.deadline, b"%d" % left_ms)]
+    if dialect.target:
+        headers.append((dialect.target, gateway.own.instance.encode()))
+    if dialect.origin:
+        headers.append((dialect.origin, origin.encode()))
+    headers.append((DEPTH_HEADER, b"%d" % (head.depth + 1)))
+    return build_hop_head(head, headers)
+
+
+def _count_left_ms(deadline: float, now: float) -> int:
+    """Return the whole milliseconds left, at least 1."""
+    return max(1, round((deadline - now) * MILLISECONDS))
+
+
+def _count_slo_ms(plan: RequestPlan, now: float) -> int:
+    """Return what is left of the objective, at least 1; 0 if there is none."""
+    if plan.on_time == float("inf"):
+        return 0
+    left_ms = round((plan.on_time - now) * MILLISECONDS)
+    return max(1, left_ms - HOP_MARGIN_MS)
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -7,7 +7,6 @@
 from daisylink.clock import Clock
 from daisylink.connection import CallerConnection, HopPool
 from daisylink.errors import ResultCode
-from daisylink.logs import get_logger
 from daisylink.request import (
     OWN_DIALECT,
     ClaimFate,
@@ -23,24 +22,23 @@
 from daisylink.serving._admission import Admission, Limits
 from daisylink.serving._burn import HISTORY_INTERVAL, BurnBook
 from daisylink.serving._chooser import Chooser
+from daisylink.serving._flights import Flights
 from daisylink.serving._metrics import Metrics
 from daisylink.serving._quarantine import Quarantine
 from daisylink.serving._records import MemberRecord, ServerState
+from daisylink.serving._request_log import log_end
 from daisylink.serving._slot import Slot
 from daisylink.serving._splitter import Splitter
 from daisylink.version import CallerLimits, RouteEntry, Target, Version
 
 MILLISECONDS = 1000
 SWEEP_SECONDS = 1.0
-WATCH_SECONDS = 0.05
 CRASH_LOOK_SECONDS = 0.02
 PROBE_SECONDS = 0.5
 DEFAULT_LIMITS = Limits(slots=8, connections=64, queue=20)
 # Where no length is stated, the requests' time limits bound the queue.
 UNSTATED_QUEUE = 256
 
-log = get_logger("request")
-
 
 class BudgetSettings(NamedTuple):
     """Bounds of the retries of one service at one node.
@@ -95,10 +93,8 @@
         self.budget_settings = budget_settings or BudgetSettings()
         self.budgets: dict[str, RetryBudget] = {}
         self.splitter = Splitter()
-        self.flights: dict[str, dict[Exchange, float]] = {}
-        self.relays: dict[str, str] = {}
-        self.watcher: asyncio.TimerHandle | None = None
         self.hops = HopPool(self)
+        self.flights = Flights(self.now, loop, chooser, self.hops)
         self.version: Version | None = None
         self.callers: set[CallerConnection] = set()
         self.stopping = False
@@ -183,34 +179,6 @@
         load = self._own_load()
         return self.chooser.choose(plan.pool, tried, plan.slots, load, self.now())
 
-    def forget_node(self, node: str) -> None:
-        """Forget a node that is no member any more."""
-        self.chooser.silence.forget(node)
-
-    def begin_flight(self, exchange: Exchange, record: MemberRecord) -> None:
-        """Count a request that goes to a node, which owes an answer from now on."""
-        node = record.node
-        self.chooser.begin(node)
-        if node == self.own.node:
-            return
-        self.relays[node] = record.relay
-        self.flights.setdefault(node, {})[exchange] = self.now()
-        self._watch_silence()
-
-    def end_flight(self, exchange: Exchange, node: str) -> None:
-        """Count a request back."""
-        self.chooser.end(node)
-        flights = self.flights.get(node)
-        if flights is not None:
-            flights.pop(exchange, None)
-            if not flights:
-                del self.flights[node]
-
-    def note_unreachable(self, node: str) -> None:
-        """Send no requests to a node that does not answer a new connection."""
-        if self.chooser.silence.note_unreachable(node, self.now()):
-            self._leave_node(node)
-
     def arrive(self, exchange: Exchange, plan: RequestPlan) -> Decision:
         """Decide on a request for the own backend server."""
         decision = self.admission.arrive(
@@ -343,14 +311,13 @@
     def close(self) -> None:
         """Close every connection."""
         self.sweeper.cancel()
-        if self.watcher is not None:
-            self.watcher.cancel()
+        self.flights.close()
         for caller in list(self.callers):
             caller.close()
         self.hops.close()
 
     def _count(self, exchange: Exchange, code: str) -> None:
-        self._log_end(exchange, code)
+        log_end(exchange, code, self.now())
         if exchange.is_relay:
             return
         plan = exchange.plan
@@ -362,69 +329,6 @@
                 service, code, seconds, plan.slo_ms, exchange.answer.replayed
             )
 
-    def _log_end(self, exchange: Exchange, code: str) -> None:
-        """Write the line that tells how a request ended, and by what decisions."""
-        plan = exchange.plan
-        fields = {
-            "request": exchange.head.request_id.decode("latin-1"),
-            "outcome": code,
-            "ms": round((self.now() - exchange.started_at) * MILLISECONDS, 1),
-            "at_slot": exchange.is_relay,
-            "trail": exchange.trail,
-            "last": exchange.choice,
-        }
-        if plan is not None:
-            fields["pool"] = plan.pool
-            fields["route"] = plan.route
-            fields["version"] = plan.version
-            fields["left_ms"] = round((plan.deadline - self.now()) * MILLISECONDS)
-        refusal = exchange.refusal
-        if refusal is not None:
-            fields["refused"] = refusal.code.name
-            fields["ran"] = refusal.outcome.value
-            fields["retry_ms"] = refusal.retry_ms
-        elif exchange.answer.started:
-            fields["status"] = exchange.answer.status
-        level = "DEBUG" if code == "ok" else "INFO"
-        log.bind(**fields).log(level, "request ended")
-
-    def _watch_silence(self) -> None:
-        if self.watcher is None:
-            self.watcher = self.loop.call_later(WATCH_SECONDS, self._look_for_silence)
-
-    def _look_for_silence(self) -> None:
-        """Probe the nodes that owe answers for too long, while any does."""
-        self.watcher = None
-        silence = self.chooser.silence
-        oldest = {node: min(flights.values()) for node, flights in self.flights.items()}
-        probes = silence.choose_probes(
-            oldest, self.chooser.heard_at, self.chooser.usual_times(), self.now()
-        )
-        for node in probes:
-            task = self.loop.create_task(self._probe_node(node))
-            self.probes.add(task)
-            task.add_done_callback(self.probes.discard)
-        if self.flights or silence.unreachable:
-            self._watch_silence()
-
-    async def _probe_node(self, node: str) -> None:
-        reached = await self.hops.probe(self.relays[node])
-        if not self.chooser.silence.take_probe(node, reached, self.now()):
-            return
-        if reached:
-            log.bind(node=node).info("node answers again")
-            self.chooser.note_reachable(node)
-        else:
-            self._leave_node(node)
-
-    def _leave_node(self, node: str) -> None:
-        """Take the requests back that a silent node holds."""
-        flights = list(self.flights.get(node, ()))
-        log.bind(node=node, in_flight=len(flights)).warning("node does not answer")
-        self.hops.drop(self.relays[node])
-        for exchange in flights:
-            exchange.lose_target(node)
-
     def _own_load(self) -> float:
         admission = self.admission
         if not admission.is_open:
--- /dev/null
+++ b/src/daisylink/serving/_request_log.py
@@ -0,0 +1,40 @@
+"""The log line that tells how a request ended, and by what decisions."""
+
+from typing import Any
+
+from daisylink.logs import get_logger
+
+MILLISECONDS = 1000
+
+log = get_logger("request")
+
+
+def log_end(exchange: Any, code: str, now: float) -> None:
+    """Write the line of a request that ended.
+
+    :param exchange: the :class:`~daisylink.request.Exchange`.
+    :param code: ``ok``, ``error`` for a server's own 5xx answer, or a result code.
+    """
+    plan = exchange.plan
+    fields = {
+        "request": exchange.head.request_id.decode("latin-1"),
+        "outcome": code,
+        "ms": round((now - exchange.started_at) * MILLISECONDS, 1),
+        "at_slot": exchange.is_relay,
+        "trail": exchange.trail,
+        "last": exchange.choice,
+    }
+    if plan is not None:
+        fields["pool"] = plan.pool
+        fields["route"] = plan.route
+        fields["version"] = plan.version
+        fields["left_ms"] = round((plan.deadline - now) * MILLISECONDS)
+    refusal = exchange.refusal
+    if refusal is not None:
+        fields["refused"] = refusal.code.name
+        fields["ran"] = refusal.outcome.value
+        fields["retry_ms"] = refusal.retry_ms
+    elif exchange.answer.started:
+        fields["status"] = exchange.answer.status
+    level = "DEBUG" if code == "ok" else "INFO"
+    log.bind(**fields).log(level, "request ended")
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -139,7 +139,7 @@
             self.now,
             self._install,
             self._note_members,
-            self.gateway.forget_node,
+            self.gateway.flights.forget,
         )
         ttl = max(settings.lease_least, RegistrationSettings().ttl)
         self.registration = Registration(RegistrationSettings(ttl=ttl), rng)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -94,7 +94,7 @@
             entry = fleet.nodes[0].gateway
             caller = Caller(str(fleet.nodes[0].callers_address))
             call = asyncio.ensure_future(caller.call("POST", "/a/read", HOST, b"x"))
-            await fleet.wait_for(lambda: entry.flights)
+            await fleet.wait_for(lambda: entry.flights.since)
             entry.chooser.note_directory()
             await fleet.wait_for(lambda: entry.chooser.silence.probe_at)
             self.assertEqual(entry.chooser.silence.unreachable, set())
