Let the store's calls and word between peers stand alone

Cause: sidecar/_sidecar.py had 525 lines and three jobs; and a node whose store connection fell silent asked peers only once its watch had timed out (6.5 s), close to the bound of 7 s.

Change: _store_link makes the calls, _peers asks and answers; failed renewals, which take a second, lead to peers too, and so does a version that a peer has had for two seconds. A stop's order and all else as before.

Test: a silent store, within config_apply and skew_max.

--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -11,32 +11,20 @@
 
 from daisylink.clock import Clock, SystemClock
 from daisylink.errors import (
-    CallError,
     DaisylinkError,
     NodeError,
-    PlatformError,
     ResultCode,
     SettingError,
 )
-from daisylink.http_client import HttpClient
 from daisylink.http_server import HttpServer, WebReply, WebRequest
 from daisylink.logs import get_logger
 from daisylink.registry import (
-    EndLease,
-    FollowCall,
     Follower,
     FollowerSettings,
-    GrantLease,
-    Item,
-    ListKeys,
     Members,
     MemberSettings,
     Registration,
-    RegistrationCall,
     RegistrationSettings,
-    RenewLease,
-    WatchKeys,
-    WriteRecord,
 )
 from daisylink.serving import (
     Announcement,
@@ -55,6 +43,8 @@
 from daisylink.settings import Address, SidecarSettings
 from daisylink.sidecar._deployment import Deployment
 from daisylink.sidecar._knowledge import Knowledge, member_key
+from daisylink.sidecar._peers import Peers
+from daisylink.sidecar._store_link import StoreLink
 from daisylink.version import Version
 
 BACKLOG = 512
@@ -72,30 +62,13 @@
 # Part of the fleet's retries that the nodes hand out; the rest covers calls made by
 # repeats, which count as repeats too.
 RETRY_SHARE = 0.7
-PEER_CALL_SECONDS = 0.5
-PEER_INTERVAL_SECONDS = 0.5
 # A peer that is ahead may only have been told a moment sooner.
 NEWER_PATIENCE_SECONDS = 1.0
-# Time between new watches, in which a large configuration comes through a narrow link.
-REWATCH_INTERVAL_SECONDS = 2.0
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-MEMBERS_PATH = "/v1/members"
-WORD_PATH = "/v1/word"
 
 log = get_logger("sidecar")
 
 
-class Word(msgspec.Struct, array_like=True):
-    """What a node tells a peer that cannot reach the store.
-
-    :param revision: the store's revision up to which the keys are complete.
-    :param items: key, value or None, and revision of each key that is newer.
-    """
-
-    revision: int
-    items: list[tuple[str, bytes | None, int]]
-
-
 class Sidecar:
     """One node, with its listeners."""
 
@@ -146,16 +119,21 @@
         self.follower = Follower(
             FollowerSettings(), self.knowledge.take_item, self._take_listing, rng
         )
+        self.store_link = StoreLink(
+            deployment.store,
+            self.registration,
+            self.follower,
+            member_key(node),
+            self.now,
+            self._spawn,
+            self.step,
+        )
+        self.peers = Peers(self.follower, self.members, rng, self._spawn, self.step)
         self.listeners: list[asyncio.Server] = []
         self.small_listeners: list[HttpServer] = []
         self.tasks: set[asyncio.Task] = set()
-        self.follow_task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.word_revision = 0
-        self.ask_peer_at = float("inf")
-        self.rewatched_at = float("-inf")
         self.newer_number = 0
-        self.is_asking_peer = False
         self.stopping = False
 
     @classmethod
@@ -175,6 +153,11 @@
         """Return whether callers may come: a version is known and no stop asked for."""
         return self.knowledge.version is not None and not self.stopping
 
+    @property
+    def is_store_away(self) -> bool:
+        """Return whether the last calls to the store failed."""
+        return bool(self.follower.failures or self.registration.failures)
+
     async def start(self) -> None:
         """Listen and join the fleet.
 
@@ -186,7 +169,7 @@
         await self._listen(settings.callers, self.gateway.make_caller)
         await self._listen_small(settings.ready, self._answer_ready)
         await self._listen_small(settings.announcements, self._answer_announcement)
-        await self._listen_small(settings.peers, self._answer_peer)
+        await self._listen_small(settings.peers, self.peers.answer)
         try:
             await self._listen_small(settings.metrics, self._answer_metrics)
         except SettingError as error:
@@ -260,15 +243,8 @@
         if self.knowledge.is_own_missing and self.registration.pending is None:
             self.knowledge.is_own_missing = False
             self.registration.note_missing()
-        call = self.registration.tick(now)
-        if call is not None:
-            self._spawn(self._register(call))
-        follow = self.follower.tick(now)
-        if follow is not None:
-            self.follow_task = self._spawn(self._follow(follow))
-        if now >= self.ask_peer_at:
-            self.ask_peer_at = now + PEER_INTERVAL_SECONDS
-            self._ask_peer()
+        self.store_link.tick(now)
+        self.peers.tick(now, self.is_store_away)
         if now >= self.slot.wake_at:
             self.loop.call_soon(self.update_server)
         self._set_timer(now)
@@ -281,79 +257,11 @@
             self.follower.wake_at,
             self.members.wake_at,
             self.slot.wake_at,
-            self.ask_peer_at,
+            self.peers.ask_at,
         )
         if wake_at < float("inf"):
             self.timer = self.loop.call_later(max(0.001, wake_at - now), self.step)
 
-    # The store
-
-    async def _register(self, call: RegistrationCall) -> None:
-        store = self.deployment.store
-        had_failed = self.registration.failures > 0
-        try:
-            match call:
-                case GrantLease(ttl):
-                    answer = await store.grant_lease(ttl)
-                case RenewLease(lease_id):
-                    answer = await store.renew_lease(lease_id)
-                case WriteRecord(lease_id, value):
-                    key = member_key(self.members.own.node)
-                    answer = await store.write(key, value, lease_id)
-                case EndLease(lease_id):
-                    answer = await store.end_lease(lease_id)
-        except PlatformError as error:
-            self._note_store_failure(type(call).__name__, error, had_failed)
-            self.registration.take_failure(error.code, self.now())
-        else:
-            self.registration.take_answer(answer, self.now())
-            if had_failed:
-                log.bind(call=type(call).__name__).info("store answers again")
-                self._watch_anew("store answers again")
-        self.step()
-
-    async def _follow(self, call: FollowCall) -> None:
-        store = self.deployment.store
-        had_failed = self.follower.failures > 0
-        try:
-            match call:
-                case ListKeys():
-                    listing = await store.list("")
-                    self.follower.take_listing_answer(listing, self.now())
-                case WatchKeys(revision, wait):
-                    changes = await store.watch("", revision, wait)
-                    self.follower.take_changes(changes, self.now())
-        except PlatformError as error:
-            self._note_store_failure(type(call).__name__, error, had_failed)
-            self.follower.take_failure(error.code, self.now())
-            if self.follower.failures and self.ask_peer_at == float("inf"):
-                self.ask_peer_at = self.now()
-        else:
-            self.ask_peer_at = float("inf")
-            if had_failed:
-                log.bind(call=type(call).__name__).info("store answers again")
-        self.step()
-
-    def _note_store_failure(
-        self, call: str, error: PlatformError, had_failed: bool
-    ) -> None:
-        fields = log.bind(call=call, code=int(error.code))
-        if had_failed:
-            fields.debug("store call failed again: {}", error.message)
-        else:
-            fields.warning("store call failed: {}", error.message)
-
-    def _watch_anew(self, reason: str) -> None:
-        """Give up the call under way, which may have fallen silent, for a new one."""
-        now = self.now()
-        if now - self.rewatched_at < REWATCH_INTERVAL_SECONDS:
-            return
-        self.rewatched_at = now
-        log.bind(reason=reason, revision=self.follower.revision).info("watch made anew")
-        if self.follow_task is not None:
-            self.follow_task.cancel()
-        self.follower.watch_anew()
-
     def _take_listing(self) -> None:
         key = member_key(self.members.own.node)
         if key not in self.follower.values:
@@ -368,55 +276,21 @@
         self.newer_number = number
         self.loop.call_later(NEWER_PATIENCE_SECONDS, self._look_for_version, number)
 
-    def _look_for_version(self, number: int) -> None:
-        """Find a version that a peer has had for a while and this node has not."""
+    def _look_for_version(self, number: int, is_first: bool = True) -> None:
+        """Find a version that a peer has had for a while and this node has not.
+
+        :param is_first: whether nothing was done about it yet.
+        """
         if number <= self.knowledge.number or self.stopping:
             return
-        if self.follower.failures:
-            self.ask_peer_at = min(self.ask_peer_at, self.now())
+        if is_first:
+            self.store_link.watch_anew("a peer has a newer version")
         else:
-            self._watch_anew("a peer has a newer version")
+            self.peers.ask()
+        again = NEWER_PATIENCE_SECONDS
+        self.loop.call_later(again, self._look_for_version, number, False)
         self.loop.call_soon(self.step)
 
-    def _ask_peer(self) -> None:
-        peers = [node for node in self.members.records if node != self.members.own.node]
-        if peers and not self.is_asking_peer:
-            self.is_asking_peer = True
-            self._spawn(self._fetch_word(self.rng.choice(peers)))
-
-    async def _fetch_word(self, peer: str) -> None:
-        """Take a peer's keys: the store does not answer this node."""
-        client = HttpClient(peer)
-        target = f"{WORD_PATH}?after={self.word_revision}"
-        try:
-            answer = await client.call("GET", target, PEER_CALL_SECONDS)
-            word = msgspec.msgpack.decode(answer.body, type=Word)
-        except (CallError, msgspec.MsgspecError) as error:
-            log.bind(peer=peer).debug("no word from peer: {}", error)
-        else:
-            self.word_revision = max(self.word_revision, word.revision)
-            self.follower.take_word([Item(*item) for item in word.items])
-        finally:
-            client.close()
-            self.is_asking_peer = False
-        self.step()
-
-    def _answer_peer(self, request: WebRequest) -> WebReply:
-        if request.path == MEMBERS_PATH:
-            return WebReply.from_object(list(self.members.records.values()))
-        if request.path != WORD_PATH:
-            return WebReply(HTTPStatus.NOT_FOUND)
-        text = request.query.get("after", "0")
-        after = int(text) if text.isdigit() else 0
-        follower = self.follower
-        items = [
-            (key, follower.values.get(key), revision)
-            for key, revision in follower.revisions.items()
-            if revision > after
-        ]
-        word = Word(max(follower.revision, self.word_revision), items)
-        return WebReply(body=msgspec.msgpack.encode(word))
-
     def _heard_at(self, node: str) -> float:
         return self.chooser.heard_at.get(node, float("-inf"))
 
--- /dev/null
+++ b/src/daisylink/sidecar/_store_link.py
@@ -0,0 +1,129 @@
+"""Makes the calls to the store that the decision objects ask for."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from daisylink.errors import PlatformError
+from daisylink.logs import get_logger
+from daisylink.registry import (
+    EndLease,
+    FollowCall,
+    Follower,
+    GrantLease,
+    LeaseStore,
+    ListKeys,
+    Registration,
+    RegistrationCall,
+    RenewLease,
+    WatchKeys,
+    WriteRecord,
+)
+
+# Time between new watches, in which a large configuration comes through a narrow link.
+REWATCH_INTERVAL_SECONDS = 2.0
+# All keys are followed by one watch: members and the configuration.
+ALL_KEYS = ""
+
+log = get_logger("store")
+
+
+class StoreLink:
+    """The calls to the store, one of each decision object at a time.
+
+    :param own_key: key of the own record.
+    :param now: the monotonic clock.
+    :param spawn: starts a task.
+    :param on_answer: told after each call, whatever came of it.
+    """
+
+    def __init__(
+        self,
+        store: LeaseStore,
+        registration: Registration,
+        follower: Follower,
+        own_key: str,
+        now: Callable[[], float],
+        spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task],
+        on_answer: Callable[[], None],
+    ):
+        self.store = store
+        self.registration = registration
+        self.follower = follower
+        self.own_key = own_key
+        self.now = now
+        self.spawn = spawn
+        self.on_answer = on_answer
+        self.follow_task: asyncio.Task | None = None
+        self.rewatched_at = float("-inf")
+
+    def tick(self, now: float) -> None:
+        """Make the calls that are due."""
+        call = self.registration.tick(now)
+        if call is not None:
+            self.spawn(self._register(call))
+        follow = self.follower.tick(now)
+        if follow is not None:
+            self.follow_task = self.spawn(self._follow(follow))
+
+    def watch_anew(self, reason: str) -> None:
+        """Give up the call under way, which may have fallen silent, for a new one."""
+        now = self.now()
+        if now - self.rewatched_at < REWATCH_INTERVAL_SECONDS:
+            return
+        self.rewatched_at = now
+        log.bind(reason=reason, revision=self.follower.revision).info("watch made anew")
+        if self.follow_task is not None:
+            self.follow_task.cancel()
+        self.follower.watch_anew()
+
+    async def _register(self, call: RegistrationCall) -> None:
+        had_failed = self.registration.failures > 0
+        try:
+            answer = await self._send(call)
+        except PlatformError as error:
+            _note_failure(call, error, had_failed)
+            self.registration.take_failure(error.code, self.now())
+        else:
+            self.registration.take_answer(answer, self.now())
+            if had_failed:
+                log.bind(call=type(call).__name__).info("store answers again")
+                self.watch_anew("store answers again")
+        self.on_answer()
+
+    async def _send(self, call: RegistrationCall):
+        match call:
+            case GrantLease(ttl):
+                return await self.store.grant_lease(ttl)
+            case RenewLease(lease_id):
+                return await self.store.renew_lease(lease_id)
+            case WriteRecord(lease_id, value):
+                return await self.store.write(self.own_key, value, lease_id)
+            case EndLease(lease_id):
+                return await self.store.end_lease(lease_id)
+
+    async def _follow(self, call: FollowCall) -> None:
+        had_failed = self.follower.failures > 0
+        try:
+            match call:
+                case ListKeys():
+                    listing = await self.store.list(ALL_KEYS)
+                    self.follower.take_listing_answer(listing, self.now())
+                case WatchKeys(revision, wait):
+                    changes = await self.store.watch(ALL_KEYS, revision, wait)
+                    self.follower.take_changes(changes, self.now())
+        except PlatformError as error:
+            _note_failure(call, error, had_failed)
+            self.follower.take_failure(error.code, self.now())
+        else:
+            if had_failed:
+                log.bind(call=type(call).__name__).info("store answers again")
+        self.on_answer()
+
+
+def _note_failure(call: Any, error: PlatformError, had_failed: bool) -> None:
+    fields = log.bind(call=type(call).__name__, code=int(error.code))
+    if had_failed:
+        fields.debug("store call failed again: {}", error.message)
+    else:
+        fields.warning("store call failed: {}", error.message)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from daisylink import platform
-from tests.platform_standin import Fault
+from tests.platform_standin import Fault, StoreStandIn
 from tests.sidecar_case import LOCAL, SidecarTestCase, find_port
 from tests.test_platform import BEAT, make_configuration
 
@@ -82,6 +82,25 @@
 
         self.run_machines(scenario, count=2)
 
+    def test_a_node_that_the_store_stopped_answering_learns_from_its_peers(self):
+        """Calls hang without a reset; the bound is config_apply and skew_max."""
+
+        async def scenario(store, first, second):
+            silent = StoreStandIn()
+            silent.fault = Fault.SILENT
+            await silent.start()
+            lonely = second.sidecar.deployment.store.client
+            lonely.address = silent.address
+            lonely.close()
+            second.sidecar.store_link.watch_anew("test")
+            second.sidecar.step()
+            newer = make_configuration().replace(b"r12", b"r14")
+            store.put(platform.CONFIG_KEY, newer)
+            await self.wait_for(lambda: second.sidecar.knowledge.number == 14, 7)
+            silent.close()
+
+        self.run_machines(scenario, count=2)
+
     def test_a_draining_server_gets_nothing_from_the_acknowledgement_on(self):
         async def scenario(_store, machine):
             self.assertEqual(await machine.beat("draining"), 200)
