--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -106,7 +106,7 @@
     ),
     Mutant(
         "late news of an older incarnation is taken",
-        "process/_records.py",
+        "serving/_records.py",
         "        return (self.incarnation, self.state) > (other.incarnation, "
         "other.state)\n",
         "        return self != other\n",
@@ -150,8 +150,8 @@
     Mutant(
         "a non-idempotent request is sent again after a loss",
         "request/_attempts.py",
-        "                return self._try_again(replayable and self.plan.idempotent)\n",
-        "                return self._try_again(replayable)\n",
+        "return self._try_again(replayable and self.plan.idempotent, now)\n",
+        "return self._try_again(replayable, now)\n",
         "tests.test_calls",
     ),
     Mutant(
@@ -163,8 +163,8 @@
     ),
     Mutant(
         "admission stays open in drain",
-        "process/_gateway.py",
-        "        if own.server is ServerState.SERVING and not self.stopping:\n",
+        "serving/_gateway.py",
+        "        if own.server is ServerState.SERVING and self.is_serving:\n",
         "        if own.server is not ServerState.ABSENT:\n",
         "tests.test_calls",
     ),
@@ -211,6 +211,58 @@
         "        if True:\n",
         "tests.test_keys.KeyedCallTests",
     ),
+    Mutant(
+        "a failed connection marks its node before its try has ended",
+        "request/_exchange.py",
+        "        self._note_failure()\n"
+        "        self.turn_down(ResultCode.REQUEST_CONNECT_FAILED)\n",
+        "        if timed_out and target:\n"
+        "            self.gateway.flights.note_unreachable(target)\n"
+        "        self.turn_down(ResultCode.REQUEST_CONNECT_FAILED)\n",
+        "tests.test_silence",
+    ),
+    Mutant(
+        "a refused probe counts as silence",
+        "connection/_hop.py",
+        "            return True\n        self.give_back(hop)\n",
+        "            return False\n        self.give_back(hop)\n",
+        "tests.test_silence",
+    ),
+    Mutant(
+        "an older version is installed",
+        "sidecar/_knowledge.py",
+        "        if version.number <= self.number:\n",
+        "        if False:\n",
+        "tests.test_sidecar",
+    ),
+    Mutant(
+        "a success needs no proof",
+        "request/_exchange.py",
+        "            if not is_proved(head, dialect):\n",
+        "            if False:\n",
+        "tests.test_server_answers",
+    ),
+    Mutant(
+        "a stray answer is taken for the own one",
+        "request/_exchange.py",
+        "            return True\n        return is_own",
+        "            return True\n        return True or is_own",
+        "tests.test_server_answers",
+    ),
+    Mutant(
+        "late heartbeats bring a server back",
+        "serving/_slot.py",
+        "        if order < self.newest or self._has_departed(announcement):\n",
+        "        if False:\n",
+        "tests.test_sidecar",
+    ),
+    Mutant(
+        "requests queue by their deadline alone",
+        "serving/_admission.py",
+        "        return not urgent and now + self.seconds > self.on_time\n",
+        "        return False\n",
+        "tests.test_worst_load",
+    ),
     Mutant(
         "a server's headers may speak for daisylink",
         "request/_answer.py",
