--- a/src/daisylink/sidecar/_knowledge.py
+++ b/src/daisylink/sidecar/_knowledge.py
@@ -115,6 +115,8 @@
             fields.bind(
                 state=record.state.name,
                 server=record.server.name,
+                pool=record.pool,
+                zone=record.zone,
                 instance=record.instance,
             ).info("member changed")
             self.on_members()
