Remove what no decision reads

Cause: the servers' own load header, a member's cold time and times of the follower were decoded or kept, but nothing used them: admission counts its own slots, and paces are learnt from how long requests hold them.

Change: they are gone.

--- a/src/daisylink/http_client.py
+++ b/src/daisylink/http_client.py
@@ -84,7 +84,6 @@
     def __init__(self, address: str):
         self.address = address
         self.idle: list[_Connection] = []
-        self.received = 0
 
     async def call(
         self, method: str, target: str, seconds: float, body: bytes = b""
@@ -112,7 +111,6 @@
             raise CallError(message, was_sent=connection is not None) from error
         finally:
             self._put_back(connection)
-        self.received += len(answer.body)
         return answer
 
     def close(self) -> None:
--- a/src/daisylink/platform/_headers.py
+++ b/src/daisylink/platform/_headers.py
@@ -9,6 +9,5 @@
     target=b"x-daisylink-target-instance",
     origin=b"x-daisylink-caller-service",
     proof=b"x-daisylink-response-seal",
-    server_load=b"x-daisylink-server-load",
     status_promises=True,
 )
--- a/src/daisylink/registry/_follower.py
+++ b/src/daisylink/registry/_follower.py
@@ -72,7 +72,6 @@
         self.is_listed = False
         self.failures = 0
         self.retry_at = 0.0
-        self.fresh_at = float("-inf")
         self.pending: FollowCall | None = None
 
     @property
@@ -80,11 +79,6 @@
         """Return when :meth:`tick` is due."""
         return self.retry_at if self.pending is None else float("inf")
 
-    @property
-    def is_in_touch(self) -> bool:
-        """Return whether the store answered the last call."""
-        return self.is_listed and not self.failures
-
     def tick(self, now: float) -> FollowCall | None:
         """Return the call to make now, if any."""
         if self.pending is not None or now < self.retry_at:
@@ -105,7 +99,7 @@
 
     def take_listing_answer(self, listing: Listing, now: float) -> None:
         """Take all keys."""
-        self._note_answer(now)
+        self._note_answer()
         self.is_listed = True
         self.revision = listing.revision
         found = {item.key for item in listing.items}
@@ -117,7 +111,7 @@
 
     def take_changes(self, changes: Changes, now: float) -> None:
         """Take the changes that a watch brought."""
-        self._note_answer(now)
+        self._note_answer()
         self.revision = max(self.revision, changes.revision)
         self.retry_at = now + self.settings.pause.total_seconds()
         for item in changes.items:
@@ -134,10 +128,9 @@
         most = min(base, self.settings.retry_most.total_seconds())
         self.retry_at = now + self.rng.uniform(most / 2, most)
 
-    def _note_answer(self, now: float) -> None:
+    def _note_answer(self) -> None:
         self.pending = None
         self.failures = 0
-        self.fresh_at = now
 
     def take_word(self, items: list[Item]) -> None:
         """Take keys that a peer read, where they are newer."""
--- a/src/daisylink/request/_dialect.py
+++ b/src/daisylink/request/_dialect.py
@@ -17,7 +17,6 @@
     :param target: backend server that alone may run the request.
     :param origin: service beside the node at which the request began.
     :param proof: on an answer: shows that the backend server itself made it.
-    :param server_load: on an answer: running, waiting and slots of the server.
     :param status_promises: whether callers go by the status alone: 503 promises that a
         request was not run, 504 nothing; and ``Retry-After`` may have a fraction.
     """
@@ -29,7 +28,6 @@
     target: bytes = b""
     origin: bytes = b""
     proof: bytes = b""
-    server_load: bytes = b""
     status_promises: bool = False
 
     @property
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -487,7 +487,6 @@
         """Return the refusal that an answer stands for, if it is one."""
         if self.local is not None:
             dialect = self.gateway.dialect
-            self.gateway.note_server_load(head.headers)
             if is_shed(head, dialect):
                 return refuse(ResultCode.REQUEST_SHED_BY_SERVER)
             if not is_proved(head, dialect):
--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -17,7 +17,6 @@
 SERVICE_TIME_WEIGHT = 0.1
 MILLISECONDS = 1000
 MIN_RETRY_MS = 50
-LOAD_PARTS = 3
 # Late requests that may wait for each slot: enough to fill a lull, few enough that
 # nearly all are served.
 LATE_PER_SLOT = 1
@@ -69,7 +68,6 @@
         self.expired: list[Any] = []
         self.service_time = 0.0
         self.service_times: dict[str, float] = {}
-        self.server_waiting = 0
         self.closed: ResultCode | None = ResultCode.REQUEST_NO_SERVER
 
     @property
@@ -156,12 +154,6 @@
         expired, self.expired = self.expired, []
         return expired
 
-    def note_server_load(self, text: bytes) -> None:
-        """Note the load that the server states: running, waiting and slots."""
-        parts = text.split(b",")
-        if len(parts) == LOAD_PARTS and all(part.strip().isdigit() for part in parts):
-            self.server_waiting = int(parts[1])
-
     def withdraw(self, ticket: Any) -> None:
         """Take a request out of the queue: its caller or its time is gone."""
         for queue in (*self.queues.values(), self.late):
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -14,7 +14,6 @@
     Dialect,
     Exchange,
     Fingerprint,
-    Header,
     Refusal,
     RequestPlan,
     RetryBudget,
@@ -165,15 +164,6 @@
     def note_peer_version(self, number: int) -> None:
         """Note the version in force at another node; set by the node."""
 
-    def note_server_load(self, headers: list[Header]) -> None:
-        """Note the load that the own backend server stated with an answer."""
-        name = self.dialect.server_load
-        if not name:
-            return
-        for item in headers:
-            if item[0] == name:
-                self.admission.note_server_load(item[1])
-
     def choose(self, plan: RequestPlan, tried: set[str]) -> MemberRecord | None:
         """Return the node that a request goes to next, or None."""
         load = self._own_load()
--- a/src/daisylink/serving/_records.py
+++ b/src/daisylink/serving/_records.py
@@ -34,7 +34,6 @@
     :param relay: address ``ip:port`` on which the node takes relayed requests.
     :param boot: first incarnation of the process, which tells its starts apart.
     :param instance: name of the backend server's start, if it has one.
-    :param cold_until: wall-clock second until which the server is slow, 0 if warm.
     :param pool: pool of the backend server beside it, if one is announced.
     """
 
@@ -48,7 +47,6 @@
     slots: int = 0
     boot: int = 0
     instance: str = ""
-    cold_until: float = 0.0
 
     @property
     def is_alive(self) -> bool:
