--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -146,3 +146,65 @@
             await stop
 
         self.run_machines(scenario, count=2)
+
+    def test_changed_settings_are_taken_without_cutting_anything(self):
+        async def scenario(_store, machine):
+            machine.server.seconds = 0.3
+            call = asyncio.ensure_future(machine.request("r1"))
+            await self.wait_for(lambda: machine.server.runs)
+            settings = machine.sidecar.settings._replace(retry_slack=1000.0)
+            before = machine.sidecar.gateway.budget_settings.burst
+            machine.sidecar.reload(settings)
+            self.assertGreater(machine.sidecar.gateway.budget_settings.burst, before)
+            self.assertEqual((await call).status, 200)
+
+        self.run_machines(scenario)
+
+
+class PipeliningTests(SidecarTestCase):
+    """Requests that a caller sends before the answer to the one before."""
+
+    async def send(self, machine, names, method):
+        reader, writer = await asyncio.open_connection(*machine.names[0])
+        for name in names:
+            head = f"{method} /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+            lines = f"X-Daisylink-Request-Id: {name}\r\nContent-Length: 0\r\n\r\n"
+            writer.write((head + lines).encode())
+        return reader, writer
+
+    async def read(self, reader, names):
+        text = b""
+        while text.count(b"HTTP/1.1") < len(names) or not text.endswith(
+            f"answer to {names[-1]}".encode()
+        ):
+            text += await reader.read(65536)
+        return [text.index(f"answer to {name}".encode()) for name in names]
+
+    def test_idempotent_ones_run_side_by_side_and_are_answered_in_order(self):
+        names = ["r1", "r2", "r3"]
+
+        async def scenario(_store, machine):
+            machine.server.seconds = 0.3
+            reader, writer = await self.send(machine, names, "GET")
+            await self.wait_for(lambda: len(machine.server.runs) == len(names), 0.25)
+            places = await self.read(reader, names)
+            self.assertEqual(places, sorted(places))
+            writer.close()
+
+        self.run_machines(scenario)
+
+    def test_a_placement_waits_for_the_answer_before_it(self):
+        """What stands behind an answer that closes the connection is sent again."""
+        names = ["r1", "r2"]
+        configuration = make_configuration(kind="non_idempotent")
+
+        async def scenario(_store, machine):
+            machine.server.seconds = 0.3
+            reader, writer = await self.send(machine, names, "POST")
+            await asyncio.sleep(0.2)
+            self.assertEqual(machine.server.runs, ["r1"])
+            await self.read(reader, names)
+            self.assertEqual(machine.server.runs, names)
+            writer.close()
+
+        self.run_machines(scenario, configuration=configuration)
