Write what was held of a pipelined answer before what comes next

The turn of a waiting request was given at the loop's next pass; bytes of its answer that came in between were written ahead of what had been held, and an answer that ended in between lost what had been held. Change: what was held is written when the turn is given. Measured: both cases of tests/test_pipelining.py fail before and pass after.

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -191,6 +191,7 @@
             return
         if self.waiting:
             self.current = self.waiting.popleft()
+            self._write_held(self.current)
             self.gateway.loop.call_soon(self._take_turn, self.current)
         self.resume()
 
@@ -234,13 +235,16 @@
         if is_stalled and quiet > BODY_SECONDS:
             exchange.fail(ResultCode.REQUEST_CALLER_TOO_SLOW)
 
+    def _write_held(self, exchange: Exchange) -> None:
+        """Write what came of an answer before its turn, ahead of what comes now."""
+        if exchange.held and not self.closing:
+            self.transport.write(b"".join(exchange.held))
+            exchange.held.clear()
+
     def _take_turn(self, exchange: Exchange) -> None:
         """Give the first of the waiting requests its turn to answer."""
         if exchange is not self.current or self.closing:
             return
-        if exchange.held:
-            self.transport.write(b"".join(exchange.held))
-            exchange.held.clear()
         if exchange.done:
             self.finish(exchange, exchange.keeps_caller)
             return
--- /dev/null
+++ b/tests/test_pipelining.py
@@ -0,0 +1,46 @@
+"""Answers to pipelined requests, in order, whatever comes in between."""
+
+import unittest
+from types import SimpleNamespace
+from unittest.mock import Mock
+
+from daisylink.connection._caller import CallerConnection
+
+
+def make_exchange(held=()):
+    return SimpleNamespace(held=list(held), done=False, hop=None, start=lambda: None)
+
+
+class TurnTests(unittest.TestCase):
+    """hanbit-grown, calm day: two answers came in within 4 ms on one connection.
+
+    The second one's rest was written before what had been held of it.
+    """
+
+    def setUp(self):
+        gateway = SimpleNamespace(now=lambda: 0.0, callers=set(), loop=Mock())
+        self.caller = CallerConnection(gateway, is_relay=False)
+        self.written = []
+        transport = Mock()
+        transport.write = self.written.append
+        self.caller.connection_made(transport)
+        self.first = make_exchange()
+        self.second = make_exchange([b"head ", b"half "])
+        self.caller.current = self.first
+        self.caller.waiting.append(self.second)
+
+    def test_what_was_held_goes_out_before_what_comes_next(self):
+        self.caller.write(self.first, b"first ")
+        self.caller.finish(self.first, keep=True)
+        self.caller.write(self.second, b"rest")
+        self.assertEqual(b"".join(self.written), b"first head half rest")
+
+    def test_an_answer_that_ends_before_its_turn_was_taken_is_whole(self):
+        third = make_exchange()
+        self.caller.waiting.append(third)
+        self.caller.finish(self.first, keep=True)
+        self.caller.write(self.second, b"rest")
+        self.second.done = True
+        self.caller.finish(self.second, keep=True)
+        self.assertEqual(b"".join(self.written), b"head half rest")
+        self.assertIs(self.caller.current, third)
