Spread what crashes backend servers between sidecars

Change: a node tells strikes and pardons in its own record for ten seconds; members take them from the store's watch or from peers. Beside sidecars a request is refused after three crashes, and requests with a strike run side by side, since most of what is in flight at a crash is innocent. The crash is noted before the server's state, so that one write tells both.

--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -227,8 +227,8 @@
             async with asyncio.timeout(PROBE_SECONDS):
                 _, writer = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError, ValueError):
-            self.note_server_unreachable()
             self.on_server_crashed(lost)
+            self.note_server_unreachable()
             return
         writer.close()
 
--- a/src/daisylink/serving/_quarantine.py
+++ b/src/daisylink/serving/_quarantine.py
@@ -1,9 +1,9 @@
 """Keeps requests that crash backend servers from running again and again.
 
 The requests in flight when a server crashes get a strike, which spreads with the news
-of members. A request with one strike runs only where no other such request runs, so
-that the next crash tells the culprit from the innocents beside it; with strikes from
-two crashes it is refused for a while. A request that is answered is pardoned
+of members. A request with a strike may be kept from running beside another such one, so
+that the next crash tells the culprit from the innocents; with strikes from some crashes
+it is refused for a while. A request that is answered is pardoned
 everywhere: it was another one that crashed the server.
 """
 
@@ -14,7 +14,6 @@
 
 from daisylink.request import Fingerprint, Standing
 
-STRIKES_OUT = 2
 MAX_FINGERPRINTS = 1000
 MILLISECONDS = 1000
 
@@ -33,12 +32,16 @@
 
 
 class QuarantineSettings(NamedTuple):
-    """Times of the quarantine.
+    """Times and limits of the quarantine.
 
     :param life: how long a strike lasts.
+    :param strikes_out: crashes after which a request is refused.
+    :param isolates: whether requests with a strike run one at a time.
     """
 
     life: timedelta = timedelta(seconds=60)
+    strikes_out: int = 2
+    isolates: bool = True
 
 
 class HeldStrike(NamedTuple):
@@ -53,6 +56,8 @@
 
     def __init__(self, settings: QuarantineSettings):
         self.life = settings.life.total_seconds()
+        self.strikes_out = settings.strikes_out
+        self.isolates = settings.isolates
         self.strikes: dict[bytes, dict[str, HeldStrike]] = {}
         self.heads: dict[bytes, set[bytes]] = {}
         self.running: set[bytes] = set()
@@ -96,7 +101,7 @@
         """Return what is held against a request."""
         crashes = self.strikes.get(fingerprint.whole, {})
         live = sum(held.ends > now and not held.pardoned for held in crashes.values())
-        if live >= STRIKES_OUT:
+        if live >= self.strikes_out:
             return Standing.QUARANTINED
         return Standing.SUSPECT if live else Standing.CLEAR
 
@@ -108,7 +113,7 @@
 
     def begin(self, fingerprint: Fingerprint) -> bool:
         """Note that a suspect is to run; return whether it may run now."""
-        if self.running:
+        if self.running and self.isolates:
             return False
         self.running.add(fingerprint.whole)
         return True
--- a/src/daisylink/serving/_records.py
+++ b/src/daisylink/serving/_records.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from daisylink.serving._quarantine import Strike
+
 POSITION_BITS = 64
 MAX_POSITION = 2**POSITION_BITS - 1
 
@@ -36,6 +38,7 @@
     :param instance: name of the backend server's start, if it has one.
     :param pool: pool of the backend server beside it, if one is announced.
     :param link_mbps: width of the machine's link in Mbit/s, 0 if it is not known.
+    :param strikes: what the node tells of requests that crashed its backend server.
     """
 
     node: str
@@ -49,6 +52,7 @@
     boot: int = 0
     instance: str = ""
     link_mbps: float = 0.0
+    strikes: tuple[Strike, ...] = ()
 
     @property
     def is_alive(self) -> bool:
--- a/src/daisylink/sidecar/_knowledge.py
+++ b/src/daisylink/sidecar/_knowledge.py
@@ -11,7 +11,7 @@
 from daisylink.errors import VersionError
 from daisylink.logs import get_logger
 from daisylink.registry import Item, Members, Publisher
-from daisylink.serving import MemberRecord, MemberState
+from daisylink.serving import MemberRecord, MemberState, Strike
 from daisylink.sidecar._edition import EDITION_KEY, Edition
 from daisylink.version import Version
 
@@ -36,6 +36,7 @@
     :param now: the monotonic clock.
     :param on_version: told each version that comes in force.
     :param on_members: told that members changed.
+    :param on_strikes: told what a member says of requests that crashed its server.
     :param on_gone: told each node that is no member any more.
     """
 
@@ -48,6 +49,7 @@
         now: Callable[[], float],
         on_version: Callable[[Version], None],
         on_members: Callable[[], None],
+        on_strikes: Callable[[tuple[Strike, ...]], None],
         on_gone: Callable[[str], None],
     ):
         self.members = members
@@ -57,6 +59,7 @@
         self.now = now
         self.on_version = on_version
         self.on_members = on_members
+        self.on_strikes = on_strikes
         self.on_gone = on_gone
         self.version: Version | None = None
         self.edition: Item | None = None
@@ -158,6 +161,9 @@
             return
         if record.state is MemberState.LEFT:
             self.on_gone(node)
+        if record.strikes:
+            fields.bind(strikes=len(record.strikes)).info("news of crashing requests")
+            self.on_strikes(record.strikes)
         if self.members.put(record):
             fields.bind(
                 state=record.state.name,
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -30,6 +30,7 @@
     RegistrationSettings,
     rank_readers,
 )
+from daisylink.request import Fingerprint
 from daisylink.serving import (
     Announcement,
     BudgetSettings,
@@ -40,7 +41,6 @@
     MemberState,
     Metrics,
     Quarantine,
-    QuarantineSettings,
     Slot,
     SlotSettings,
 )
@@ -49,6 +49,11 @@
 from daisylink.sidecar._knowledge import OWN_PREFIX, Knowledge, member_key
 from daisylink.sidecar._peers import Peers
 from daisylink.sidecar._store_link import StoreLink
+from daisylink.sidecar._strikes import (
+    SIDECAR_QUARANTINE,
+    StrikeNews,
+    StrikeNewsSettings,
+)
 from daisylink.version import Version
 
 BACKLOG = 512
@@ -112,12 +117,16 @@
             self.chooser,
             self.slot,
             self.metrics,
-            Quarantine(QuarantineSettings()),
+            Quarantine(SIDECAR_QUARANTINE),
             deployment.dialect,
             keeps_keys=False,
             origin=settings.pool,
         )
+        quarantine = self.gateway.quarantine
+        self.strike_news = StrikeNews(StrikeNewsSettings(), node, quarantine)
         self.gateway.on_slot_changed = self.update_server
+        self.gateway.on_server_crashed = self._note_crash
+        self.gateway.on_suspect_answered = self._note_pardon
         self.gateway.note_peer_version = self._note_peer_version
         self.reader_settings = ReaderSettings()
         self.publisher = Publisher(PublisherSettings())
@@ -129,6 +138,7 @@
             self.now,
             self._install,
             self._note_members,
+            lambda strikes: quarantine.take(strikes, self.now()),
             self.gateway.flights.forget,
         )
         ttl = max(settings.lease_least, RegistrationSettings().ttl)
@@ -246,7 +256,9 @@
         """Bring the own record and admission in line with the slot's state."""
         now = self.now()
         self.slot.tick(now)
-        record = self.slot.describe(self.members.own, now)
+        strikes = self.strike_news.list(now)
+        own = msgspec.structs.replace(self.members.own, strikes=strikes)
+        record = self.slot.describe(own, now)
         if self.members.set_own(record):
             log.bind(instance=record.instance, pool=record.pool).info(
                 "backend server is {}", record.server.name.lower()
@@ -261,6 +273,7 @@
         """Do what is due in each decision object, and set the timer for the next."""
         now = self.now()
         self.knowledge.tick(now)
+        self.gateway.quarantine.purge(now)
         if self.knowledge.is_own_missing and self.registration.pending is None:
             self.knowledge.is_own_missing = False
             self.registration.note_missing()
@@ -356,6 +369,15 @@
 
     # Decisions
 
+    def _note_crash(self, lost: tuple[Fingerprint, ...]) -> None:
+        log.bind(in_flight=len(lost)).warning("backend server crashed")
+        self.strike_news.note_crash(lost, self.now())
+        self.update_server()
+
+    def _note_pardon(self, fingerprint: Fingerprint) -> None:
+        self.strike_news.note_answered(fingerprint, self.now())
+        self.update_server()
+
     def _install(self, version: Version) -> None:
         self.gateway.version = version
         self.gateway.update_server()
--- /dev/null
+++ b/src/daisylink/sidecar/_strikes.py
@@ -0,0 +1,62 @@
+"""Requests that crash backend servers: what this node tells the fleet of them."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import NamedTuple
+
+from daisylink.request import Fingerprint
+from daisylink.serving import Quarantine, QuarantineSettings, Strike
+
+# Such requests run beside others: most of what was in flight at a crash is innocent,
+# and the users allow a request to crash three servers.
+SIDECAR_QUARANTINE = QuarantineSettings(strikes_out=3, isolates=False)
+# All slots of a server at two crashes; the oldest go first.
+MAX_TOLD = 32
+
+
+class StrikeNewsSettings(NamedTuple):
+    """Times of a node's news of strikes.
+
+    :param told: how long news stays in the own record, several times what a change of
+        a record takes to reach the fleet.
+    """
+
+    told: timedelta = timedelta(seconds=10)
+
+
+class StrikeNews:
+    """Strikes and pardons in the own record.
+
+    :param node: name of this node.
+    :param quarantine: what is held against requests here.
+    """
+
+    def __init__(self, settings: StrikeNewsSettings, node: str, quarantine: Quarantine):
+        self.told = settings.told.total_seconds()
+        self.node = node
+        self.quarantine = quarantine
+        self.news: dict[tuple[bytes, str], tuple[float, Strike]] = {}
+
+    def note_crash(self, lost: Iterable[Fingerprint], now: float) -> None:
+        """Hold a crash against the requests that were in flight."""
+        crash = f"{self.node}/{now:.3f}"
+        strikes = [Strike(item.head, item.whole, crash) for item in dict.fromkeys(lost)]
+        self._tell(strikes, now)
+
+    def note_answered(self, fingerprint: Fingerprint, now: float) -> None:
+        """Pardon a request that was answered: another one crashed the server."""
+        self._tell(self.quarantine.make_pardons(fingerprint), now)
+
+    def list(self, now: float) -> tuple[Strike, ...]:
+        """Return what the own record is to tell."""
+        for key in [key for key, (ends, _) in self.news.items() if ends <= now]:
+            del self.news[key]
+        return tuple(strike for _, strike in self.news.values())
+
+    def _tell(self, strikes: Iterable[Strike], now: float) -> None:
+        for strike in self.quarantine.take(tuple(strikes), now):
+            key = (strike.whole, strike.crash)
+            self.news.pop(key, None)
+            self.news[key] = (now + self.told, strike)
+        while len(self.news) > MAX_TOLD:
+            del self.news[next(iter(self.news))]
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -192,12 +192,14 @@
 class ServerStandIn(HttpStandIn):
     """A backend server that answers with its seal, or misbehaves when told to.
 
+    :param crashes_on: path of requests that crash it.
     :param misbehave: bytes to send in place of the answer, made of the request's id.
     """
 
     def __init__(self, instance):
         super().__init__()
         self.instance = instance
+        self.crashes_on = None
         self.misbehave = None
         self.seconds = 0.0
         self.runs = []
@@ -210,6 +212,9 @@
             write(writer, HTTPStatus.MISDIRECTED_REQUEST, b"")
             return
         self.runs.append(name)
+        if target == self.crashes_on:
+            self.close()
+            return
         await asyncio.sleep(self.seconds)
         if self.misbehave is not None:
             writer.write(self.misbehave(name))
--- /dev/null
+++ b/tests/test_strikes.py
@@ -0,0 +1,84 @@
+"""A request that crashes backend servers beside sidecars is stopped in the fleet."""
+
+import asyncio
+import unittest
+
+from daisylink.errors import ResultCode
+from daisylink.request import Fingerprint, Standing
+from daisylink.serving import Quarantine
+from daisylink.sidecar._strikes import (
+    MAX_TOLD,
+    SIDECAR_QUARANTINE,
+    StrikeNews,
+    StrikeNewsSettings,
+)
+from tests.sidecar_case import SidecarTestCase
+
+CULPRIT = Fingerprint(b"h", b"culprit")
+INNOCENT = Fingerprint(b"h", b"innocent")
+TOLD = StrikeNewsSettings().told.total_seconds()
+SPREAD_SECONDS = 2.0
+
+
+class StrikeNewsTests(unittest.TestCase):
+    def setUp(self):
+        self.quarantine = Quarantine(SIDECAR_QUARANTINE)
+        self.news = StrikeNews(StrikeNewsSettings(), "n", self.quarantine)
+
+    def test_a_crash_is_told_for_a_while(self):
+        self.news.note_crash([CULPRIT, CULPRIT, INNOCENT], 1.0)
+        self.assertEqual(len(self.news.list(2.0)), 2)
+        self.assertEqual(self.news.list(1.0 + TOLD), ())
+
+    def test_an_answered_request_is_pardoned_everywhere(self):
+        self.news.note_crash([CULPRIT, INNOCENT], 1.0)
+        other = Quarantine(SIDECAR_QUARANTINE)
+        other.take(self.news.list(1.0), 1.0)
+        self.news.note_answered(INNOCENT, 1.5)
+        other.take(self.news.list(1.5), 1.5)
+        self.assertIs(other.standing(INNOCENT, 2.0), Standing.CLEAR)
+        self.assertIs(other.standing(CULPRIT, 2.0), Standing.SUSPECT)
+
+    def test_a_request_is_refused_after_three_crashes(self):
+        for number, standing in enumerate((Standing.SUSPECT, Standing.SUSPECT)):
+            self.news.note_crash([CULPRIT], number)
+            self.assertIs(self.quarantine.standing(CULPRIT, 5.0), standing)
+        self.news.note_crash([CULPRIT], 3.0)
+        self.assertIs(self.quarantine.standing(CULPRIT, 5.0), Standing.QUARANTINED)
+
+    def test_suspects_run_side_by_side(self):
+        self.news.note_crash([CULPRIT, INNOCENT], 1.0)
+        self.assertTrue(self.quarantine.begin(CULPRIT))
+        self.assertTrue(self.quarantine.begin(INNOCENT))
+
+    def test_the_news_are_bounded(self):
+        for number in range(100):
+            name = b"%d" % number
+            self.news.note_crash([Fingerprint(b"h", name)], 1.0)
+        told = self.news.list(1.0)
+        self.assertEqual(len(told), MAX_TOLD)
+        self.assertEqual(told[-1].whole, b"99")
+
+
+class CrashingRequestTests(SidecarTestCase):
+    def test_a_crashing_request_stops_after_some_servers_wherever_it_comes_in(self):
+        async def scenario(_store, *machines):
+            for machine in machines:
+                machine.server.crashes_on = "/x/crash"
+            for name in ("r1", "r2", "r3"):
+                await machines[0].request(name, path="/x/crash")
+                await asyncio.sleep(SPREAD_SECONDS)
+                for machine in machines:
+                    if not machine.server.runs:
+                        await machine.beat()
+            crashed = [m for m in machines if m.server.runs]
+            self.assertIn(len(crashed), (3, 4))
+            for number, machine in enumerate(machines):
+                answer = await machine.request(f"s{number}", path="/x/crash")
+                self.assertEqual(answer.code, ResultCode.REQUEST_QUARANTINED)
+                self.assertEqual(answer.status, 503)
+            self.assertEqual([m for m in machines if m.server.runs], crashed)
+            answer = await machines[0].request("t", path="/x/other")
+            self.assertEqual(answer.status, 200)
+
+        self.run_machines(scenario, count=6)
