Nodes that are no readers ask a reader for changes, not the store

Change: readers answer the nodes of their zone as soon as a key of the fleet changes (short calls, so a reader that fell silent is noticed in 1.5 s); the store is asked for 5 s when a reader does not answer. A reader that cannot know of a deletion tells all keys.

--- a/src/daisylink/http_server.py
+++ b/src/daisylink/http_server.py
@@ -51,7 +51,7 @@
 
 
 WebHandler = Callable[[WebRequest], WebReply | Coroutine[Any, Any, WebReply]]
-SimpleHandler = Callable[[WebRequest], WebReply]
+SimpleHandler = Callable[[WebRequest], "WebReply | asyncio.Future[WebReply]"]
 
 
 class HttpServer:
@@ -92,7 +92,7 @@
 
 
 class _ServerConnection(asyncio.Protocol):
-    """One connection to a listener; handlers answer at once."""
+    """One connection to a listener; it serves one request at a time."""
 
     def __init__(self, server: HttpServer):
         self.server = server
@@ -144,9 +144,15 @@
             reply = WebReply(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         else:
             reply = self.server.handler(request)
-        self._write(reply, self.parser.should_keep_alive())
+        keep = self.parser.should_keep_alive()
+        if isinstance(reply, asyncio.Future):
+            reply.add_done_callback(lambda done: self._write(done.result(), keep))
+        else:
+            self._write(reply, keep)
 
     def _write(self, reply: WebReply, keep: bool) -> None:
+        if self.transport.is_closing():
+            return
         phrase = HTTPStatus(reply.status).phrase
         lines = [
             f"HTTP/1.1 {reply.status} {phrase}",
--- a/src/daisylink/registry/__init__.py
+++ b/src/daisylink/registry/__init__.py
@@ -29,6 +29,8 @@
     RenewLease,
     WriteRecord,
 )
+from daisylink.registry._role import Role
+from daisylink.registry._sources import Sources, SourceSettings
 from daisylink.registry._store import (
     Changes,
     Item,
@@ -59,6 +61,9 @@
     "RegistrationCall",
     "RegistrationSettings",
     "RenewLease",
+    "Role",
+    "SourceSettings",
+    "Sources",
     "WatchKeys",
     "WriteRecord",
     "rank_readers",
--- a/src/daisylink/registry/_follower.py
+++ b/src/daisylink/registry/_follower.py
@@ -82,6 +82,7 @@
         self.prefix = ""
         self.pause_most = settings.pause_most
         self.revision = 0
+        self.since = 0
         self.is_listed = False
         self.failures = 0
         self.retry_at = 0.0
@@ -133,6 +134,7 @@
         """Take all keys."""
         self._note_answer()
         self.is_listed = True
+        self.since = self.since or listing.revision
         self.revision = listing.revision
         found = {item.key for item in listing.items}
         for key in [key for key in self.values if key not in found]:
@@ -141,11 +143,17 @@
             self._take(item)
         self.take_listing()
 
-    def take_changes(self, changes: Changes, now: float) -> None:
-        """Take the changes that a watch brought."""
+    def take_changes(
+        self, changes: Changes, now: float, is_priced: bool = True
+    ) -> None:
+        """Take the changes that a watch brought.
+
+        :param is_priced: whether the store was asked, rather than a reader.
+        """
         self._note_answer()
         self.revision = max(self.revision, changes.revision)
-        self.retry_at = now + self._pause()
+        pause = self._pause() if is_priced else self.settings.pause_least
+        self.retry_at = now + pause.total_seconds()
         newest = {item.key: item for item in changes.items}
         for item in newest.values():
             self._take(item)
@@ -161,11 +169,28 @@
         most = min(base, self.settings.retry_most.total_seconds())
         self.retry_at = now + self.rng.uniform(most / 2, most)
 
-    def _pause(self) -> float:
+    def _pause(self) -> timedelta:
         settings = self.settings
         gathered = settings.pause_per_key * len(self.values)
-        pause = min(max(gathered, settings.pause_least), self.pause_most)
-        return pause.total_seconds()
+        return min(max(gathered, settings.pause_least), self.pause_most)
+
+    def newest(self, prefix: str) -> int:
+        """Return the revision of the last change of a prefix that is known."""
+        return max(
+            (rev for key, rev in self.revisions.items() if key.startswith(prefix)),
+            default=0,
+        )
+
+    def list_after(self, revision: int, prefix: str) -> list[Item]:
+        """Return the keys of a prefix that changed after a revision.
+
+        Deletions from ``since`` on are among them.
+        """
+        return [
+            Item(key, self.values.get(key), changed)
+            for key, changed in self.revisions.items()
+            if changed > revision and key.startswith(prefix)
+        ]
 
     def _note_answer(self) -> None:
         self.pending = None
--- /dev/null
+++ b/src/daisylink/registry/_role.py
@@ -0,0 +1,79 @@
+"""Whether a node reads the configuration itself, and what follows from that."""
+
+from daisylink.registry._members import Members
+from daisylink.registry._readers import ReaderSettings, rank_readers
+from daisylink.registry._sources import Sources
+
+# A node that is no reader any more goes on for so long, in case it is one again soon.
+LINGER_SECONDS = 3.0
+# All keys: the fleet's own ones and the configuration itself.
+ALL_KEYS = ""
+
+
+class Role:
+    """The part of a node in spreading configurations and news of members.
+
+    :param members: the nodes that are known.
+    :param sources: told whom this node may ask.
+    :param own_prefix: under which the fleet's own keys lie.
+    """
+
+    def __init__(
+        self,
+        settings: ReaderSettings,
+        members: Members,
+        sources: Sources,
+        own_prefix: str,
+    ):
+        self.settings = settings
+        self.members = members
+        self.sources = sources
+        self.own_prefix = own_prefix
+        self.rank: int | None = 0
+        self.was_reader_at = float("-inf")
+        self.is_fleet_listed = False
+
+    @property
+    def is_reader(self) -> bool:
+        """Return whether this node reads the configuration itself."""
+        return self.rank is not None
+
+    @property
+    def publish_rank(self) -> int | None:
+        """Return the place among the nodes that publish, None if none need to."""
+        if len(self.members.records) <= self.settings.small_fleet:
+            return None
+        return self.rank
+
+    def note_members(self) -> None:
+        """Rank the readers among the nodes whose records are in the store."""
+        members = self.members
+        records = {
+            node: record
+            for node, record in members.records.items()
+            if node not in members.lapsed
+        }
+        readers = rank_readers(records, self.settings)
+        node = members.own.node
+        self.rank = readers.index(node) if node in readers else None
+        asked = [] if self.is_reader else [records[name] for name in readers]
+        self.sources.set_readers(asked)
+
+    def note_listing(self) -> None:
+        """Note that the members are known now."""
+        if not self.is_fleet_listed:
+            self.is_fleet_listed = True
+            self.note_members()
+
+    def choose_prefix(self, has_version: bool, now: float) -> str:
+        """Return the prefix of the keys to follow.
+
+        :param has_version: whether any version is known, read or published.
+        """
+        if not self.is_fleet_listed:
+            return self.own_prefix
+        if self.is_reader or not has_version:
+            self.was_reader_at = now
+        if now - self.was_reader_at < LINGER_SECONDS:
+            return ALL_KEYS
+        return self.own_prefix
--- /dev/null
+++ b/src/daisylink/registry/_sources.py
@@ -0,0 +1,57 @@
+"""Whom a node that is no reader asks for changes: a reader, or the store itself.
+
+The load it answers: 86 nodes that each watch the store make some fifty calls a minute
+each, which are priced and limited; readers answer the same without the store.
+"""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import NamedTuple
+
+from daisylink.serving._records import MemberRecord, hash_position
+
+
+class SourceSettings(NamedTuple):
+    """Times of the choice.
+
+    :param avoid: how long the store is asked after a reader did not answer; longer than
+        the lease of a reader that has gone.
+    """
+
+    avoid: timedelta = timedelta(seconds=5)
+
+
+class Sources:
+    """The readers that a node may ask.
+
+    :param node: name of this node.
+    :param zone: availability zone of this node, whose readers go first.
+    """
+
+    def __init__(self, settings: SourceSettings, node: str, zone: str):
+        self.avoid = settings.avoid.total_seconds()
+        self.node = node
+        self.zone = zone
+        self.readers: list[str] = []
+        self.store_until = float("-inf")
+
+    def set_readers(self, readers: Iterable[MemberRecord]) -> None:
+        """Set the nodes that read; each node of a zone has an order of its own."""
+        ordered = sorted(
+            readers,
+            key=lambda record: (
+                record.zone != self.zone,
+                hash_position(self.node + record.node),
+            ),
+        )
+        self.readers = [record.node for record in ordered]
+
+    def choose(self, now: float) -> str | None:
+        """Return the reader to ask, None for the store."""
+        if now < self.store_until or not self.readers:
+            return None
+        return self.readers[0]
+
+    def note_failure(self, now: float) -> None:
+        """Note that a reader did not answer: the store is sure to know more."""
+        self.store_until = now + self.avoid
--- /dev/null
+++ b/src/daisylink/sidecar/_listeners.py
@@ -0,0 +1,57 @@
+"""The listeners of a sidecar."""
+
+import asyncio
+from collections.abc import Callable
+
+from daisylink.errors import ResultCode, SettingError
+from daisylink.http_server import HttpServer, SimpleHandler
+from daisylink.settings import Address
+
+BACKLOG = 512
+
+
+class Listeners:
+    """Open listeners: for requests, and small ones for checks and news."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        self.loop = loop
+        self.requests: list[asyncio.Server] = []
+        self.small: list[HttpServer] = []
+
+    async def listen(
+        self, address: Address, factory: Callable[[], asyncio.Protocol]
+    ) -> None:
+        """Listen for requests.
+
+        :raises SettingError: if the address cannot be bound.
+        """
+        try:
+            server = await self.loop.create_server(
+                factory, address.host, address.port, backlog=BACKLOG
+            )
+        except OSError as error:
+            raise SettingError(
+                f"cannot listen on {address}: {error.strerror}",
+                ResultCode.SETTING_ADDRESS_IN_USE,
+            ) from error
+        self.requests.append(server)
+
+    async def listen_small(self, address: Address, handler: SimpleHandler) -> None:
+        """Listen for checks, announcements, news or metrics.
+
+        :raises SettingError: if the address cannot be bound.
+        """
+        server = HttpServer(handler)
+        await server.start(*address)
+        self.small.append(server)
+
+    def close_requests(self) -> None:
+        """Take no new connections for requests."""
+        for listener in self.requests:
+            listener.close()
+
+    def close(self) -> None:
+        """Close all."""
+        self.close_requests()
+        for listener in self.small:
+            listener.close()
--- a/src/daisylink/sidecar/_peers.py
+++ b/src/daisylink/sidecar/_peers.py
@@ -2,43 +2,29 @@
 
 import asyncio
 import random
-import zlib
 from collections.abc import Callable, Coroutine
 from http import HTTPStatus
 from typing import Any
 
-import msgspec
-
 from daisylink.errors import CallError
 from daisylink.http_client import HttpClient
 from daisylink.http_server import WebReply, WebRequest
 from daisylink.logs import get_logger
-from daisylink.registry import Follower, Item, Members
+from daisylink.registry import Follower, Members
+from daisylink.sidecar._feed import CHANGES_PATH, Feed, News
 
 CALL_SECONDS = 0.5
 INTERVAL_SECONDS = 0.5
 NEWS_PATH = "/v1/news"
-# A whole configuration, uncompressed, and the members of a large fleet.
-MAX_NEWS_BYTES = 32 * 1024 * 1024
 MEMBERS_PATH = "/v1/members"
 
 log = get_logger("peers")
 
 
-class News(msgspec.Struct, array_like=True):
-    """What a node tells a peer, compressed on its way.
-
-    :param revision: the store's revision up to which the keys are complete.
-    :param items: key, value or None, and revision of each key that is newer.
-    """
-
-    revision: int
-    items: list[tuple[str, bytes | None, int]]
-
-
 class Peers:
     """Asks peers while the store does not answer, and answers theirs.
 
+    :param feed: answers peers that do not watch the store.
     :param spawn: starts a task.
     :param on_news: told after each answer, and after each call without one.
     """
@@ -47,12 +33,14 @@
         self,
         follower: Follower,
         members: Members,
+        feed: Feed,
         rng: random.Random,
         spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task],
         on_news: Callable[[], None],
     ):
         self.follower = follower
         self.members = members
+        self.feed = feed
         self.rng = rng
         self.spawn = spawn
         self.on_news = on_news
@@ -70,22 +58,20 @@
             self.ask_at = now + INTERVAL_SECONDS
             self.ask()
 
-    def answer(self, request: WebRequest) -> WebReply:
+    def answer(self, request: WebRequest) -> WebReply | asyncio.Future[WebReply]:
         """Answer a peer, or an operator who asks for the members."""
         if request.path == MEMBERS_PATH:
             return WebReply.from_object(list(self.members.records.values()))
+        if request.path == CHANGES_PATH:
+            return self.feed.answer(request)
         if request.path != NEWS_PATH:
             return WebReply(HTTPStatus.NOT_FOUND)
         text = request.query.get("after", "0")
         after = int(text) if text.isdigit() else 0
         follower = self.follower
-        items = [
-            (key, follower.values.get(key), revision)
-            for key, revision in follower.revisions.items()
-            if revision > after
-        ]
+        items = [tuple(item) for item in follower.list_after(after, prefix="")]
         news = News(max(follower.revision, self.revision), items)
-        return WebReply(body=zlib.compress(msgspec.msgpack.encode(news)))
+        return WebReply(body=news.to_bytes())
 
     def ask(self) -> None:
         """Ask a peer at random for the keys that this node lacks."""
@@ -101,18 +87,13 @@
         target = f"{NEWS_PATH}?after={max(self.revision, known)}"
         try:
             answer = await client.call("GET", target, CALL_SECONDS)
-            news = _decode(answer.body)
-        except (CallError, msgspec.MsgspecError, zlib.error) as error:
+            news = News.from_bytes(answer.body)
+        except CallError as error:
             log.bind(peer=peer).debug("no news from peer: {}", error)
         else:
             self.revision = max(self.revision, news.revision)
-            self.follower.take_news([Item(*item) for item in news.items])
+            self.follower.take_news(news.list_items())
         finally:
             client.close()
             self.is_asking = False
         self.on_news()
-
-
-def _decode(data: bytes) -> News:
-    body = zlib.decompressobj().decompress(data, MAX_NEWS_BYTES)
-    return msgspec.msgpack.decode(body, type=News)
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -16,7 +16,7 @@
     ResultCode,
     SettingError,
 )
-from daisylink.http_server import HttpServer, WebReply, WebRequest
+from daisylink.http_server import WebReply, WebRequest
 from daisylink.logs import get_logger
 from daisylink.registry import (
     Follower,
@@ -28,7 +28,9 @@
     ReaderSettings,
     Registration,
     RegistrationSettings,
-    rank_readers,
+    Role,
+    Sources,
+    SourceSettings,
 )
 from daisylink.request import Fingerprint
 from daisylink.serving import (
@@ -44,9 +46,11 @@
     Slot,
     SlotSettings,
 )
-from daisylink.settings import Address, SidecarSettings
+from daisylink.settings import SidecarSettings
 from daisylink.sidecar._deployment import Deployment
+from daisylink.sidecar._feed import Feed
 from daisylink.sidecar._knowledge import OWN_PREFIX, Knowledge, member_key
+from daisylink.sidecar._listeners import Listeners
 from daisylink.sidecar._peers import Peers
 from daisylink.sidecar._store_link import StoreLink
 from daisylink.sidecar._strikes import (
@@ -56,7 +60,6 @@
 )
 from daisylink.version import Version
 
-BACKLOG = 512
 GC_THRESHOLDS = (20_000, 20, 20)
 POLL_SECONDS = 0.05
 # An announcement may come seconds late; a crash shows by the refused connection.
@@ -73,10 +76,6 @@
 RETRY_SHARE = 0.7
 # A peer that is ahead may only have been told a moment sooner.
 NEWER_PATIENCE_SECONDS = 1.0
-# A node that is no reader any more goes on for so long, in case it is one again soon.
-READER_LINGER_SECONDS = 3.0
-# All keys: the members, the version in brief and the configuration itself.
-ALL_KEYS = ""
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 log = get_logger("sidecar")
@@ -128,7 +127,6 @@
         self.gateway.on_server_crashed = self._note_crash
         self.gateway.on_suspect_answered = self._note_pardon
         self.gateway.note_peer_version = self._note_peer_version
-        self.reader_settings = ReaderSettings()
         self.publisher = Publisher(PublisherSettings())
         self.knowledge = Knowledge(
             self.members,
@@ -146,25 +144,27 @@
         self.follower = Follower(
             FollowerSettings(), self.knowledge.take_item, self._take_listing, rng
         )
+        self.sources = Sources(SourceSettings(), node, settings.zone)
+        self.role = Role(ReaderSettings(), self.members, self.sources, OWN_PREFIX)
         self.store_link = StoreLink(
             deployment.store,
             self.registration,
             self.follower,
             self.publisher,
+            self.sources,
             member_key(node),
             self.now,
             self._spawn,
             self.step,
         )
-        self.peers = Peers(self.follower, self.members, rng, self._spawn, self.step)
-        self.listeners: list[asyncio.Server] = []
-        self.small_listeners: list[HttpServer] = []
+        self.feed = Feed(self.follower, OWN_PREFIX, lambda: self.serves_feed)
+        self.peers = Peers(
+            self.follower, self.members, self.feed, rng, self._spawn, self.step
+        )
+        self.listeners = Listeners(self.loop)
         self.tasks: set[asyncio.Task] = set()
         self.timer: asyncio.TimerHandle | None = None
         self.newer_number = 0
-        self.rank: int | None = 0
-        self.was_reader_at = float("-inf")
-        self.is_fleet_listed = False
         self.stopping = False
 
     @classmethod
@@ -195,14 +195,15 @@
         :raises SettingError: if an address cannot be bound.
         """
         settings = self.settings
+        listeners = self.listeners
         self.step()
-        await self._listen(settings.relay, self.gateway.make_relay)
-        await self._listen(settings.callers, self.gateway.make_caller)
-        await self._listen_small(settings.ready, self._answer_ready)
-        await self._listen_small(settings.announcements, self._answer_announcement)
-        await self._listen_small(settings.peers, self.peers.answer)
+        await listeners.listen(settings.relay, self.gateway.make_relay)
+        await listeners.listen(settings.callers, self.gateway.make_caller)
+        await listeners.listen_small(settings.ready, self._answer_ready)
+        await listeners.listen_small(settings.announcements, self._answer_announcement)
+        await listeners.listen_small(settings.peers, self.peers.answer)
         try:
-            await self._listen_small(settings.metrics, self._answer_metrics)
+            await listeners.listen_small(settings.metrics, self._answer_metrics)
         except SettingError as error:
             log.warning("metrics are not served: {}", error)
         self._observe()
@@ -225,8 +226,7 @@
         self.slot.leave()
         self.update_server()
         await asyncio.sleep(STOP_LISTEN_SECONDS)
-        for listener in self.listeners:
-            listener.close()
+        self.listeners.close_requests()
         self.gateway.close_idle()
         end = started_at + self.settings.grace.total_seconds() - STOP_MARGIN_SECONDS
         while self.gateway.open_requests and self.now() < end:
@@ -240,8 +240,7 @@
             self.timer.cancel()
         for task in list(self.tasks):
             task.cancel()
-        for listener in (*self.listeners, *self.small_listeners):
-            listener.close()
+        self.listeners.close()
         self.gateway.close()
 
     def reload(self, settings: SidecarSettings) -> None:
@@ -278,8 +277,9 @@
             self.knowledge.is_own_missing = False
             self.registration.note_missing()
         self._choose_keys(now)
-        self.store_link.tick(now, self.publish_rank)
+        self.store_link.tick(now, self.role.publish_rank)
         self.peers.tick(now, self.is_store_away)
+        self.feed.note_changes()
         if now >= self.slot.wake_at:
             self.loop.call_soon(self.update_server)
         self._set_timer(now)
@@ -293,49 +293,30 @@
             self.members.wake_at,
             self.slot.wake_at,
             self.peers.ask_at,
-            self.publisher.wake_at(self.publish_rank),
+            self.publisher.wake_at(self.role.publish_rank),
         )
         if wake_at < float("inf"):
             self.timer = self.loop.call_later(max(0.001, wake_at - now), self.step)
 
     @property
-    def publish_rank(self) -> int | None:
-        """Return the place among the nodes that publish, None if none need to."""
-        if len(self.members.records) <= self.reader_settings.small_fleet:
-            return None
-        return self.rank
+    def serves_feed(self) -> bool:
+        """Return whether other nodes may learn of changes from this one."""
+        watches = self.role.is_reader and self.follower.is_listed
+        return watches and not self.is_store_away and not self.stopping
 
     def _choose_keys(self, now: float) -> None:
         """Follow all keys as a reader, else only what the fleet itself writes."""
-        follower = self.follower
-        if not self.is_fleet_listed:
-            follower.follow(OWN_PREFIX)
-            return
-        if self.rank is not None or self.knowledge.version is None:
-            self.was_reader_at = now
-        is_reader = now - self.was_reader_at < READER_LINGER_SECONDS
-        prefix = ALL_KEYS if is_reader else OWN_PREFIX
-        if follower.follow(prefix, is_first=is_reader):
-            log.bind(prefix=prefix, rank=self.rank).info("other keys are followed")
+        had_keys = self.role.is_fleet_listed
+        prefix = self.role.choose_prefix(self.knowledge.version is not None, now)
+        is_changed = self.follower.follow(prefix, is_first=self.role.is_reader)
+        if is_changed and had_keys:
+            log.bind(prefix=prefix, rank=self.role.rank).info("other keys are followed")
             self.store_link.watch_anew("other keys are followed", is_urgent=True)
 
-    def _rank(self) -> None:
-        lapsed = self.members.lapsed
-        records = {
-            node: record
-            for node, record in self.members.records.items()
-            if node not in lapsed
-        }
-        readers = rank_readers(records, self.reader_settings)
-        node = self.members.own.node
-        self.rank = readers.index(node) if node in readers else None
-
     def _take_listing(self) -> None:
-        if not self.is_fleet_listed:
-            self.is_fleet_listed = True
-            self._rank()
-            if self.rank is None:
-                self.knowledge.take_editions()
+        self.role.note_listing()
+        if not self.role.is_reader:
+            self.knowledge.take_editions()
         key = member_key(self.members.own.node)
         if key not in self.follower.values:
             self.registration.note_missing()
@@ -385,7 +366,7 @@
     def _note_members(self) -> None:
         self.chooser.note_directory()
         self._share_budget()
-        self._rank()
+        self.role.note_members()
 
     def _share_budget(self) -> None:
         """Divide the fleet's retries among the nodes that are known."""
@@ -400,23 +381,6 @@
 
     # Listeners
 
-    async def _listen(self, address: Address, factory) -> None:
-        try:
-            server = await self.loop.create_server(
-                factory, address.host, address.port, backlog=BACKLOG
-            )
-        except OSError as error:
-            raise SettingError(
-                f"cannot listen on {address}: {error.strerror}",
-                ResultCode.SETTING_ADDRESS_IN_USE,
-            ) from error
-        self.listeners.append(server)
-
-    async def _listen_small(self, address: Address, handler) -> None:
-        server = HttpServer(handler)
-        await server.start(*address)
-        self.small_listeners.append(server)
-
     def _answer_ready(self, request: WebRequest) -> WebReply:
         if request.path != self.deployment.ready_path:
             return WebReply(HTTPStatus.NOT_FOUND)
--- a/src/daisylink/sidecar/_store_link.py
+++ b/src/daisylink/sidecar/_store_link.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from daisylink.errors import PlatformError
+from daisylink.errors import CallError, PlatformError
 from daisylink.logs import get_logger
 from daisylink.registry import (
     EndLease,
@@ -12,16 +12,19 @@
     Follower,
     GrantLease,
     LeaseStore,
+    Listing,
     ListKeys,
     Publish,
     Publisher,
     Registration,
     RegistrationCall,
     RenewLease,
+    Sources,
     WatchKeys,
     WriteRecord,
 )
 from daisylink.sidecar._edition import EDITION_KEY, Edition
+from daisylink.sidecar._feed import FeedClient
 
 # Time between new watches, in which a large configuration comes through a narrow link.
 REWATCH_INTERVAL_SECONDS = 2.0
@@ -44,6 +47,7 @@
         registration: Registration,
         follower: Follower,
         publisher: Publisher,
+        sources: Sources,
         own_key: str,
         now: Callable[[], float],
         spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task],
@@ -53,6 +57,8 @@
         self.registration = registration
         self.follower = follower
         self.publisher = publisher
+        self.sources = sources
+        self.feed_client = FeedClient()
         self.own_key = own_key
         self.now = now
         self.spawn = spawn
@@ -121,9 +127,8 @@
                 case ListKeys(prefix):
                     listing = await self.store.list(prefix)
                     self.follower.take_listing_answer(listing)
-                case WatchKeys(revision, wait, prefix):
-                    changes = await self.store.watch(prefix, revision, wait)
-                    self.follower.take_changes(changes, self.now())
+                case WatchKeys():
+                    await self._watch(call)
         except PlatformError as error:
             _note_failure(call, error, had_failed)
             self.follower.take_failure(error.code, self.now())
@@ -132,6 +137,25 @@
                 log.bind(call=type(call).__name__).info("store answers again")
         self.on_answer()
 
+    async def _watch(self, call: WatchKeys) -> None:
+        # Readers tell only of the fleet's own keys.
+        reader = self.sources.choose(self.now()) if call.prefix else None
+        if reader is None:
+            changes = await self.store.watch(call.prefix, call.revision, call.wait)
+            self.follower.take_changes(changes, self.now())
+            return
+        try:
+            news = await self.feed_client.watch(reader, call.revision)
+        except CallError as error:
+            log.bind(reader=reader).info("reader does not answer: {}", error)
+            self.sources.note_failure(self.now())
+            self.follower.watch_anew()
+            return
+        if isinstance(news, Listing):
+            self.follower.take_listing_answer(news)
+        else:
+            self.follower.take_changes(news, self.now(), is_priced=False)
+
     async def _publish(self, call: Publish) -> None:
         edition = Edition.from_document(call.number, call.document)
         fields = log.bind(version=call.number, known=call.revision)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -83,6 +83,7 @@
         self.leases = {}
         self.changed = asyncio.Event()
         self.calls = 0
+        self.watched = []
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -157,6 +158,7 @@
         return {"items": items, "more_pages": more, "current_rev": self.revision}
 
     async def _watch(self, query):
+        self.watched.append(query.get("prefix", ""))
         after = int(query["after"])
         if after < self.compacted:
             return HTTPStatus.GONE, {}
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -1,11 +1,23 @@
 """Sidecars of a fleet in which only some nodes read the configuration itself."""
 
+import asyncio
+import random
+import unittest
 import unittest.mock
 
 from daisylink import platform
-from daisylink.registry import ReaderSettings
+from daisylink.http_server import WebRequest
+from daisylink.registry import (
+    Changes,
+    Follower,
+    FollowerSettings,
+    Item,
+    Listing,
+    ReaderSettings,
+)
 from daisylink.sidecar import Sidecar
 from daisylink.sidecar._edition import EDITION_KEY, Edition
+from daisylink.sidecar._feed import Feed, News
 from daisylink.sidecar._knowledge import OWN_PREFIX
 from tests.sidecar_case import Machine, SidecarTestCase
 from tests.test_platform import make_configuration
@@ -19,9 +31,9 @@
     async def divide(self, machines):
         """Make one machine the reader, and return it and the others."""
         for machine in machines:
-            machine.sidecar.reader_settings = ONE_READER
+            machine.sidecar.role.settings = ONE_READER
             machine.sidecar._note_members()
-        (reader,) = [m for m in machines if m.sidecar.rank == 0]
+        (reader,) = [m for m in machines if m.sidecar.role.rank == 0]
         others = [machine for machine in machines if machine is not reader]
         await self.wait_for(
             lambda: all(m.sidecar.follower.prefix == OWN_PREFIX for m in others)
@@ -44,6 +56,45 @@
 
         self.run_machines(scenario, count=3)
 
+    def test_the_rest_of_the_fleet_asks_a_reader_and_not_the_store(self):
+        """hanbit-grown: 4,157 calls to the store, most of them watches."""
+
+        async def scenario(store, *machines):
+            reader, others = await self.divide(machines)
+            store.watched.clear()
+            gone = others[0]
+            await gone.beat("draining")
+            await self.wait_for(
+                lambda: all(
+                    len(m.sidecar.members.serving("one")) == 2 for m in machines
+                )
+            )
+            store.end_lease(gone.sidecar.registration.lease_id)
+            await asyncio.sleep(3.0)
+            self.assertNotIn(OWN_PREFIX, store.watched)
+
+        self.run_machines(scenario, count=3)
+
+    def test_the_store_is_asked_while_a_reader_does_not_answer(self):
+        """A reader that froze, or is cut off: its connections hang."""
+
+        async def scenario(store, *machines):
+            reader, others = await self.divide(machines)
+            reader.sidecar.feed.answer = lambda _: (
+                asyncio.get_running_loop().create_future()
+            )
+            reader.sidecar.follower.pending = "frozen"
+            reader.sidecar.store_link.follow_task.cancel()
+            newer = make_configuration().replace(b"r12", b"r14")
+            edition = Edition.from_document(14, newer)
+            await asyncio.sleep(0.1)
+            store.put(EDITION_KEY, edition.to_bytes())
+            await self.wait_for(
+                lambda: all(m.sidecar.knowledge.number == 14 for m in others), 2.5
+            )
+
+        self.run_machines(scenario, count=3)
+
     def test_another_node_reads_once_the_reader_is_gone(self):
         async def scenario(store, *machines):
             reader, others = await self.divide(machines)
@@ -70,7 +121,7 @@
                 await late.start()
             await self.wait_for(lambda: late.sidecar.is_ready)
             follower = late.sidecar.follower
-            rank = late.sidecar.rank
+            rank = late.sidecar.role.rank
             late.close()
             self.assertEqual(platform.CONFIG_KEY in follower.values, rank is not None)
 
@@ -97,3 +148,32 @@
             self.assertEqual([version.number for version in installed], [12])
 
         self.run_machines(scenario)
+
+
+class FeedTests(unittest.IsolatedAsyncioTestCase):
+    """What a reader tells of, by what it can know."""
+
+    def setUp(self):
+        self.follower = Follower(
+            FollowerSettings(), lambda _: None, lambda: None, random.Random(1)
+        )
+        own = [Item("own/a", b"1", 3), Item("own/b", b"2", 8), Item("op", b"", 9)]
+        self.follower.tick(0.0)
+        self.follower.take_listing_answer(Listing(own, 10))
+        self.follower.tick(0.0)
+        self.follower.take_changes(Changes([Item("own/a", None, 12)], 12), 0.0)
+
+    def ask(self, after):
+        feed = Feed(self.follower, "own/", lambda: True)
+        request = WebRequest("GET", "/v1/changes", {"after": str(after)}, b"")
+        return News.from_bytes(feed.answer(request).body)
+
+    async def test_deletions_since_the_first_listing_are_told(self):
+        news = self.ask(11)
+        self.assertFalse(news.is_whole)
+        self.assertEqual(news.list_items(), [Item("own/a", None, 12)])
+
+    async def test_all_keys_are_told_to_who_may_have_missed_a_deletion(self):
+        news = self.ask(9)
+        self.assertTrue(news.is_whole)
+        self.assertEqual(news.list_items(), [Item("own/b", b"2", 8)])
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -7,6 +7,8 @@
     Publisher,
     PublisherSettings,
     ReaderSettings,
+    Sources,
+    SourceSettings,
     rank_readers,
 )
 from daisylink.serving import MemberRecord
@@ -62,6 +64,25 @@
         self.assertEqual(len(set(after) & set(before)), 11)
 
 
+class SourceTests(unittest.TestCase):
+    def test_nodes_share_the_readers_of_their_own_zone(self):
+        readers = [MemberRecord(f"r{n}", f"z{n % 2}", 0) for n in range(6)]
+        chosen = []
+        for number in range(30):
+            sources = Sources(SourceSettings(), f"n{number}", "z0")
+            sources.set_readers(readers)
+            chosen.append(sources.choose(0.0))
+        self.assertEqual(set(chosen), {"r0", "r2", "r4"})
+
+    def test_the_store_is_asked_for_a_while_after_a_reader_failed(self):
+        sources = Sources(SourceSettings(), "n", "z0")
+        self.assertIsNone(sources.choose(0.0))
+        sources.set_readers([MemberRecord("r", "z0", 0)])
+        sources.note_failure(1.0)
+        self.assertIsNone(sources.choose(5.9))
+        self.assertEqual(sources.choose(6.0), "r")
+
+
 class PublisherTests(unittest.TestCase):
     def setUp(self):
         self.publisher = Publisher(SETTINGS)
