A stopping node closes no connection on which it owes an answer

Change: while a node stops, an answer closes the connection only if no request behind it has begun, and none behind another begins any more.

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -171,6 +171,13 @@
 
     # Exchanges
 
+    def owes_after(self, exchange: Exchange) -> bool:
+        """Return whether a request behind another one has begun."""
+        behind = list(self.waiting)
+        if exchange in behind:
+            behind = behind[behind.index(exchange) + 1 :]
+        return any(other.started for other in behind)
+
     def write(self, exchange: Exchange, data: bytes) -> None:
         """Write to the caller, or hold the bytes until it is the request's turn."""
         if exchange is not self.current:
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -121,7 +121,7 @@
 
         :param is_first: whether all earlier requests of the connection are answered.
             Others begin early only if they may run again, in case the connection
-            closes before their turn.
+            closes before their turn, and not while the node stops.
         """
         if self.started or self.done:
             return
@@ -133,7 +133,7 @@
             version = self.gateway.version
             plan = plan_request(self.head, version, now, self.gateway.pick_target)
         may_begin = isinstance(plan, RequestPlan) and plan.idempotent
-        if not is_first and not may_begin:
+        if not is_first and (self.gateway.stopping or not may_begin):
             return
         self.started = True
         if isinstance(plan, Refusal):
@@ -477,7 +477,9 @@
         """Return whether the caller's connection stays open after the answer."""
         if self.head.expects_continue and not self.continued and not self.body.done:
             return False
-        return self.keep_alive and (self.is_relay or not self.gateway.stopping)
+        if self.is_relay or not self.gateway.stopping:
+            return self.keep_alive
+        return self.keep_alive and self.caller.owes_after(self)
 
     def _load_line(self) -> bytes:
         """Return the header line that tells the entry node the load here."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -194,6 +194,28 @@
 
         self.run_machines(scenario)
 
+    def test_a_stop_closes_no_connection_on_which_an_answer_is_owed(self):
+        """hanbit-grown, scale-1: LOST at a machine that got SIGTERM."""
+        names = ["r1", "r2"]
+
+        async def scenario(_store, machine):
+            machine.server.seconds = 0.3
+            reader, writer = await self.send(machine, names, "GET")
+            await self.wait_for(lambda: len(machine.server.runs) == len(names))
+            stop = asyncio.ensure_future(machine.sidecar.stop())
+            await asyncio.sleep(0.05)
+            late = "GET /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+            writer.write(f"{late}X-Daisylink-Request-Id: late\r\n\r\n".encode())
+            async with asyncio.timeout(2):
+                text = await reader.read(-1)
+            for name in names:
+                self.assertIn(f"answer to {name}".encode(), text)
+            self.assertEqual(text.lower().count(b"connection: close"), 1)
+            self.assertEqual(machine.server.runs, names)
+            await stop
+
+        self.run_machines(scenario)
+
     def test_a_placement_waits_for_the_answer_before_it(self):
         """What stands behind an answer that closes the connection is sent again."""
         names = ["r1", "r2"]
