No narrow link takes a lost reader's place, and no late reader is asked

Change: narrow links read only if the fleet has fewer than four wide ones; a node that hears of a newer version and has not got it within a second asks the store, and feeds nobody until it has it.

--- a/src/daisylink/registry/_readers.py
+++ b/src/daisylink/registry/_readers.py
@@ -6,6 +6,7 @@
 others read that. A small fleet is better off without the second write.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -20,13 +21,14 @@
     :param small_fleet: nodes of a fleet in which every node does.
     :param most: nodes of each zone that do; with 0.6 of all nodes killed at once, all
         twelve of four zones are among them twice in a thousand times.
-    :param least: nodes of each zone that do although their links are narrow.
-    :param narrow: a narrow link is under this share of the widest one of its zone.
+    :param least: nodes of the fleet that do although their links are narrow: one would
+        be enough, a reader and those that ask it share its link.
+    :param narrow: a narrow link is under this share of the widest one.
     """
 
     small_fleet: int = 16
     most: int = 3
-    least: int = 2
+    least: int = 4
     narrow: float = 0.25
 
 
@@ -42,22 +44,19 @@
     """
     if len(records) <= settings.small_fleet:
         return list(records)
-    zones: dict[str, list[MemberRecord]] = {}
-    for record in records.values():
-        zones.setdefault(record.zone, []).append(record)
-    chosen: list[MemberRecord] = []
-    for members in zones.values():
-        chosen += _choose(_sort(members), settings)
-    return [record.node for record in _sort(chosen)]
-
-
-def _choose(
-    members: list[MemberRecord], settings: ReaderSettings
-) -> list[MemberRecord]:
+    members = _sort(records.values())
     enough = members[0].link_mbps * settings.narrow
-    wide = [record for record in members if record.link_mbps >= enough]
-    count = max(settings.least, min(settings.most, len(wide)))
-    return members[:count]
+    zones: Counter[str] = Counter()
+    readers: list[str] = []
+    for record in members:
+        is_narrow = record.link_mbps < enough
+        if zones[record.zone] >= settings.most:
+            continue
+        if is_narrow and len(readers) >= settings.least:
+            break
+        zones[record.zone] += 1
+        readers.append(record.node)
+    return readers
 
 
 def _sort(records: Iterable[MemberRecord]) -> list[MemberRecord]:
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -165,6 +165,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.timer: asyncio.TimerHandle | None = None
         self.newer_number = 0
+        self.missed_number = 0
         self.stopping = False
 
     @classmethod
@@ -301,8 +302,10 @@
     @property
     def serves_feed(self) -> bool:
         """Return whether other nodes may learn of changes from this one."""
+        if self.missed_number > self.knowledge.number or self.stopping:
+            return False
         watches = self.role.is_reader and self.follower.is_listed
-        return watches and not self.is_store_away and not self.stopping
+        return watches and not self.is_store_away
 
     def _choose_keys(self, now: float) -> None:
         """Follow all keys as a reader, else only what the fleet itself writes."""
@@ -337,6 +340,8 @@
         """
         if number <= self.knowledge.number or self.stopping:
             return
+        self.missed_number = number
+        self.sources.note_failure(self.now())
         if is_first:
             self.store_link.watch_anew("a peer has a newer version")
         else:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -95,6 +95,27 @@
 
         self.run_machines(scenario, count=3)
 
+    def test_a_reader_that_is_behind_is_not_asked(self):
+        """hanbit-grown, trouble-3: a reader on a full link fed its zone old news."""
+
+        async def scenario(store, *machines):
+            reader, others = await self.divide(machines)
+            reader.sidecar.follower.pending = "slow"
+            reader.sidecar.store_link.follow_task.cancel()
+            await asyncio.sleep(0.1)
+            newer = make_configuration().replace(b"r12", b"r14")
+            store.put(EDITION_KEY, Edition.from_document(14, newer).to_bytes())
+            for machine in others:
+                machine.sidecar._note_peer_version(14)
+            await self.wait_for(
+                lambda: all(m.sidecar.knowledge.number == 14 for m in others), 2.5
+            )
+            self.assertTrue(reader.sidecar.serves_feed)
+            reader.sidecar._note_peer_version(14)
+            await self.wait_for(lambda: not reader.sidecar.serves_feed, 1.5)
+
+        self.run_machines(scenario, count=3)
+
     def test_another_node_reads_once_the_reader_is_gone(self):
         async def scenario(store, *machines):
             reader, others = await self.divide(machines)
