The end of a process waits for its tasks whatever components still do

Cause: one of five instrumented full runs (four of them two side by side) ended 195 passed, 1 failed: request matrix test_idempotent_admission, 'RuntimeError: Event loop stopped before Future completed'. While Main ended the tasks that were left, a circuits component's descriptor became ready and stopped the loop; run_until_complete takes that for an error. daisylink-node can end so too. Change: the loop runs again until all tasks have ended. Measured: tests/test_loop.py fails before with the same words and passes.

--- a/src/daisylink/loop.py
+++ b/src/daisylink/loop.py
@@ -119,10 +119,16 @@
         self.loop.stop()
 
     def _cancel_rest(self) -> None:
+        """End what still runs; components' events may stop the loop meanwhile."""
         tasks = asyncio.all_tasks(self.loop)
         for task in tasks:
             task.cancel()
-        self.loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        if not tasks:
+            return
+        rest = asyncio.gather(*tasks, return_exceptions=True)
+        rest.add_done_callback(lambda _: self.loop.stop())
+        while not rest.done():
+            self.loop.run_forever()
 
 
 async def wait_for_stop_signal() -> None:
