--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -270,6 +270,62 @@
         "            if name not in dropped:\n",
         "tests.test_framing",
     ),
+    Mutant(
+        "spread: what was held of an answer waits for the loop",
+        "connection/_caller.py",
+        "            self._write_held(self.current)\n",
+        "",
+        "tests.test_pipelining",
+    ),
+    Mutant(
+        "spread: a stop closes over answers that are owed",
+        "request/_exchange.py",
+        "        return self.keep_alive and self.caller.owes_after(self)\n",
+        "        return False\n",
+        "tests.test_sidecar",
+    ),
+    Mutant(
+        "spread: narrow links take the place of lost readers",
+        "registry/_readers.py",
+        "        if is_narrow and len(readers) >= settings.least:\n            break\n",
+        "",
+        "tests.test_readers",
+    ),
+    Mutant(
+        "spread: each version of a storm is published",
+        "registry/_readers.py",
+        "        return max(due, self.published_at + self.interval)\n",
+        "        return due\n",
+        "tests.test_readers",
+    ),
+    Mutant(
+        "spread: deletions before the first listing are not told",
+        "sidecar/_feed.py",
+        "        is_whole = after < follower.since\n",
+        "        is_whole = False\n",
+        "tests.test_large_fleet",
+    ),
+    Mutant(
+        "spread: a reader that is behind feeds others",
+        "sidecar/_sidecar.py",
+        "        if self.missed_number > self.knowledge.number or self.stopping:\n",
+        "        if self.stopping:\n",
+        "tests.test_large_fleet",
+    ),
+    Mutant(
+        "spread: a small fleet begins with an old edition",
+        "sidecar/_knowledge.py",
+        " and (self.takes_editions or not is_first):",
+        ":",
+        "tests.test_large_fleet",
+    ),
+    Mutant(
+        "spread: strikes stay at the node that saw the crash",
+        "sidecar/_sidecar.py",
+        "        own = msgspec.structs.replace(self.members.own, strikes=strikes)\n",
+        "        own = self.members.own\n",
+        "tests.test_strikes",
+    ),
 )
 
 
