--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -164,6 +164,8 @@
         self.listeners = Listeners(self.loop)
         self.tasks: set[asyncio.Task] = set()
         self.timer: asyncio.TimerHandle | None = None
+        # The highest number heard of from a peer, and the highest one of these that had
+        # not come here a second later.
         self.newer_number = 0
         self.missed_number = 0
         self.stopping = False
