Key records keep their full time; a pause of the process is no silence of a peer

Change: one table of grant times and one of response sizes, in the order added.

Cause (found while tracing the silence test): after a pause of the process the answer and the timeout of a probe or connection are due at once, and the timeout won: an answering node counted as unreachable, its idempotent requests ran twice, others failed. Change: a wait in which the process did not run is repeated.

Four new tests, each fails on (3 in test_ledger, 1 in test_silence: 502 instead of 200).

--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -14,6 +14,8 @@
 # Several round trips between regions. A lost SYN is retransmitted only after a second;
 # by then another node has long responded.
 CONNECT_TIMEOUT_SECONDS = 0.25
+# A timer that fires later than this shows that the process was paused.
+MAX_TIMER_DELAY_SECONDS = 0.05
 MAX_IDLE_SECONDS = 30.0
 # An idle connection is closed well before the peer's own timeout.
 IDLE_TIMEOUT_FRACTION = 0.6
@@ -269,12 +271,8 @@
         and its requests in progress end, with or without a response, on the connections
         that are open.
         """
-        host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                _, hop = await self.gateway.loop.create_connection(
-                    lambda: HopConnection(self, address), host, int(port)
-                )
+            hop = await self._connect(address)
         except TimeoutError:
             return False
         except (OSError, ValueError) as error:
@@ -302,15 +300,39 @@
         self.idle.clear()
 
     async def _open(self, address: str, exchange: Any, attempt: int) -> None:
-        host, _, port = address.rpartition(":")
-        loop = self.gateway.loop
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                _, hop = await loop.create_connection(
-                    lambda: HopConnection(self, address), host, int(port)
-                )
+            hop = await self._connect(address)
         except (OSError, TimeoutError, ValueError) as error:
             exchange.handle_connect_failure(attempt, isinstance(error, TimeoutError))
             return
         if not exchange.handle_connection(hop, attempt):
             self.release(hop)
+
+    async def _connect(self, address: str) -> HopConnection:
+        """Open a connection.
+
+        A wait in which this process did not run says nothing about the peer, whose
+        answer may lie unread; it is repeated.
+
+        :raises TimeoutError: if the peer did not answer in time.
+        :raises OSError: if it refused the connection.
+        :raises ValueError: if the address is malformed.
+        """
+        host, _, port = address.rpartition(":")
+        gateway = self.gateway
+        connecting = gateway.loop.create_task(
+            gateway.loop.create_connection(
+                lambda: HopConnection(self, address), host, int(port)
+            )
+        )
+        late = CONNECT_TIMEOUT_SECONDS + MAX_TIMER_DELAY_SECONDS
+        try:
+            while True:
+                started_at = gateway.now()
+                await asyncio.wait((connecting,), timeout=CONNECT_TIMEOUT_SECONDS)
+                if connecting.done():
+                    return connecting.result()[1]
+                if gateway.now() - started_at < late:
+                    raise TimeoutError(f"{address} did not answer")
+        finally:
+            connecting.cancel()
--- a/src/daisylink/process/_key_records.py
+++ b/src/daisylink/process/_key_records.py
@@ -4,7 +4,6 @@
 refuses new claims instead of dropping old records.
 """
 
-from collections import deque
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -37,18 +36,59 @@
 
 
 class ShardRecords:
-    """Records of one shard in one epoch.
+    """Records of one shard in one epoch, with the times and sizes that bound them.
 
     :param now: seconds of the monotonic clock, from which the records' ttl counts.
     """
 
     def __init__(self, epoch: int, records: dict[bytes, KeyRecord], now: float):
         self.epoch = epoch
-        self.records = records
+        self.records: dict[bytes, KeyRecord] = {}
         self.sealed = False
-        self.order: deque[tuple[float, bytes]] = deque((now, key) for key in records)
-        self.response_keys: deque[bytes] = deque()
+        # Both in the order in which they were added.
+        self.granted_at: dict[bytes, float] = {}
+        self.response_sizes: dict[bytes, int] = {}
         self.response_bytes = 0
+        for key, record in records.items():
+            self.grant(key, record, now)
+            self.store_response(record)
+
+    def grant(self, key: bytes, record: KeyRecord, now: float) -> None:
+        """Add the record of a granted claim."""
+        self.records[key] = record
+        self.granted_at[key] = now
+
+    def remove(self, key: bytes) -> None:
+        """Remove a record with its response."""
+        del self.records[key]
+        del self.granted_at[key]
+        self._forget_response(key)
+
+    def store_response(self, record: KeyRecord) -> None:
+        """Replace a record by one with a response."""
+        self._forget_response(record.key)
+        self.records[record.key] = record
+        if record.answer:
+            self.response_sizes[record.key] = len(record.answer)
+            self.response_bytes += len(record.answer)
+
+    def expire(self, oldest: float) -> None:
+        """Remove the records granted before a time."""
+        while self.granted_at:
+            key, granted_at = next(iter(self.granted_at.items()))
+            if granted_at >= oldest:
+                return
+            self.remove(key)
+
+    def drop_responses(self, max_bytes: int) -> None:
+        """Drop the oldest responses beyond a size; their records stay."""
+        while self.response_bytes > max_bytes:
+            key = next(iter(self.response_sizes))
+            self._forget_response(key)
+            self.records[key] = KeyRecord(key, self.records[key].claim_id, True)
+
+    def _forget_response(self, key: bytes) -> None:
+        self.response_bytes -= self.response_sizes.pop(key, 0)
 
 
 class KeyRecords:
@@ -97,8 +137,7 @@
         if record is None:
             if len(shard_records.records) >= self.settings.max_records:
                 return self._reply(claim, Verdict.FULL)
-            shard_records.records[claim.key] = KeyRecord(claim.key, claim.claim_id)
-            shard_records.order.append((now, claim.key))
+            shard_records.grant(claim.key, KeyRecord(claim.key, claim.claim_id), now)
             return self._reply(claim, Verdict.GRANTED)
         if record.claim_id == claim.claim_id:
             return self._reply(claim, Verdict.GRANTED)
@@ -113,14 +152,12 @@
         if record is None or record.claim_id != completion.claim_id:
             return
         if completion.released:
-            del shard_records.records[completion.key]
+            shard_records.remove(completion.key)
             return
-        shard_records.records[completion.key] = KeyRecord(
-            completion.key, completion.claim_id, True, completion.answer
+        shard_records.store_response(
+            KeyRecord(completion.key, completion.claim_id, True, completion.answer)
         )
-        shard_records.response_keys.append(completion.key)
-        shard_records.response_bytes += len(completion.answer)
-        self._drop_responses(shard_records)
+        shard_records.drop_responses(self.settings.max_response_bytes)
 
     def answer_replica_request(
         self, request: ReplicaRequest, now: float
@@ -145,16 +182,4 @@
         return ClaimReply(claim.claim_id, self.own_replica.node, verdict, done, answer)
 
     def _expire(self, shard_records: ShardRecords, now: float) -> None:
-        oldest = now - self.settings.ttl.total_seconds()
-        while shard_records.order and shard_records.order[0][0] < oldest:
-            _, key = shard_records.order.popleft()
-            shard_records.records.pop(key, None)
-
-    def _drop_responses(self, shard_records: ShardRecords) -> None:
-        while shard_records.response_bytes > self.settings.max_response_bytes:
-            key = shard_records.response_keys.popleft()
-            record = shard_records.records.get(key)
-            if record is None:
-                continue
-            shard_records.response_bytes -= len(record.answer)
-            shard_records.records[key] = KeyRecord(key, record.claim_id, True)
+        shard_records.expire(now - self.settings.ttl.total_seconds())
--- a/tests/paced_loop.py
+++ b/tests/paced_loop.py
@@ -50,3 +50,7 @@
 
     def time(self):
         return self.paced.seconds
+
+    def pause(self, seconds):
+        """Advance the clock as if the process had not run for a while."""
+        self.paced.seconds += seconds
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -6,6 +6,7 @@
 from daisylink.process._messages import (
     Claim,
     ClaimCompletion,
+    KeyRecord,
     Replica,
     ReplicaMap,
     ReplicaRequest,
@@ -93,3 +94,34 @@
         self.verdict(5)
         self.assertIs(self.verdict(6, now=599.0), Verdict.KNOWN)
         self.assertIs(self.verdict(6, now=602.0), Verdict.GRANTED)
+
+    def test_a_key_granted_again_after_a_release_has_its_full_ttl(self):
+        self.verdict(5)
+        self.key_records.complete_claim(ClaimCompletion(5, 0, KEY, b"", True))
+        self.assertIs(self.verdict(6, now=599.0), Verdict.GRANTED)
+        self.key_records.complete_claim(ClaimCompletion(6, 0, KEY, b"", False))
+        self.assertIs(self.verdict(7, now=602.0), Verdict.KNOWN)
+        self.assertIs(self.verdict(8, now=1198.0), Verdict.KNOWN)
+
+    def test_expired_responses_leave_room_for_new_ones(self):
+        for number, now in ((1, 1.0), (2, 700.0), (3, 1400.0)):
+            self.verdict(number, now=now)
+            completion = ClaimCompletion(number, 0, KEY, b"x" * 60, False)
+            self.key_records.complete_claim(completion)
+        reply = self.key_records.answer_claim(claim(99), 1400.0)
+        self.assertEqual(len(reply.answer), 60)
+
+    def test_transferred_and_repeated_responses_count_once(self):
+        records = tuple(KeyRecord(bytes([9, n] * 8), n, True, b"x" * 40) for n in (1, 2))
+        request = ReplicaRequest(0, 2, transfer=11, records=records)
+        self.key_records.answer_replica_request(request, 1.0)
+        self.key_records.apply_map(make_map(2, 2, 11), 2.0)
+        self.verdict(5, epoch=2)
+        for _ in range(2):
+            completion = ClaimCompletion(5, 0, KEY, b"x" * 40, False)
+            self.key_records.complete_claim(completion)
+        sizes = [
+            len(self.key_records.answer_claim(claim(99, 2, key), 3.0).answer)
+            for key in (records[0].key, records[1].key, KEY)
+        ]
+        self.assertEqual(sizes, [0, 40, 40])
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -10,6 +10,8 @@
 from tests.support import HOST, FleetTestCase, make_content
 
 SENT_AT = 10.0
+# Longer than the timeout of a probe.
+PAUSE_SECONDS = 0.3
 
 
 class ReachabilityMonitorTests(unittest.TestCase):
@@ -140,3 +142,37 @@
             self.assertEqual(runs, 1, f"runs by server {seen}, trails {trails}")
 
         self.run_fleet(scenario)
+
+    def test_a_pause_of_the_own_process_makes_no_node_unreachable(self):
+        """The process is paused while a probe's refusal is on its way.
+
+        After the pause the refusal and the probe's timeout are due at once.
+        """
+
+        async def scenario(fleet, operations):
+            await fleet.start(self.placements, service_ms=600.0)
+            await operations.accept(make_content("a", "b"), "")
+            await fleet.wait_for_servers()
+            entry = fleet.nodes[0].gateway
+            loop = fleet.application.loop
+
+            async def refuse_after_pause(*_arguments, **_options):
+                answer = loop.create_future()
+                refusal = ConnectionRefusedError()
+                loop.call_later(PAUSE_SECONDS / 10, answer.set_exception, refusal)
+                loop.call_soon(loop.pause, PAUSE_SECONDS)
+                await answer
+
+            caller = CallerClient(str(fleet.nodes[0].callers_address))
+            call = asyncio.ensure_future(caller.call("POST", "/a/read", HOST, b"x"))
+            busy = fleet.nodes[1].gateway.admission
+            await fleet.wait_for(lambda: busy.in_use == 1)
+            with unittest.mock.patch.object(
+                loop, "create_connection", refuse_after_pause
+            ):
+                self.assertEqual((await call).status, 200)
+            self.assertTrue(entry.balancer.reachability.probe_at)
+            runs = sum(sum(backend.runs.values()) for backend in fleet.backends)
+            self.assertEqual(runs, 1)
+
+        self.run_fleet(scenario)
