--- a/bench/overload.py
+++ b/bench/overload.py
@@ -167,7 +167,7 @@
                 ]
                 return self.rng.choice(candidates)
             case _:
-                return self.balancer.choose("p", (), SLOTS, 1.0, now)
+                return self.balancer.choose("p", (), SLOTS, now)
 
 
 def run_choice(kind, load, seed=1):
@@ -220,7 +220,9 @@
         latencies.append(now - started)
         server = servers[node]
         entry.balancer.end(node)
-        entry.balancer.record_report(node, (server.in_use + server.queued) / SLOTS, now)
+        entry.balancer.response_times.record_report(
+            node, (server.in_use + server.queued) / SLOTS, now, server.service_time, ""
+        )
         for waiting in server.release(seconds, now):
             begin(waiting, now)
     cuts = statistics.quantiles(latencies, n=100)
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -523,7 +523,8 @@
 
     def _format_load_header(self) -> bytes:
         """Return the header line that reports this node's load to the entry node."""
-        return LOAD_HEADER + b": " + self.gateway.format_load()
+        kind = self.plan.route if self.plan is not None else ""
+        return LOAD_HEADER + b": " + self.gateway.format_load(kind)
 
     def _find_refusal(self, head: ResponseHead) -> Refusal | None:
         """Return the refusal that a response stands for, None to pass it on."""
@@ -536,7 +537,7 @@
             return None
         load = read_load(head)
         if load is not None:
-            self.gateway.record_load(self.target, load)
+            self.gateway.record_load(self.target, load, self.plan.route)
         self.response.replayed = is_replay(head)
         return read_refusal(head)
 
--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -131,7 +131,7 @@
         if self.in_use < self.capacity:
             self.in_use += 1
             return Admitted()
-        seconds = self.service_times.get(kind, self.service_time)
+        seconds = self.get_service_time(kind)
         waiting = QueuedRequest(ticket, priority, deadline, slo_deadline, seconds)
         wait = self._expected_wait(priority)
         if now + wait + seconds >= deadline:
@@ -182,6 +182,10 @@
                     queue.remove(waiting)
                     return
 
+    def get_service_time(self, kind: str) -> float:
+        """Return the usual service time of a kind in seconds, 0 if none is known."""
+        return self.service_times.get(kind, self.service_time)
+
     def _update_service_times(self, seconds: float, kind: str) -> None:
         self.service_time += SERVICE_TIME_WEIGHT * (seconds - self.service_time)
         previous = self.service_times.get(kind, seconds)
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -1,6 +1,7 @@
 """State that all requests of a process share: version, load balancer, limits."""
 
 import asyncio
+import math
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
@@ -172,8 +173,13 @@
 
     def choose(self, plan: RequestPlan, tried: set[str]) -> MemberRecord | None:
         """Choose the node for a request's next attempt, None if none is left."""
-        load = self._own_load()
-        return self.balancer.choose(plan.pool, tried, plan.slots, load, self.now())
+        now = self.now()
+        if plan.pool == self.own_record.pool:
+            self._record_own_load(plan.route, now)
+        slo_seconds = plan.slo_ms / MS_PER_SECOND
+        return self.balancer.choose(
+            plan.pool, tried, plan.slots, now, plan.route, slo_seconds
+        )
 
     def try_admit(self, exchange: Exchange, plan: RequestPlan) -> Decision:
         """Admit, queue or refuse a request for the local backend server."""
@@ -283,19 +289,36 @@
         for caller in list(self.callers):
             caller.close_if_idle()
 
-    def format_load(self) -> bytes:
-        """Return the local backend server's load as the value of the load header."""
-        service_ms = self.admission.service_time * MS_PER_SECOND
+    def format_load(self, kind: str) -> bytes:
+        """Return the value of the load header for a response.
+
+        :param kind: kind of the request, whose usual service time is reported.
+        """
+        service_ms = self.admission.get_service_time(kind) * MS_PER_SECOND
         return b"%.3f %.1f" % (self._own_load(), service_ms)
 
-    def record_load(self, node: str, text: bytes) -> None:
-        """Record the load header of another node's response; ignore a malformed one."""
+    def record_load(self, node: str, text: bytes, kind: str) -> None:
+        """Record the load header of another node's response; ignore a malformed one.
+
+        :param kind: kind of the request that was answered.
+        """
+        load, _, service_ms = text.partition(b" ")
         try:
-            load, _, service_ms = text.partition(b" ")
-            seconds = float(service_ms or 0) / MS_PER_SECOND
-            self.balancer.record_report(node, float(load), self.now(), seconds)
+            figures = float(load), float(service_ms or 0) / MS_PER_SECOND
         except ValueError:
             return
+        if not all(math.isfinite(figure) and figure >= 0 for figure in figures):
+            return
+        self.balancer.response_times.record_report(
+            node, figures[0], self.now(), figures[1], kind
+        )
+
+    def _record_own_load(self, kind: str, now: float) -> None:
+        """Record what the local backend server would report."""
+        seconds = self.admission.get_service_time(kind)
+        self.balancer.response_times.record_report(
+            self.own_record.node, self._own_load(), now, seconds, kind
+        )
 
     def record_answered(self, exchange: Exchange) -> None:
         """Count a request that got a backend server's response."""
--- a/src/daisylink/serving/_in_flight.py
+++ b/src/daisylink/serving/_in_flight.py
@@ -86,7 +86,10 @@
             node: min(exchanges.values()) for node, exchanges in self.sent_at.items()
         }
         probes = balancer.reachability.choose_probes(
-            oldest, balancer.last_response_at, balancer.get_service_times(), self.now()
+            oldest,
+            balancer.last_response_at,
+            balancer.response_times.get_mean_seconds(),
+            self.now(),
         )
         for node in probes:
             task = self.loop.create_task(self._probe(node))
--- a/src/daisylink/serving/_load_balancer.py
+++ b/src/daisylink/serving/_load_balancer.py
@@ -1,23 +1,25 @@
 """Balances load: chooses the node for each attempt of a request."""
 
 import random
-from collections import Counter
 from collections.abc import Collection
 from typing import NamedTuple, Protocol
 
 from daisylink.serving._reachability import ReachabilityMonitor
 from daisylink.serving._records import MemberRecord
+from daisylink.serving._response_times import ResponseTimes
 
 MAX_COMPARED_NODES = 16
 EJECT_AFTER_FAILURES = 3
 FIRST_EJECT_SECONDS = 2.0
 MAX_EJECT_SECONDS = 30.0
 MAX_EJECTED_SHARE = 0.5
-REPORT_LIFETIME_SECONDS = 1.0
-FULL_LOAD = 1.0
-LOCAL_LOAD_LIMIT = 0.5
-# Cost factor of another zone: its longer round trip and its traffic.
-OTHER_ZONE_COST_FACTOR = 1.25
+# Time that another zone must save, as a share of the objective: its longer round trip
+# and its traffic.
+OTHER_ZONE_SHARE = 0.2
+# The same as a share of the usual response time, for requests without an objective.
+OTHER_ZONE_TIME_SHARE = 0.25
+# Time that another node of the own zone must save over the own backend server.
+HOP_SECONDS = 0.002
 
 
 class PoolDirectory(Protocol):
@@ -32,19 +34,6 @@
         """Return the records of the nodes that serve a pool, by node."""
 
 
-class LoadReport(NamedTuple):
-    """Load that a node reported with a response.
-
-    :param load: running and queued requests per slot.
-    :param at: when the report arrived, in seconds of the monotonic clock.
-    :param service_time: mean seconds that a request holds a slot, 0 if not reported.
-    """
-
-    load: float
-    at: float
-    service_time: float = 0.0
-
-
 class NodeHealth(NamedTuple):
     """Failures of a node as observed by this node.
 
@@ -68,9 +57,8 @@
 class LoadBalancer:
     """Chooses the node with the lowest expected response time.
 
-    Prefers nodes in the own zone while one of them has a free slot. It is designed for
-    servers of unequal speed, some slowed or just started, that serve many nodes which
-    do not know of each other's requests.
+    Prefers its own backend server, then nodes in the own zone, unless another one would
+    answer sooner by more than the longer way is worth.
 
     A node that fails several times in a row is ejected for a while. If more than half
     of the candidates would be ejected, the failures are not trusted as a signal and all
@@ -83,8 +71,8 @@
     def __init__(self, directory: PoolDirectory, rng: random.Random):
         self.directory = directory
         self.rng = rng
-        self.in_flight: Counter[str] = Counter()
-        self.reports: dict[str, LoadReport] = {}
+        self.response_times = ResponseTimes()
+        self.in_flight = self.response_times.in_flight
         self.health: dict[str, NodeHealth] = {}
         self.last_response_at: dict[str, float] = {}
         self.reachability = ReachabilityMonitor()
@@ -99,44 +87,33 @@
         pool: str,
         tried: Collection[str],
         slots: int,
-        own_load: float,
         now: float,
+        kind: str = "",
+        slo_seconds: float = 0.0,
     ) -> MemberRecord | None:
         """Choose the node for the next attempt.
 
         :param tried: names of the nodes that earlier attempts went to.
         :param slots: slots of a server whose record states none.
-        :param own_load: requests per slot at the local backend server.
         :param now: seconds of the monotonic clock.
+        :param kind: group of requests with about the same service time.
+        :param slo_seconds: latency objective, 0 for none.
         :returns: the node's record, or None if no candidate is left.
         """
-        own_record = self.directory.own_record
-        is_own_pool = (
-            own_record.is_serving
-            and own_record.pool == pool
-            and own_record.node not in tried
-        )
-        if is_own_pool and own_load < LOCAL_LOAD_LIMIT:
-            return own_record
         candidates = self.cache.get(pool) or self._find_candidates(pool)
-        near = self._choose_cheapest(candidates.own_zone, tried, slots, now)
-        if near is not None and self._estimate_load(near, slots, now) < FULL_LOAD:
-            return near
-        far = self._choose_cheapest(candidates.other_zones, tried, slots, now)
+        near = self._choose_fastest(candidates.own_zone, tried, slots, kind, now)
+        far = self._choose_fastest(candidates.other_zones, tried, slots, kind, now)
         if near is None or far is None:
             return near or far
-        if self._estimate_load(far, slots, now) < FULL_LOAD:
-            return far
-        near_cost = self._estimate_cost(near, slots, now)
-        return (
-            far
-            if self._estimate_cost(far, slots, now) * OTHER_ZONE_COST_FACTOR < near_cost
-            else near
-        )
+        estimate = self.response_times.estimate_seconds
+        near_seconds = estimate(near, kind, slots, now)
+        margin = slo_seconds * OTHER_ZONE_SHARE or near_seconds * OTHER_ZONE_TIME_SHARE
+        far_seconds = estimate(far, kind, slots, now)
+        return far if far_seconds + margin < near_seconds else near
 
     def describe(self, node: str, now: float) -> str:
         """Return the figures behind the choice of a node, for the log."""
-        report = self.reports.get(node)
+        report = self.response_times.reports.get(node)
         sent = self.in_flight.get(node, 0)
         if report is None:
             return f"{node} in_flight={sent} no_report"
@@ -150,11 +127,6 @@
         """
         self.health.pop(node, None)
 
-    def get_service_times(self) -> dict[str, float]:
-        """Return the reported service time in seconds by node."""
-        reports = self.reports.items()
-        return {node: report.service_time for node, report in reports}
-
     def begin(self, node: str) -> None:
         """Count a request that is sent to a node."""
         self.in_flight[node] += 1
@@ -165,17 +137,6 @@
         if not self.in_flight[node]:
             del self.in_flight[node]
 
-    def record_report(
-        self, node: str, load: float, now: float, service_time: float = 0.0
-    ) -> None:
-        """Record the load that a node reported.
-
-        :param load: running and queued requests per slot.
-        :param now: seconds of the monotonic clock.
-        :param service_time: mean seconds that a request holds a slot, 0 if unknown.
-        """
-        self.reports[node] = LoadReport(load, now, service_time)
-
     def record_success(self, node: str, now: float) -> None:
         """Record a response of a node, which ends its run of failures."""
         self.last_response_at[node] = now
@@ -202,11 +163,12 @@
         self.cache[pool] = candidates
         return candidates
 
-    def _choose_cheapest(
+    def _choose_fastest(
         self,
         group: tuple[MemberRecord, ...],
         tried: Collection[str],
         slots: int,
+        kind: str,
         now: float,
     ) -> MemberRecord | None:
         unreachable = self.reachability.unreachable
@@ -222,7 +184,9 @@
             return None
         if len(group) == 1:
             return group[0]
-        costs = [(self._estimate_cost(record, slots, now), record) for record in group]
+        costs = [
+            (self._estimate_cost(record, kind, slots, now), record) for record in group
+        ]
         min_cost = min(cost for cost, _ in costs)
         return self.rng.choice([record for cost, record in costs if cost == min_cost])
 
@@ -239,36 +203,16 @@
             return group
         return kept
 
-    def _estimate_cost(self, record: MemberRecord, slots: int, now: float) -> float:
-        """Return the expected response time in multiples of the pool's mean.
+    def _estimate_cost(
+        self, record: MemberRecord, kind: str, slots: int, now: float
+    ) -> float:
+        """Return the cost by which the nodes of a group are compared, in seconds.
 
-        A server with a long service time gets less load. A server without a report
-        counts as average.
+        Own requests in flight count on top of the expected response time, so that
+        nodes which know the same reports do not all choose the same server.
         """
-        report = self.reports.get(record.node)
-        service_time = report.service_time if report is not None else 0.0
-        relative_time = service_time / self._mean_service_time(record.pool) or 1.0
+        seconds = self.response_times.estimate_seconds(record, kind, slots, now)
+        if record.node == self.directory.own_record.node:
+            return seconds - HOP_SECONDS
         sent = self.in_flight.get(record.node, 0) / max(1, record.slots or slots)
-        waiting = max(self._estimate_load(record, slots, now) - 1, 0.0)
-        return relative_time * (1 + waiting) + sent
-
-    def _mean_service_time(self, pool: str) -> float:
-        """Return the mean reported service time of a pool in seconds, 1 without one."""
-        times = [
-            report.service_time
-            for node in self.directory.serving(pool)
-            if (report := self.reports.get(node)) and report.service_time
-        ]
-        return sum(times) / len(times) if times else 1.0
-
-    def _estimate_load(self, record: MemberRecord, slots: int, now: float) -> float:
-        """Return the estimated load of a node in requests per slot.
-
-        The weight of a report falls to zero over :data:`REPORT_LIFETIME_SECONDS`.
-        """
-        sent = self.in_flight.get(record.node, 0) / max(1, record.slots or slots)
-        report = self.reports.get(record.node)
-        if report is None:
-            return sent
-        freshness = max(0.0, 1 - (now - report.at) / REPORT_LIFETIME_SECONDS)
-        return max(sent, report.load * freshness)
+        return seconds * (1 + sent)
--- /dev/null
+++ b/src/daisylink/serving/_response_times.py
@@ -0,0 +1,129 @@
+"""Estimates how soon a backend server would answer a request, from what nodes report.
+
+It is designed for servers of unequal speed, some slowed or just started, whose slots
+are shared by many nodes that do not know of each other's requests. A report says how
+long the server takes for one kind of request, so a server that happens to run long
+requests does not look slow.
+"""
+
+from collections import Counter
+
+from daisylink.serving._records import MemberRecord
+
+LOAD_LIFETIME_SECONDS = 1.0
+# A server that nobody used for so long counts as an average one and is tried again.
+SPEED_LIFETIME_SECONDS = 10.0
+MEAN_WEIGHT = 0.1
+MAX_KINDS_PER_NODE = 200
+# Service time in seconds of a server of which nothing is known.
+DEFAULT_SERVICE_SECONDS = 0.1
+
+
+class ServiceTime:
+    """How long a server takes for a kind of request.
+
+    :param seconds: as its node reported it.
+    :param at: when the report arrived, in seconds of the monotonic clock.
+    """
+
+    __slots__ = ("at", "seconds")
+
+    def __init__(self, seconds: float, at: float):
+        self.seconds = seconds
+        self.at = at
+
+
+class NodeReport:
+    """The last report of a node.
+
+    :param load: running and queued requests per slot.
+    :param at: when the report arrived, in seconds of the monotonic clock.
+    :param in_flight: requests of this node that were in flight there at that time.
+    """
+
+    __slots__ = ("at", "in_flight", "load", "mean_seconds", "service_times")
+
+    def __init__(self):
+        self.load = 0.0
+        self.at = float("-inf")
+        self.in_flight = 0
+        self.mean_seconds = 0.0
+        self.service_times: dict[str, ServiceTime] = {}
+
+
+class ResponseTimes:
+    """Reports of all nodes and the response times to expect."""
+
+    def __init__(self):
+        self.in_flight: Counter[str] = Counter()
+        self.reports: dict[str, NodeReport] = {}
+        self.usual_seconds: dict[str, float] = {}
+
+    def record_report(
+        self, node: str, load: float, now: float, seconds: float, kind: str
+    ) -> None:
+        """Record what a node reported with a response.
+
+        :param load: running and queued requests per slot.
+        :param now: seconds of the monotonic clock.
+        :param seconds: usual service time of a kind of request, 0 if unknown.
+        """
+        report = self.reports.setdefault(node, NodeReport())
+        report.load = load
+        report.at = now
+        report.in_flight = self.in_flight.get(node, 0)
+        if seconds <= 0:
+            return
+        report.mean_seconds = _move(report.mean_seconds, seconds)
+        self.usual_seconds[kind] = _move(self.usual_seconds.get(kind, 0.0), seconds)
+        if len(report.service_times) >= MAX_KINDS_PER_NODE:
+            report.service_times.clear()
+        report.service_times[kind] = ServiceTime(seconds, now)
+
+    def get_mean_seconds(self) -> dict[str, float]:
+        """Return the mean service time of each node, 0 if unknown."""
+        return {node: report.mean_seconds for node, report in self.reports.items()}
+
+    def estimate_load(self, record: MemberRecord, slots: int, now: float) -> float:
+        """Return the running and queued requests per slot of a node.
+
+        A report is corrected by what this node sent and got back since. Its weight
+        falls to zero over :data:`LOAD_LIFETIME_SECONDS`.
+
+        :param slots: slots of a server whose record states none.
+        """
+        slots = max(1, record.slots or slots)
+        in_flight = self.in_flight.get(record.node, 0)
+        report = self.reports.get(record.node)
+        if report is None:
+            return in_flight / slots
+        freshness = max(0.0, 1 - (now - report.at) / LOAD_LIFETIME_SECONDS)
+        changed = max(0.0, report.load + (in_flight - report.in_flight) / slots)
+        return max(in_flight / slots, changed * freshness)
+
+    def estimate_seconds(
+        self, record: MemberRecord, kind: str, slots: int, now: float
+    ) -> float:
+        """Return the expected wait and service time of a request at a node."""
+        service = self._estimate_service(record.node, kind, now)
+        slots = max(1, record.slots or slots)
+        excess = self.estimate_load(record, slots, now) + 1 / slots - 1
+        if excess <= 0:
+            return service
+        report = self.reports.get(record.node)
+        mean = (report.mean_seconds if report is not None else 0.0) or service
+        return service + excess * mean
+
+    def _estimate_service(self, node: str, kind: str, now: float) -> float:
+        usual = self.usual_seconds.get(kind, DEFAULT_SERVICE_SECONDS)
+        report = self.reports.get(node)
+        known = report.service_times.get(kind) if report is not None else None
+        if known is None:
+            return usual
+        freshness = max(0.0, 1 - (now - known.at) / SPEED_LIFETIME_SECONDS)
+        return usual + (known.seconds - usual) * freshness
+
+
+def _move(mean: float, value: float) -> float:
+    """Return a moving mean after one more value; the first value sets it."""
+    return mean + MEAN_WEIGHT * (value - mean) if mean else value
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -66,23 +66,23 @@
         for record in balancer.directory.serving("p"):
             for _ in range(3):
                 balancer.record_failure(record, 0.0)
-        self.assertIsNotNone(balancer.choose("p", (), 1, 1.0, 0.1))
+        self.assertIsNotNone(balancer.choose("p", (), 1, 0.1))
 
     def test_a_failing_node_is_ejected_and_returns(self):
         balancer = self.make_balancer(4)
         bad = "10.0.0.2:1"
         for _ in range(3):
             balancer.record_failure(bad, 0.0)
-        picks = {balancer.choose("p", (), 1, 1.0, 0.5).node for _ in range(100)}
+        picks = {balancer.choose("p", (), 1, 0.5).node for _ in range(100)}
         self.assertNotIn(bad, picks)
-        picks = {balancer.choose("p", (), 1, 1.0, 9.0).node for _ in range(100)}
+        picks = {balancer.choose("p", (), 1, 9.0).node for _ in range(100)}
         self.assertIn(bad, picks)
 
     def test_a_stale_report_of_no_load_does_not_attract_all_requests(self):
         balancer = self.make_balancer(4)
-        balancer.record_report("10.0.0.1:1", 0.0, 0.0)
+        balancer.response_times.record_report("10.0.0.1:1", 0.0, 0.0, 0.0, "")
         for _ in range(40):
-            balancer.begin(balancer.choose("p", (), 1, 1.0, 0.0).node)
+            balancer.begin(balancer.choose("p", (), 1, 0.0).node)
         self.assertEqual(set(balancer.in_flight.values()), {10})
 
     def test_another_zone_serves_only_when_the_own_is_full(self):
@@ -92,7 +92,7 @@
         balancer.invalidate_candidates()
         chosen = []
         for _ in range(9):
-            node = balancer.choose("p", (), 4, 1.0, 0.0).node
+            node = balancer.choose("p", (), 4, 0.0, slo_seconds=0.2).node
             balancer.begin(node)
             chosen.append(node)
         self.assertNotIn(far.node, chosen[:8])
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -112,7 +112,9 @@
         self.assertEqual(len(reply.answer), 60)
 
     def test_transferred_and_repeated_responses_count_once(self):
-        records = tuple(KeyRecord(bytes([9, n] * 8), n, True, b"x" * 40) for n in (1, 2))
+        records = tuple(
+            KeyRecord(bytes([9, n] * 8), n, True, b"x" * 40) for n in (1, 2)
+        )
         request = ReplicaRequest(0, 2, transfer=11, records=records)
         self.key_records.answer_replica_request(request, 1.0)
         self.key_records.apply_map(make_map(2, 2, 11), 2.0)
--- a/tests/test_worst_load.py
+++ b/tests/test_worst_load.py
@@ -173,8 +173,10 @@
         for step in range(300):
             now = step * 0.01
             for number, seconds in enumerate((0.1, 0.1, 0.5)):
-                balancer.record_report(f"10.0.0.{number}:1", 1.0, now, seconds)
-            picks[balancer.choose("p", (), 6, 1.0, now).node] += 1
+                balancer.response_times.record_report(
+                    f"10.0.0.{number}:1", 1.0, now, seconds, "view"
+                )
+            picks[balancer.choose("p", (), 6, now, "view").node] += 1
         self.assertLess(picks["10.0.0.2:1"], 30)
         self.assertGreater(min(picks["10.0.0.0:1"], picks["10.0.0.1:1"]), 100)
 
