A late announcement does not bring back a server that left before its node knew it

Also, a leave message of a replaced server drained its successor. Change: after such a leave, announcements of the instance are ignored unless they show a new start, or 10 s have passed; a leave drains only the server that it names. Logs name the birth.

--- a/src/daisylink/serving/_local_server.py
+++ b/src/daisylink/serving/_local_server.py
@@ -14,6 +14,9 @@
 from daisylink.errors import NodeError, ResultCode
 from daisylink.serving._records import MemberRecord, ServerState
 
+# Announcements up to this sequence number come from a server's first moments.
+LAST_START_SEQUENCE = 2
+
 
 class LocalServerSettings(NamedTuple):
     """Lease and flap damping of the local backend server.
@@ -23,6 +26,8 @@
     :param flap_allowance: returns in the window that have no penalty.
     :param flap_penalty: first time out of service; doubles with each further return.
     :param max_flap_penalty: maximum time out of service.
+    :param departure_hold: how late an announcement may arrive after the server that
+        sent it has left.
     """
 
     lease: timedelta = timedelta(seconds=5)
@@ -30,6 +35,7 @@
     flap_allowance: int = 3
     flap_penalty: timedelta = timedelta(seconds=5)
     max_flap_penalty: timedelta = timedelta(seconds=60)
+    departure_hold: timedelta = timedelta(seconds=10)
 
 
 class Announcement(NamedTuple):
@@ -79,6 +85,8 @@
         self.failed = False
         self.newest = (0, 0)
         self.departed: set[tuple[str, int]] = set()
+        # Until when announcements of an instance are doubted, by instance.
+        self.departed_unborn: dict[str, float] = {}
 
     @property
     def state(self) -> ServerState:
@@ -103,7 +111,7 @@
         server that has left.
         """
         order = (announcement.born, announcement.sequence)
-        if order < self.newest or self._has_departed(announcement):
+        if order < self.newest or self._has_departed(announcement, now):
             return
         self.newest = order
         is_return = self.state is ServerState.ABSENT
@@ -139,13 +147,26 @@
         """Forget the server."""
         self.announcement = None
 
-    def handle_departure(self, departure: Departure) -> None:
-        """Handle a departure: accept no new requests; running ones finish."""
+    def handle_departure(self, departure: Departure, now: float) -> None:
+        """Handle a departure: accept no new requests; running ones finish.
+
+        The server may be one that this process never saw, because the process started
+        after the server's last announcement, or one that another server has replaced.
+        """
         if departure.born and departure.born < self.newest[0]:
             return
-        self.departed.add((departure.instance, departure.born or self.newest[0]))
-        if self.announcement is not None:
-            self.drain()
+        announcement = self.announcement
+        is_announced = (
+            announcement is not None and announcement.instance == departure.instance
+        )
+        if departure.born or is_announced:
+            born = departure.born or announcement.born
+            self.departed.add((departure.instance, born))
+            if announcement is not None:
+                self.drain()
+            return
+        hold = self.settings.departure_hold.total_seconds()
+        self.departed_unborn[departure.instance] = now + hold
 
     def record_unreachable(self) -> None:
         """Take a server that refused a connection out of service until it renews."""
@@ -174,10 +195,24 @@
             instance=announcement.instance,
         )
 
-    def _has_departed(self, announcement: Announcement) -> bool:
-        if not announcement.instance:
+    def _has_departed(self, announcement: Announcement, now: float) -> bool:
+        """Return whether an announcement comes from a server that has left.
+
+        If the departure did not state which start of the instance left, a later start
+        is recognized by its low sequence number.
+        """
+        instance = announcement.instance
+        if not instance:
+            return False
+        start = (instance, announcement.born)
+        if start in self.departed:
+            return True
+        doubted_until = self.departed_unborn.get(instance, float("-inf"))
+        if now >= doubted_until or announcement.sequence <= LAST_START_SEQUENCE:
+            self.departed_unborn.pop(instance, None)
             return False
-        return (announcement.instance, announcement.born) in self.departed
+        self.departed.add(start)
+        return True
 
     def _count_return(self, now: float) -> None:
         window = self.settings.flap_window.total_seconds()
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -290,9 +290,11 @@
         own_record = msgspec.structs.replace(self.members.own_record, strikes=strikes)
         record = self.local_server.update_record(own_record, now)
         if self.members.set_own_record(record):
-            log.bind(instance=record.instance, pool=record.pool).info(
-                "backend server is {}", record.server.name.lower()
-            )
+            log.bind(
+                instance=record.instance,
+                pool=record.pool,
+                born=self.local_server.newest[0],
+            ).info("backend server is {}", record.server.name.lower())
             self._handle_members_change()
         if not self.registration.is_leaving:
             self.registration.set_record(msgspec.msgpack.encode(record))
@@ -445,8 +447,10 @@
                     message._replace(address=server), self.now()
                 )
             case Departure():
-                log.bind(instance=message.instance).info("backend server leaves")
-                self.local_server.handle_departure(message)
+                log.bind(instance=message.instance, born=message.born).info(
+                    "backend server leaves"
+                )
+                self.local_server.handle_departure(message, self.now())
         self.update_server()
 
     def _export_metrics(self, _request: WebRequest) -> WebResponse:
