--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -226,16 +226,16 @@
         "request/_exchange.py",
         "        self._record_failure()\n"
         "        self.refuse_attempt(ResultCode.REQUEST_CONNECT_FAILED)\n",
-        "        if timed_out and target:\n"
-        "            self.gateway.in_flight_tracker.record_unreachable(target)\n"
+        "        if target:\n"
+        "            self.gateway.in_flight_tracker.record_unreachable(target, True)\n"
         "        self.refuse_attempt(ResultCode.REQUEST_CONNECT_FAILED)\n",
         "tests.test_silence",
     ),
     Mutant(
         "a refused probe counts as silence",
         "connection/_hop.py",
-        "            return True\n        self.release(hop)\n",
-        "            return False\n        self.release(hop)\n",
+        "            return ProbeResult.REFUSED\n",
+        "            return ProbeResult.SILENT\n",
         "tests.test_silence",
     ),
     Mutant(
--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from daisylink.connection._probe import ProbeResult
 from daisylink.logs import get_logger
 from daisylink.request import ResponseHead
 
@@ -224,11 +225,18 @@
         self.idle: dict[str, list[HopConnection]] = {}
         self.connect_tasks: set[asyncio.Task] = set()
 
-    def acquire(self, address: str) -> HopConnection | None:
-        """Return an idle connection to an address, or None."""
+    def acquire(
+        self, address: str, max_idle_seconds: float = float("inf")
+    ) -> HopConnection | None:
+        """Return an idle connection to an address, or None.
+
+        :param max_idle_seconds: longest time since its last use.
+        """
         idle = self.idle.get(address)
         now = self.gateway.now()
         while idle:
+            if now - idle[-1].idle_since > max_idle_seconds:
+                return None
             hop = idle.pop()
             if now - hop.idle_since > hop.idle_limit_seconds:
                 hop.transport.close()
@@ -264,22 +272,17 @@
         for hop in self.idle.pop(address, []):
             hop.transport.abort()
 
-    async def probe(self, address: str) -> bool:
-        """Return whether an address answers a new connection, which is kept for reuse.
-
-        A refused connection counts as an answer: the process has exited or is stopping,
-        and its requests in progress end, with or without a response, on the connections
-        that are open.
-        """
+    async def probe(self, address: str) -> ProbeResult:
+        """Open a connection to an address, and keep it for reuse."""
         try:
             hop = await self._connect(address)
         except TimeoutError:
-            return False
+            return ProbeResult.SILENT
         except (OSError, ValueError) as error:
             log.bind(address=address).debug("probe was refused: {}", error)
-            return True
+            return ProbeResult.REFUSED
         self.release(hop)
-        return True
+        return ProbeResult.ANSWERED
 
     def close_expired(self, now: float) -> None:
         """Close connections that have been idle for too long.
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -59,6 +59,9 @@
 
 MS_PER_SECOND = 1000
 DISPLACED_RETRY_MS = 200
+# How long ago a connection to another node must have carried a response if the next
+# request on it cannot be retried after a loss.
+PROVEN_IDLE_SECONDS = 0.5
 FINAL_CODES = frozenset(
     {
         ResultCode.REQUEST_KEY_RUNNING,
@@ -340,7 +343,9 @@
         self._connect(self.gateway.server_address)
 
     def _connect(self, address: str) -> None:
-        hop = self.gateway.hop_pool.acquire(address)
+        runs_once = self.local_run is None and not self.plan.idempotent
+        max_idle = PROVEN_IDLE_SECONDS if runs_once else float("inf")
+        hop = self.gateway.hop_pool.acquire(address, max_idle)
         if hop is not None:
             self._attach(hop)
             return
@@ -369,8 +374,8 @@
             target = ""
         self._record_failure()
         self.refuse_attempt(ResultCode.REQUEST_CONNECT_FAILED)
-        if timed_out and target:
-            self.gateway.in_flight_tracker.record_unreachable(target)
+        if target:
+            self.gateway.in_flight_tracker.record_unreachable(target, timed_out)
 
     def _attach(self, hop: Any) -> None:
         self.hop = hop
@@ -586,6 +591,8 @@
             return
         if self.local_run is not None:
             self.gateway.record_server_lost(self.local_run.compute_fingerprint())
+        elif self.target:
+            self.gateway.in_flight_tracker.record_connection_lost(self.target)
         if self.is_responding:
             self._record_failure()
             self.abort()
--- a/src/daisylink/serving/_in_flight.py
+++ b/src/daisylink/serving/_in_flight.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from daisylink.connection import HopConnectionPool
+from daisylink.connection import HopConnectionPool, ProbeResult
 from daisylink.logs import get_logger
 from daisylink.serving._load_balancer import LoadBalancer
 from daisylink.serving._records import MemberRecord
@@ -58,10 +58,23 @@
             if not exchanges:
                 del self.sent_at[node]
 
-    def record_unreachable(self, node: str) -> None:
-        """Stop using a node that did not answer a new connection."""
-        if self.balancer.reachability.record_unreachable(node, self.now()):
-            self._retry_requests(node)
+    def record_unreachable(self, node: str, timed_out: bool) -> None:
+        """Stop using a node that did not accept a new connection.
+
+        :param timed_out: whether it did not answer at all, instead of refusing.
+        """
+        result = ProbeResult.SILENT if timed_out else ProbeResult.REFUSED
+        self._handle_result(node, result)
+        self._schedule_check()
+
+    def record_connection_lost(self, node: str) -> None:
+        """Check a node that broke off a connection instead of answering.
+
+        Its idle connections may be broken too, so none of them is used again.
+        """
+        self.hop_pool.close_idle(self.relays[node])
+        if self.balancer.reachability.begin_probe(node):
+            self._start_probe(node)
 
     def forget(self, node: str) -> None:
         """Forget a node that is no longer a member."""
@@ -92,23 +105,33 @@
             self.now(),
         )
         for node in probes:
-            task = self.loop.create_task(self._probe(node))
-            self.probes.add(task)
-            task.add_done_callback(self.probes.discard)
+            self._start_probe(node)
         if self.sent_at or balancer.reachability.unreachable:
             self._schedule_check()
 
+    def _start_probe(self, node: str) -> None:
+        task = self.loop.create_task(self._probe(node))
+        self.probes.add(task)
+        task.add_done_callback(self.probes.discard)
+
     async def _probe(self, node: str) -> None:
-        reached = await self.hop_pool.probe(self.relays[node])
-        if not self.balancer.reachability.handle_probe_result(
-            node, reached, self.now()
-        ):
+        self._handle_result(node, await self.hop_pool.probe(self.relays[node]))
+
+    def _handle_result(self, node: str, result: ProbeResult) -> None:
+        reachability = self.balancer.reachability
+        if not reachability.handle_probe_result(node, result, self.now()):
             return
-        if reached:
-            log.bind(node=node).info("node answers again")
-            self.balancer.record_reachable(node)
-        else:
-            self._retry_requests(node)
+        match result:
+            case ProbeResult.ANSWERED:
+                log.bind(node=node).info("node answers again")
+                self.balancer.record_reachable(node)
+            case ProbeResult.REFUSED:
+                in_flight = len(self.sent_at.get(node, ()))
+                log.bind(node=node, in_flight=in_flight).info(
+                    "node refuses connections"
+                )
+            case ProbeResult.SILENT:
+                self._retry_requests(node)
 
     def _retry_requests(self, node: str) -> None:
         """Move the requests of an unresponsive node to other nodes, where allowed."""
--- a/src/daisylink/serving/_reachability.py
+++ b/src/daisylink/serving/_reachability.py
@@ -1,15 +1,17 @@
-"""Detects unresponsive nodes from missing responses and from probes.
+"""Detects nodes that cannot be reached, from missing responses and from probes.
 
-It covers a node or zone that is cut off without a connection reset, where each request
-would hang until its deadline. A node is probed if a response is overdue by its usual
-service time and no other response arrived from it. A node that a probe does not reach
-gets no requests until a probe succeeds.
+It covers a node or zone that is cut off, with or without a connection reset, and nodes
+that restart in turn. A node is probed if a response is overdue by its usual service
+time and no other response arrived from it. A node that did not accept a connection gets
+no requests until a probe succeeds, however many nodes that leaves.
 """
 
 from collections.abc import Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
+from daisylink.connection import ProbeResult
+
 
 class ReachabilitySettings(NamedTuple):
     """Times of the monitor.
@@ -20,7 +22,7 @@
     """
 
     max_response_delay: timedelta = timedelta(milliseconds=100)
-    probe_interval: timedelta = timedelta(milliseconds=500)
+    probe_interval: timedelta = timedelta(milliseconds=250)
 
 
 class ReachabilityMonitor:
@@ -32,7 +34,7 @@
         self.probe_interval = settings.probe_interval.total_seconds()
         self.probing: set[str] = set()
         self.probe_at: dict[str, float] = {}
-        self.unreachable: set[str] = set()
+        self.unreachable: dict[str, ProbeResult] = {}
 
     def choose_probes(
         self,
@@ -56,36 +58,33 @@
         }
         due = [
             node
-            for node in overdue | self.unreachable
+            for node in overdue | self.unreachable.keys()
             if node not in self.probing and now >= self.probe_at.get(node, 0.0)
         ]
         self.probing.update(due)
         return due
 
-    def handle_probe_result(self, node: str, reached: bool, now: float) -> bool:
-        """Handle the result of a probe.
+    def begin_probe(self, node: str) -> bool:
+        """Mark a node as being probed; return False if it is already."""
+        if node in self.probing:
+            return False
+        self.probing.add(node)
+        return True
+
+    def handle_probe_result(self, node: str, result: ProbeResult, now: float) -> bool:
+        """Handle the result of a probe, or of a connection opened for a request.
 
-        :param reached: whether the node answered.
         :param now: seconds of the monotonic clock.
-        :returns: whether the node became reachable or unreachable.
+        :returns: whether it differs from the result before.
         """
         self.probing.discard(node)
         self.probe_at[node] = now + self.probe_interval
-        was_reachable = node not in self.unreachable
-        if reached:
-            self.unreachable.discard(node)
-        else:
-            self.unreachable.add(node)
-        return reached is not was_reachable
-
-    def record_unreachable(self, node: str, now: float) -> bool:
-        """Record that a node did not answer a new connection.
-
-        :returns: whether the node was reachable before.
-        """
-        return self.handle_probe_result(node, False, now)
+        previous = self.unreachable.pop(node, ProbeResult.ANSWERED)
+        if result is not ProbeResult.ANSWERED:
+            self.unreachable[node] = result
+        return result is not previous
 
     def forget(self, node: str) -> None:
         """Forget a node that is no longer a member."""
-        self.unreachable.discard(node)
+        self.unreachable.pop(node, None)
         self.probe_at.pop(node, None)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -92,7 +92,7 @@
         balancer.invalidate_candidates()
         chosen = []
         for _ in range(9):
-            node = balancer.choose("p", (), 4, 0.0, slo_seconds=0.2).node
+            node = balancer.choose("p", (), 4, 0.0, slo_seconds=0.1).node
             balancer.begin(node)
             chosen.append(node)
         self.assertNotIn(far.node, chosen[:8])
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -4,7 +4,7 @@
 import unittest
 import unittest.mock
 
-from daisylink.connection import HopConnection, HopConnectionPool
+from daisylink.connection import HopConnection, HopConnectionPool, ProbeResult
 from daisylink.serving._reachability import ReachabilityMonitor
 from daisylink.standin import CallerClient, Placement
 from tests.support import HOST, FleetTestCase, make_content
@@ -44,11 +44,12 @@
 
     def test_an_unreachable_node_is_probed_until_it_answers(self):
         monitor = ReachabilityMonitor()
-        self.assertTrue(monitor.record_unreachable("n", 1.0))
+        silent, answered = ProbeResult.SILENT, ProbeResult.ANSWERED
+        self.assertTrue(monitor.handle_probe_result("n", silent, 1.0))
         self.assertEqual(monitor.choose_probes({}, {}, {}, 1.1), [])
         self.assertEqual(monitor.choose_probes({}, {}, {}, 2.0), ["n"])
-        self.assertTrue(monitor.handle_probe_result("n", True, 2.1))
-        self.assertEqual(monitor.unreachable, set())
+        self.assertTrue(monitor.handle_probe_result("n", answered, 2.1))
+        self.assertEqual(monitor.unreachable, {})
 
 
 class SilentNodeTests(FleetTestCase):
@@ -114,7 +115,7 @@
             await fleet.wait_for(lambda: entry.in_flight_tracker.sent_at)
             entry.balancer.invalidate_candidates()
             await fleet.wait_for(lambda: entry.balancer.reachability.probe_at)
-            self.assertEqual(entry.balancer.reachability.unreachable, set())
+            self.assertEqual(entry.balancer.reachability.unreachable, {})
             self.assertEqual((await call).status, 200)
 
         self.run_fleet(scenario)
