--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -23,6 +23,9 @@
 # Share of its remaining time that a late request waits for an idle slot; the rest lets
 # its caller retry.
 LATE_WAIT_SHARE = 0.5
+# Part of the time left to its objective that a request of an unknown kind is expected
+# to take, so that a process that has just started does not queue all that comes.
+UNKNOWN_TIME_SHARE = 0.4
 MAX_KINDS = 1000
 
 
@@ -131,9 +134,9 @@
         if self.in_use < self.capacity:
             self.in_use += 1
             return Admitted()
-        seconds = self.get_service_time(kind)
+        seconds = self._estimate_service(kind, slo_deadline - now)
         waiting = QueuedRequest(ticket, priority, deadline, slo_deadline, seconds)
-        wait = self._expected_wait(priority)
+        wait = self._expected_wait(priority, seconds)
         if now + wait + seconds >= deadline:
             return self._refuse(waiting, wait, now)
         if waiting.is_late(now + wait):
@@ -216,7 +219,8 @@
     def _queue_late(self, waiting: QueuedRequest, wait: float, now: float) -> Decision:
         """Queue a late request behind all others if it is likely to be served there."""
         ahead = sum(item.seconds for item in self.late) / max(1, self.capacity)
-        ends = now + self._expected_wait(PRIORITIES[-1]) + ahead + waiting.seconds
+        behind_all = self._expected_wait(PRIORITIES[-1], waiting.seconds)
+        ends = now + behind_all + ahead + waiting.seconds
         if ends >= waiting.deadline or not self._has_room_for_late():
             return self._refuse(waiting, wait, now)
         self.late.append(waiting)
@@ -245,12 +249,25 @@
                 return self.queues[item].pop().ticket
         return None
 
-    def _expected_wait(self, priority: Priority) -> float:
-        """Return the expected seconds until a slot is free and those ahead have run."""
+    def _estimate_service(self, kind: str, seconds_left: float) -> float:
+        """Return the expected service time of a request in seconds.
+
+        :param seconds_left: time left to its objective.
+        """
+        known = self.get_service_time(kind)
+        if known or seconds_left == float("inf"):
+            return known
+        return max(0.0, seconds_left) * UNKNOWN_TIME_SHARE
+
+    def _expected_wait(self, priority: Priority, seconds: float) -> float:
+        """Return the expected seconds until a slot is free and those ahead have run.
+
+        :param seconds: service time to assume where none is known.
+        """
         capacity = max(1, self.capacity)
         ahead = PRIORITIES[: PRIORITIES.index(priority) + 1]
-        seconds = sum(item.seconds for name in ahead for item in self.queues[name])
-        return self.service_time / (capacity + 1) + seconds / capacity
+        queued = sum(item.seconds for name in ahead for item in self.queues[name])
+        return (self.service_time or seconds) / (capacity + 1) + queued / capacity
 
     def _refuse(self, waiting: QueuedRequest, wait: float, now: float) -> Refused:
         """Refuse a request and state when a similar one would be in time."""
