--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -41,6 +41,7 @@
         self.needs_start = False
         self.is_reading_head = False
         self.head_bytes_received = 0
+        self.head_started_at = 0.0
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.last_read_at = gateway.now()
@@ -111,6 +112,7 @@
         """Reset the state for a new request."""
         self.is_reading_head = True
         self.head_bytes_received = 0
+        self.head_started_at = self.gateway.now()
         self.headers = []
         self.url = b""
 
@@ -234,7 +236,8 @@
             max_idle_seconds = (
                 RELAY_IDLE_SECONDS if self.is_relay else limits.idle_seconds
             )
-            if self.is_reading_head and seconds_since_read > limits.header_seconds:
+            seconds_in_head = now - self.head_started_at
+            if self.is_reading_head and seconds_in_head > limits.header_seconds:
                 self._refuse_rest(ResultCode.REQUEST_CALLER_TOO_SLOW)
             elif seconds_since_read > max_idle_seconds or (
                 self.parsing is not None and seconds_since_read > BODY_SECONDS
@@ -312,6 +315,8 @@
         if unfinished is not None and unfinished is self.current:
             unfinished.fail(code)
         elif self.current is not None:
+            for exchange in self.pipelined:
+                exchange.cancel()
             self.pipelined.clear()
             self.current.keep_alive = False
         self.parsing = None
--- a/src/daisylink/platform/_configuration.py
+++ b/src/daisylink/platform/_configuration.py
@@ -130,7 +130,9 @@
     shares = tuple(
         WeightedService(part.service, part.weight) for part in route.weighted_split
     )
-    is_ranked = route.priority < len(PRIORITIES)
+    if not route.service and not shares:
+        raise ValueError(f"route {name} names no service")
+    rank = max(0, route.priority)
     return Route(
         name=name,
         host=route.host.lower(),
@@ -138,7 +140,7 @@
         service=route.service or shares[0].service,
         methods=(),
         idempotent=route.kind == IDEMPOTENT,
-        priority=PRIORITIES[route.priority] if is_ranked else Priority.BULK,
+        priority=PRIORITIES[rank] if rank < len(PRIORITIES) else Priority.BULK,
         deadline_ms=_parse_milliseconds(route.timeout),
         body_limit_kb=limits.max_body_bytes // KILOBYTE,
         split=shares,
--- a/src/daisylink/registry/_registration.py
+++ b/src/daisylink/registry/_registration.py
@@ -74,6 +74,7 @@
         self.desired_record: bytes | None = None
         self.written_record: bytes | None = None
         self.lease_id = 0
+        self.granted_ttl = settings.ttl
         self.renew_at = float("inf")
         self.retry_at = 0.0
         self.failures = 0
@@ -125,7 +126,8 @@
             case GrantLease():
                 self.lease_id = result.lease_id
                 self.written_record = None
-                self.renew_at = now + result.ttl.total_seconds() / RENEWALS_PER_TTL
+                self.granted_ttl = result.ttl
+                self.renew_at = now + self._renew_interval()
             case RenewLease() if result:
                 self.renew_at = now + self._renew_interval()
             case RenewLease():
@@ -165,7 +167,7 @@
         return None
 
     def _renew_interval(self) -> float:
-        return self.settings.ttl.total_seconds() / RENEWALS_PER_TTL
+        return self.granted_ttl.total_seconds() / RENEWALS_PER_TTL
 
     def _forget_lease(self) -> None:
         self.lease_id = 0
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -5,6 +5,8 @@
 from unittest.mock import Mock
 
 from daisylink.connection._caller import CallerConnection
+from daisylink.errors import ResultCode
+from daisylink.version import CallerLimits
 
 
 def make_exchange(pending_output=()):
@@ -47,3 +49,21 @@
         self.caller.finish(self.second, keep_alive=True)
         self.assertEqual(b"".join(self.written), b"head half rest")
         self.assertIs(self.caller.current, third)
+
+    def test_requests_behind_an_unreadable_one_are_cancelled(self):
+        """Started requests behind the current one would hold their slots unseen."""
+        self.second.cancel = Mock()
+        self.caller._refuse_rest(ResultCode.REQUEST_MALFORMED)
+        self.second.cancel.assert_called_once_with()
+        self.assertFalse(self.caller.pipelined)
+
+    def test_a_head_that_trickles_in_is_cut(self):
+        """Each byte restarts the time since the last read, but not that of the head."""
+        self.caller.current = None
+        self.caller.pipelined.clear()
+        self.caller.gateway.caller_limits = CallerLimits(header_seconds=3.0)
+        for now in range(5):
+            self.caller.gateway.now = lambda now=now: float(now)
+            self.caller.data_received(b"GET / HTTP/1.1\r\n"[3 * now : 3 * now + 3])
+            self.caller.enforce_timeouts(float(now))
+        self.assertIn(b"408", b"".join(self.written)[:20])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -91,6 +91,18 @@
     return msgspec.json.encode({"version": "r12", "resources": resources})
 
 
+class OddRouteTests(unittest.TestCase):
+    def test_a_route_without_service_is_refused(self):
+        with self.assertRaises(VersionError):
+            decode_configuration(make_configuration(service=""))
+
+    def test_ranks_below_zero_and_far_above_are_accepted(self):
+        for rank, expected in ((-7, Priority.URGENT), (99, Priority.BULK)):
+            version = decode_configuration(make_configuration(priority=rank))
+            route = version.route_table.find_route("a.example", "/x/1").route
+            self.assertIs(route.priority, expected)
+
+
 class SettingsTests(unittest.TestCase):
     def test_settings_are_decoded(self):
         settings = decode_settings(msgspec.json.encode(SETTINGS))
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -43,6 +43,17 @@
 
 
 class RegistrationTests(unittest.TestCase):
+    def test_a_lease_is_renewed_by_the_time_granted(self):
+        """The store grants less than was asked for."""
+        registration = make_registration()
+        registration.tick(0.0)
+        registration.handle_result(Lease(7, timedelta(seconds=1.2)), 0.0)
+        registration.tick(0.0)
+        registration.handle_result(None, 0.0)
+        self.assertEqual(registration.tick(0.41), RenewLease(7))
+        registration.handle_result(True, 0.41)
+        self.assertEqual(registration.tick(0.82), RenewLease(7))
+
     def test_the_record_is_written_and_its_lease_renewed(self):
         registration = make_registration()
         register(registration)
