--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -103,7 +103,6 @@
         self.wait_timer: asyncio.TimerHandle | None = None
         self.tried: set[str] = set()
         self.target = ""
-        self.instance = ""
         self.attempt = 0
         self.hop: Any = None
         self.is_connecting = False
@@ -260,11 +259,7 @@
         gateway = self.gateway
         own_record = gateway.own_record
         if self.is_relay:
-            wanted = self.plan.instance
-            if own_record.pool != self.plan.pool or wanted not in (
-                "",
-                own_record.instance,
-            ):
+            if own_record.pool != self.plan.pool:
                 self.refuse_attempt(ResultCode.REQUEST_WRONG_NODE)
                 return
             self._try_local_server()
@@ -274,7 +269,6 @@
             self._perform(self.attempts.handle(NoServer(), gateway.now()))
             return
         self.target = record.node
-        self.instance = record.instance
         self.choice = gateway.balancer.describe(record.node, gateway.now())
         gateway.in_flight_tracker.begin(self, record)
         if record.node == own_record.node:
@@ -394,9 +388,7 @@
         if self.local_run is not None:
             return make_server_head(self.head, self.plan, self.gateway)
         expect = self.head.expects_continue and not self.has_sent_continue
-        return make_relay_head(
-            self.head, self.plan, self.gateway, self.instance, expect
-        )
+        return make_relay_head(self.head, self.plan, self.gateway, expect)
 
     def refuse_attempt(self, code: ResultCode, retry_ms: int = 0) -> None:
         """End an attempt that certainly was not run, then retry or give up.
--- a/src/daisylink/request/_head.py
+++ b/src/daisylink/request/_head.py
@@ -72,7 +72,8 @@
     :param pool: pool that serves the request.
     :param deadline_ms: time left until the deadline, in milliseconds.
     :param origin: service of the entry node's backend server.
-    :param instance: the only backend server that may run the request, "" for any.
+    :param instance: the only backend server that may run the request, "" for any;
+        nodes of earlier releases state it, others read and ignore it.
     :param version: number of the version in force at the entry node.
     :param slo_ms: time left to meet the objective in milliseconds, 0 for none.
     :param route: name of the route.
--- a/src/daisylink/request/_next_hop_head.py
+++ b/src/daisylink/request/_next_hop_head.py
@@ -19,11 +19,10 @@
 
 
 def make_relay_head(
-    head: RequestHead, plan: RequestPlan, gateway: Any, instance: str, expect: bool
+    head: RequestHead, plan: RequestPlan, gateway: Any, expect: bool
 ) -> bytes:
     """Return the head for the node of the chosen backend server.
 
-    :param instance: the only backend server that may run the request, "" for any.
     :param expect: whether to send ``Expect: 100-continue``.
     """
     now = gateway.now()
@@ -33,7 +32,7 @@
         plan.idempotent,
         plan.priority,
         gateway.origin,
-        instance,
+        "",
         gateway.version_number,
         _count_slo_ms(plan, now),
         plan.route,
--- a/src/daisylink/request/_plan.py
+++ b/src/daisylink/request/_plan.py
@@ -31,7 +31,6 @@
         the milliseconds that were left of it at the entry node.
     :param route: name of the route, "" if another node planned it.
     :param origin: service of the node where a relayed request entered.
-    :param instance: the only backend server that may run the request, "" for any.
     :param max_attempts: maximum number of attempts that reach a backend server.
     :param slo_deadline: until when a response meets the objective, in seconds of the
         monotonic clock.
@@ -48,7 +47,6 @@
     slo_ms: int
     route: str = ""
     origin: str = ""
-    instance: str = ""
     max_attempts: int = MAX_ATTEMPTS
     slo_deadline: float = float("inf")
 
@@ -125,7 +123,6 @@
         route=hop.route,
         slo_deadline=_find_end(now, hop.slo_ms),
         origin=hop.origin,
-        instance=hop.instance,
     )
 
 
