--- a/bench/overload.py
+++ b/bench/overload.py
@@ -61,11 +61,12 @@
     """The real queue, with the newest request of a priority first."""
 
     def _pop_next(self, now):
-        for queue in self.queues.values():
-            while queue:
-                waiting = queue.pop()
-                if waiting.deadline > now:
-                    return waiting
+        for priority in Priority:
+            for waiting in reversed(self.queue.requests):
+                if waiting.priority is priority:
+                    self.queue.remove(waiting.ticket)
+                    if waiting.deadline > now:
+                        return waiting
         return None
 
 
--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -1,9 +1,8 @@
 """Admission control of the local backend server: slots, a short queue and draining.
 
-It is designed for seconds of overload by requests of unequal duration and priority,
-some of which are calls made by requests that already run. A request is queued only if
-its response is expected within its objective. A request that would be late waits behind
-all others in a short queue of its own. The rest is refused at once.
+It is designed for seconds of overload. A request is queued only if its response is
+expected within its objective. A request that would be late waits behind all others in a
+short queue of its own. The rest is refused at once.
 """
 
 from collections import deque
@@ -11,9 +10,9 @@
 
 from daisylink.errors import ResultCode
 from daisylink.request import Admitted, Decision, Queued, Refused
+from daisylink.serving._waiting_queue import QueuedRequest, WaitingQueue
 from daisylink.version import Priority
 
-PRIORITIES = (Priority.URGENT, Priority.NORMAL, Priority.BULK)
 SERVICE_TIME_WEIGHT = 0.1
 MS_PER_SECOND = 1000
 MIN_RETRY_MS = 50
@@ -42,36 +41,13 @@
     queue: int = 0
 
 
-class QueuedRequest(NamedTuple):
-    """A queued request.
-
-    :param ticket: opaque handle of the request.
-    :param deadline: when the request times out, in seconds of the monotonic clock.
-    :param slo_deadline: until when a response meets the objective, on the same clock.
-    :param seconds: expected service time.
-    """
-
-    ticket: Any
-    priority: Priority
-    deadline: float
-    slo_deadline: float
-    seconds: float
-
-    def is_late(self, now: float) -> bool:
-        """Return whether the objective would be missed; urgent ones are never late."""
-        urgent = self.priority is Priority.URGENT
-        return not urgent and now + self.seconds > self.slo_deadline
-
-
 class Admission:
     """Slots and queues of the local backend server."""
 
     def __init__(self):
         self.limits = AdmissionLimits()
         self.in_use = 0
-        self.queues: dict[Priority, deque[QueuedRequest]] = {
-            priority: deque() for priority in PRIORITIES
-        }
+        self.queue = WaitingQueue(self.get_service_time)
         self.late: deque[QueuedRequest] = deque()
         self.expired: list[Any] = []
         self.service_time = 0.0
@@ -83,10 +59,15 @@
         """Return the number of requests that may run at once."""
         return min(self.limits.slots, self.limits.connections)
 
+    @property
+    def slots(self) -> int:
+        """Return the capacity, at least 1 to divide by."""
+        return max(1, self.capacity)
+
     @property
     def queued(self) -> int:
         """Return the number of queued requests."""
-        return sum(len(queue) for queue in self.queues.values()) + len(self.late)
+        return len(self.queue) + len(self.late)
 
     @property
     def is_open(self) -> bool:
@@ -105,10 +86,8 @@
         :returns: the tickets that were queued.
         """
         self.closed = code
-        queues = (*self.queues.values(), self.late)
-        tickets = [item.ticket for queue in queues for item in queue]
-        for queue in queues:
-            queue.clear()
+        tickets = self.queue.clear() + [item.ticket for item in self.late]
+        self.late.clear()
         return tickets
 
     def try_admit(
@@ -134,19 +113,20 @@
         if self.in_use < self.capacity:
             self.in_use += 1
             return Admitted()
-        seconds = self._estimate_service(kind, slo_deadline - now)
-        waiting = QueuedRequest(ticket, priority, deadline, slo_deadline, seconds)
-        wait = self._expected_wait(priority, seconds)
+        seconds = self.get_service_time(kind)
+        seconds = seconds or self._assume_service(slo_deadline - now)
+        waiting = QueuedRequest(ticket, kind, priority, deadline, slo_deadline, seconds)
+        wait = self._expected_wait(waiting)
         if now + wait + seconds >= deadline:
             return self._refuse(waiting, wait, now)
         if waiting.is_late(now + wait):
             return self._queue_late(waiting, wait, now)
         displaced = None
         if self.queued >= self.limits.queue:
-            displaced = self._displace(priority)
+            displaced = self._displace(waiting)
             if displaced is None:
                 return self._refuse(waiting, wait, now)
-        self.queues[priority].append(waiting)
+        self.queue.push(waiting)
         return Queued(displaced, deadline - seconds)
 
     def release(self, seconds: float, now: float, kind: str = "") -> list[Any]:
@@ -179,15 +159,16 @@
 
     def withdraw(self, ticket: Any) -> None:
         """Remove a request from its queue."""
-        for queue in (*self.queues.values(), self.late):
-            for waiting in queue:
-                if waiting.ticket is ticket:
-                    queue.remove(waiting)
-                    return
+        if self.queue.remove(ticket):
+            return
+        for waiting in self.late:
+            if waiting.ticket is ticket:
+                self.late.remove(waiting)
+                return
 
     def get_service_time(self, kind: str) -> float:
         """Return the usual service time of a kind in seconds, 0 if none is known."""
-        return self.service_times.get(kind, self.service_time)
+        return self.service_times.get(kind, 0.0)
 
     def _update_service_times(self, seconds: float, kind: str) -> None:
         self.service_time += SERVICE_TIME_WEIGHT * (seconds - self.service_time)
@@ -199,16 +180,14 @@
 
     def _pop_next(self, now: float) -> QueuedRequest | None:
         """Remove and return the next request; late ones only if no other is queued."""
-        for priority in PRIORITIES:
-            queue = self.queues[priority]
-            while queue:
-                waiting = queue.popleft()
-                if now + waiting.seconds / 2 >= waiting.deadline:
-                    self.expired.append(waiting.ticket)
-                elif waiting.is_late(now):
-                    self._move_to_late(waiting)
-                else:
-                    return waiting
+        while self.queue:
+            waiting = self.queue.pop_first()
+            if now + waiting.seconds / 2 >= waiting.deadline:
+                self.expired.append(waiting.ticket)
+            elif waiting.is_late(now):
+                self._move_to_late(waiting)
+            else:
+                return waiting
         while self.late:
             waiting = self.late.popleft()
             if now + waiting.seconds / 2 < waiting.deadline:
@@ -218,9 +197,9 @@
 
     def _queue_late(self, waiting: QueuedRequest, wait: float, now: float) -> Decision:
         """Queue a late request behind all others if it is likely to be served there."""
-        ahead = sum(item.seconds for item in self.late) / max(1, self.capacity)
-        behind_all = self._expected_wait(PRIORITIES[-1], waiting.seconds)
-        ends = now + behind_all + ahead + waiting.seconds
+        ahead = sum(item.seconds for item in self.late) / self.slots
+        queued = sum(item.seconds for item in self.queue.requests) / self.slots
+        ends = now + self._expect_slot(waiting) + queued + ahead + waiting.seconds
         if ends >= waiting.deadline or not self._has_room_for_late():
             return self._refuse(waiting, wait, now)
         self.late.append(waiting)
@@ -237,37 +216,32 @@
     def _has_room_for_late(self) -> bool:
         return len(self.late) < self.capacity * LATE_PER_SLOT
 
-    def _displace(self, priority: Priority) -> Any:
-        """Remove the newest of the least urgent queued requests.
+    def _displace(self, waiting: QueuedRequest) -> Any:
+        """Remove a late request, or the last of the queue if it is less urgent.
 
-        :returns: its ticket, or None if none is less urgent than ``priority``.
+        :returns: its ticket, or None.
         """
         if self.late:
             return self.late.pop().ticket
-        for item in reversed(PRIORITIES[PRIORITIES.index(priority) + 1 :]):
-            if self.queues[item]:
-                return self.queues[item].pop().ticket
-        return None
+        return self.queue.displace(waiting)
 
-    def _estimate_service(self, kind: str, seconds_left: float) -> float:
-        """Return the expected service time of a request in seconds.
+    def _assume_service(self, seconds_left: float) -> float:
+        """Return the service time to assume for a kind of which none is known.
 
-        :param seconds_left: time left to its objective.
+        :param seconds_left: time left to the objective.
         """
-        known = self.get_service_time(kind)
-        if known or seconds_left == float("inf"):
-            return known
+        if seconds_left == float("inf"):
+            return 0.0
         return max(0.0, seconds_left) * UNKNOWN_TIME_SHARE
 
-    def _expected_wait(self, priority: Priority, seconds: float) -> float:
-        """Return the expected seconds until a slot is free and those ahead have run.
+    def _expected_wait(self, waiting: QueuedRequest) -> float:
+        """Return the expected seconds until a slot is free and those ahead have run."""
+        ahead = self.queue.sum_seconds_ahead(waiting)
+        return self._expect_slot(waiting) + ahead / self.slots
 
-        :param seconds: service time to assume where none is known.
-        """
-        capacity = max(1, self.capacity)
-        ahead = PRIORITIES[: PRIORITIES.index(priority) + 1]
-        queued = sum(item.seconds for name in ahead for item in self.queues[name])
-        return (self.service_time or seconds) / (capacity + 1) + queued / capacity
+    def _expect_slot(self, waiting: QueuedRequest) -> float:
+        """Return the expected seconds until one of the running requests ends."""
+        return (self.service_time or waiting.seconds) / (self.slots + 1)
 
     def _refuse(self, waiting: QueuedRequest, wait: float, now: float) -> Refused:
         """Refuse a request and state when a similar one would be in time."""
--- a/tests/test_worst_load.py
+++ b/tests/test_worst_load.py
@@ -6,6 +6,7 @@
 import unittest
 from collections import Counter
 
+from daisylink.connection import ProbeResult
 from daisylink.errors import ResultCode
 from daisylink.process import MemberRecord, ServerState
 from daisylink.process._directory import Directory
@@ -138,6 +139,27 @@
         total = sum(calls.values())
         self.assertGreater(calls["in time"], 0.98 * total)
 
+    def test_short_calls_go_before_long_urgent_requests_in_a_burst(self):
+        """Twice as much urgent work arrives as the slots can do, and calls besides."""
+        server = Server()
+        self.offer_burst(server, 2.0, priority=Priority.URGENT, seconds=0.09)
+        for _ in range(round(0.2 * SLOTS / 0.02 * BURST_SECONDS)):
+            at = server.rng.uniform(0, BURST_SECONDS)
+            server.offer(at, Priority.NORMAL, 0.02, "call")
+        server.run_events()
+        results = server.results
+        calls = sum(n for (kind, _), n in results.items() if kind == "call")
+        self.assertGreater(results["call", "in time"], 0.95 * calls)
+
+    def test_a_started_server_queues_no_more_than_it_can_answer_in_time(self):
+        """After a kill of all nothing is known, and callers come back at once."""
+        server = Server()
+        for number in range(20 * SLOTS):
+            server.offer(number * 0.0005, seconds=0.2)
+        server.run_events()
+        self.assertLessEqual(server.results["view", "lost"], SLOTS)
+        self.assertGreater(server.results["view", "refused"], 10 * SLOTS)
+
     def test_a_request_that_cannot_be_in_time_is_refused_at_once(self):
         admission = Server().admission
         for number in range(SLOTS):
@@ -180,6 +202,75 @@
         self.assertLess(picks["10.0.0.2:1"], 30)
         self.assertGreater(min(picks["10.0.0.0:1"], picks["10.0.0.1:1"]), 100)
 
+    def test_a_slow_server_of_the_own_zone_is_spared_while_others_have_room(self):
+        """Moderate load; the own zone's server has a third of the others' speed."""
+        directory = Directory(MemberRecord("10.9.9.9:1", "z", 1))
+        seconds = {"10.0.0.0:1": 0.36, "10.0.0.1:1": 0.12, "10.0.0.2:1": 0.12}
+        for node in seconds:
+            zone = "z" if node == "10.0.0.0:1" else "y"
+            directory.merge(
+                MemberRecord(node, zone, 1, pool="p", server=ServerState.SERVING), 0.0
+            )
+        balancer = LoadBalancer(directory, random.Random(1))
+        picks = Counter()
+        for step in range(200):
+            for node, service in seconds.items():
+                balancer.response_times.record_report(
+                    node, 0.4, step * 0.01, service, "view"
+                )
+            chosen = balancer.choose("p", (), 12, step * 0.01, "view", OBJECTIVE)
+            picks[chosen.node] += 1
+        self.assertEqual(picks["10.0.0.0:1"], 0)
+
+    def test_equal_servers_of_other_zones_are_left_alone(self):
+        directory = Directory(MemberRecord("10.9.9.9:1", "z", 1))
+        for number in range(4):
+            zone = "z" if number < 2 else "y"
+            record = MemberRecord(
+                f"10.0.0.{number}:1", zone, 1, pool="p", server=ServerState.SERVING
+            )
+            directory.merge(record, 0.0)
+        balancer = LoadBalancer(directory, random.Random(1))
+        for step in range(100):
+            for number in range(4):
+                balancer.response_times.record_report(
+                    f"10.0.0.{number}:1",
+                    0.9,
+                    step * 0.01,
+                    0.1 + 0.01 * (number < 2),
+                    "",
+                )
+            chosen = balancer.choose("p", (), 12, step * 0.01, "", OBJECTIVE)
+            self.assertEqual(chosen.zone, "z")
+
+
+class ZoneCutTests(unittest.TestCase):
+    """All nodes of the other zones refuse connections while the own zone is cut off."""
+
+    def test_refused_nodes_get_no_requests_until_a_probe_succeeds(self):
+        directory = Directory(MemberRecord("10.9.9.9:1", "z", 1))
+        for number in range(6):
+            record = MemberRecord(
+                f"10.0.0.{number}:1", "y", 1, pool="p", server=ServerState.SERVING
+            )
+            directory.merge(record, 0.0)
+        balancer = LoadBalancer(directory, random.Random(1))
+        attempts = 0
+        for step in range(200):
+            chosen = balancer.choose("p", (), 12, step * 0.01)
+            if chosen is not None:
+                attempts += 1
+                balancer.record_failure(chosen.node, step * 0.01)
+                balancer.reachability.handle_probe_result(
+                    chosen.node, ProbeResult.REFUSED, step * 0.01
+                )
+        self.assertEqual(attempts, 6)
+        balancer.reachability.handle_probe_result(
+            "10.0.0.3:1", ProbeResult.ANSWERED, 2.0
+        )
+        balancer.record_reachable("10.0.0.3:1")
+        self.assertEqual(balancer.choose("p", (), 12, 2.0).node, "10.0.0.3:1")
+
 
 class SplitTests(unittest.TestCase):
     def test_shares_are_exact_over_each_round_of_weights(self):
@@ -209,7 +300,6 @@
         0,
         "r",
         "",
-        "",
         max_attempts,
     )
 
