--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -262,17 +262,46 @@
     Mutant(
         "late heartbeats bring a server back",
         "serving/_local_server.py",
-        "        if order < self.newest or self._has_departed(announcement):\n",
+        "        if order < self.newest or self._has_departed(announcement, now):\n",
         "        if False:\n",
         "tests.test_sidecar",
     ),
     Mutant(
         "requests queue by their deadline alone",
-        "serving/_admission.py",
+        "serving/_waiting_queue.py",
         "        return not urgent and now + self.seconds > self.slo_deadline\n",
         "        return False\n",
         "tests.test_worst_load",
     ),
+    Mutant(
+        "requests wait in order of arrival whatever their kind",
+        "serving/_waiting_queue.py",
+        "        weighted = self.get_service_time(group.kind)"
+        " * TIME_FACTORS[group.priority]\n",
+        "        weighted = 0.0\n",
+        "tests.test_worst_load",
+    ),
+    Mutant(
+        "a server that left before its node knew it comes back",
+        "serving/_local_server.py",
+        "        self.departed_unborn[departure.instance] = now + hold\n",
+        "        pass\n",
+        "tests.test_local_server",
+    ),
+    Mutant(
+        "a pause of the process counts as the peer's silence",
+        "connection/_hop.py",
+        "                if gateway.now() - started_at < late:\n",
+        "                if True:\n",
+        "tests.test_silence",
+    ),
+    Mutant(
+        "a node that refuses connections is still chosen",
+        "serving/_reachability.py",
+        "        if result is not ProbeResult.ANSWERED:\n",
+        "        if result is ProbeResult.SILENT:\n",
+        "tests.test_worst_load",
+    ),
     Mutant(
         "a server's headers may speak for daisylink",
         "request/_response.py",
@@ -319,8 +348,7 @@
     Mutant(
         "spread: a reader that is behind feeds others",
         "sidecar/_sidecar.py",
-        "        if self.missed_number > self.fleet_state.version_number"
-        " or self.stopping:\n",
+        "        if self.peer_versions.is_behind or self.stopping:\n",
         "        if self.stopping:\n",
         "tests.test_large_fleet",
     ),
--- /dev/null
+++ b/src/daisylink/sidecar/_gauges.py
@@ -0,0 +1,35 @@
+"""Gauges of a sidecar, read at each export of its metrics."""
+
+from typing import Any
+
+from daisylink.serving import Metrics
+
+
+def add_gauges(metrics: Metrics, sidecar: Any) -> None:
+    """Register the gauges.
+
+    :param sidecar: the :class:`~daisylink.sidecar._sidecar.Sidecar` that they read.
+    """
+    admission = sidecar.gateway.admission
+    members = sidecar.members
+    metrics.add_gauge(
+        "daisylink.version",
+        lambda: sidecar.fleet_state.version_number,
+        "Version in force.",
+    )
+    metrics.add_gauge(
+        "daisylink.ready", lambda: int(sidecar.is_ready), "Whether ready."
+    )
+    metrics.add_gauge(
+        "daisylink.members", lambda: len(members.records), "Nodes known to run."
+    )
+    metrics.add_gauge(
+        "daisylink.slots.in_use",
+        lambda: admission.in_use,
+        "Slots of the own backend server in use.",
+    )
+    metrics.add_gauge(
+        "daisylink.slots.waiting",
+        lambda: admission.queued,
+        "Requests that wait for a slot.",
+    )
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -49,8 +49,10 @@
 from daisylink.settings import SidecarSettings
 from daisylink.sidecar._change_feed import ChangeFeed
 from daisylink.sidecar._fleet_state import FLEET_PREFIX, FleetState, member_key
+from daisylink.sidecar._gauges import add_gauges
 from daisylink.sidecar._listeners import Listeners
 from daisylink.sidecar._peer_exchange import PeerExchange
+from daisylink.sidecar._peer_versions import PeerVersions
 from daisylink.sidecar._platform_adapter import PlatformAdapter
 from daisylink.sidecar._store_driver import StoreDriver
 from daisylink.sidecar._strikes import (
@@ -74,8 +76,6 @@
 # Share of the fleet's retries that the nodes may use; the rest covers calls caused by
 # retried requests, which count as retries too.
 RETRY_SHARE = 0.7
-# A peer with a newer version may only have received it a moment earlier.
-PEER_VERSION_GRACE_SECONDS = 1.0
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 log = get_logger("sidecar")
@@ -184,10 +184,9 @@
         self.listeners = Listeners(self.loop)
         self.tasks: set[asyncio.Task] = set()
         self.timer: asyncio.TimerHandle | None = None
-        # The highest version number that a peer stated, and the highest of these that
-        # had not arrived here a second later.
-        self.newest_peer_number = 0
-        self.missed_number = 0
+        self.peer_versions = PeerVersions(
+            self.loop, lambda: self.fleet_state.version_number, self._get_missed_version
+        )
         self.stopping = False
 
     @classmethod
@@ -237,7 +236,7 @@
             await listeners.listen_auxiliary(settings.metrics, self._export_metrics)
         except SettingError as error:
             log.warning("metrics are not served: {}", error)
-        self._add_gauges()
+        add_gauges(self.metrics, self)
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
         log.bind(node=settings.node, zone=settings.zone).info("started")
@@ -334,7 +333,7 @@
     @property
     def can_serve_feed(self) -> bool:
         """Return whether other nodes may get key changes from this one."""
-        if self.missed_number > self.fleet_state.version_number or self.stopping:
+        if self.peer_versions.is_behind or self.stopping:
             return False
         is_watching = self.role.is_reader and self.watch_cache.is_listed
         return is_watching and not self.is_store_unavailable
@@ -359,29 +358,24 @@
     # Peers
 
     def _handle_peer_version(self, number: int) -> None:
-        """Schedule a check for a version that a peer has and this node lacks."""
-        if number <= max(self.fleet_state.version_number, self.newest_peer_number):
-            return
-        self.newest_peer_number = number
-        self.loop.call_later(PEER_VERSION_GRACE_SECONDS, self._fetch_version, number)
+        self.peer_versions.handle_number(number)
 
-    def _fetch_version(self, number: int, is_first: bool = True) -> None:
-        """Get a version that a peer has had for a while and this node lacks.
+    def _get_missed_version(self, is_first: bool) -> bool:
+        """Get a version that peers have had for a while and this node lacks.
 
         :param is_first: whether this is the first attempt, which restarts the watch;
             later ones fetch updates from a peer.
+        :returns: whether to try again later.
         """
-        if number <= self.fleet_state.version_number or self.stopping:
-            return
-        self.missed_number = number
+        if self.stopping:
+            return False
         self.source_selector.record_failure(self.now())
         if is_first:
             self.store_driver.restart_watch("a peer has a newer version")
         else:
             self.peer_exchange.fetch_updates()
-        delay = PEER_VERSION_GRACE_SECONDS
-        self.loop.call_later(delay, self._fetch_version, number, False)
         self.loop.call_soon(self.step)
+        return True
 
     def _last_response_at(self, node: str) -> float:
         return self.balancer.last_response_at.get(node, float("-inf"))
@@ -456,30 +450,6 @@
     def _export_metrics(self, _request: WebRequest) -> WebResponse:
         return WebResponse(body=self.metrics.format_text(), content_type=METRICS_TYPE)
 
-    def _add_gauges(self) -> None:
-        gauge = self.metrics.add_gauge
-        gauge(
-            "daisylink.version",
-            lambda: self.fleet_state.version_number,
-            "Version in force.",
-        )
-        gauge("daisylink.ready", lambda: int(self.is_ready), "Whether ready.")
-        gauge(
-            "daisylink.members",
-            lambda: len(self.members.records),
-            "Nodes known to run.",
-        )
-        gauge(
-            "daisylink.slots.in_use",
-            lambda: self.gateway.admission.in_use,
-            "Slots of the own backend server in use.",
-        )
-        gauge(
-            "daisylink.slots.waiting",
-            lambda: self.gateway.admission.queued,
-            "Requests that wait for a slot.",
-        )
-
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task:
         task = self.loop.create_task(work)
         self.tasks.add(task)
