--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -269,7 +269,7 @@
     Mutant(
         "requests queue by their deadline alone",
         "serving/_waiting_queue.py",
-        "        return not urgent and now + self.seconds > self.slo_deadline\n",
+        "        return now + self.seconds > self.slo_deadline\n",
         "        return False\n",
         "tests.test_worst_load",
     ),
--- a/src/daisylink/serving/_waiting_queue.py
+++ b/src/daisylink/serving/_waiting_queue.py
@@ -36,9 +36,8 @@
     seconds: float
 
     def is_late(self, now: float) -> bool:
-        """Return whether the objective would be missed; urgent ones are never late."""
-        urgent = self.priority is Priority.URGENT
-        return not urgent and now + self.seconds > self.slo_deadline
+        """Return whether the objective would be missed if it ran now."""
+        return now + self.seconds > self.slo_deadline
 
 
 class _Group(NamedTuple):
--- a/tests/test_worst_load.py
+++ b/tests/test_worst_load.py
@@ -151,6 +151,14 @@
         calls = sum(n for (kind, _), n in results.items() if kind == "call")
         self.assertGreater(results["call", "in time"], 0.95 * calls)
 
+    def test_urgent_requests_beyond_the_slots_are_refused_not_all_late(self):
+        """Twice as much urgent work as the slots can do."""
+        server = Server()
+        self.offer_burst(server, 2.0, priority=Priority.URGENT)
+        server.run_events()
+        capacity = SLOTS / SECONDS * BURST_SECONDS
+        self.assertGreater(server.results["view", "in time"], 0.8 * capacity)
+
     def test_a_started_server_queues_no_more_than_it_can_answer_in_time(self):
         """After a kill of all nothing is known, and callers come back at once."""
         server = Server()
