Silence test: a refusal that is read only after the pause

The mutant that ends the wait after a pause survived: the test's refusal was always due with the timeout.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -11,7 +11,7 @@
 
 SENT_AT = 10.0
 # Longer than the timeout of a probe.
-PAUSE_SECONDS = 0.3
+PAUSE_SECONDS = 0.4
 
 
 class ReachabilityMonitorTests(unittest.TestCase):
@@ -147,8 +147,15 @@
     def test_a_pause_of_the_own_process_makes_no_node_unreachable(self):
         """The process is paused while a probe's refusal is on its way.
 
-        After the pause the refusal and the probe's timeout are due at once.
+        After the pause the refusal and the probe's timeout are due at once, or the
+        refusal is still to be read.
         """
+        for delay in (PAUSE_SECONDS / 10, PAUSE_SECONDS + 0.01):
+            with self.subTest(delay=delay):
+                self.check_pause(delay)
+
+    def check_pause(self, delay):
+        """Pause during a probe that is refused after a delay in seconds."""
 
         async def scenario(fleet, operations):
             await fleet.start(self.placements, service_ms=600.0)
@@ -160,7 +167,7 @@
             async def refuse_after_pause(*_arguments, **_options):
                 answer = loop.create_future()
                 refusal = ConnectionRefusedError()
-                loop.call_later(PAUSE_SECONDS / 10, answer.set_exception, refusal)
+                loop.call_later(delay, answer.set_exception, refusal)
                 loop.call_soon(loop.pause, PAUSE_SECONDS)
                 await answer
 
