--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,11 +2,13 @@
 
 import random
 import unittest
+from types import SimpleNamespace
 
 from daisylink.errors import ResultCode
 from daisylink.process import MemberRecord, ServerState
 from daisylink.process._directory import Directory
 from daisylink.request import Admitted, Refused
+from daisylink.serving import Gateway
 from daisylink.serving._admission import Admission, AdmissionLimits
 from daisylink.serving._load_balancer import LoadBalancer
 from daisylink.version import Priority
@@ -85,6 +87,30 @@
             balancer.begin(balancer.choose("p", (), 1, 0.0).node)
         self.assertEqual(set(balancer.in_flight.values()), {10})
 
+    def test_malformed_load_reports_are_ignored(self):
+        balancer = self.make_balancer(1)
+        gateway = SimpleNamespace(balancer=balancer, now=lambda: 0.0)
+        for text in (b"nan 10", b"0.5 inf", b"-1 10", b"x", b""):
+            Gateway.record_load(gateway, "10.0.0.0:1", text, "view")
+        self.assertEqual(balancer.response_times.reports, {})
+        Gateway.record_load(gateway, "10.0.0.0:1", b"0.5 10.0", "view")
+        self.assertEqual(balancer.response_times.reports["10.0.0.0:1"].load, 0.5)
+
+    def test_a_long_unused_server_counts_as_an_average_one(self):
+        """A server that was slowed for a while would otherwise never be tried again."""
+        balancer = self.make_balancer(2)
+        response_times = balancer.response_times
+        slow, quick = (f"10.0.0.{number}:1" for number in range(2))
+        response_times.record_report(slow, 0.0, 0.0, 0.9, "view")
+        for step in range(120):
+            response_times.record_report(quick, 0.0, step * 0.1, 0.1, "view")
+        picks = {balancer.choose("p", (), 4, 12.0, "view").node for _ in range(20)}
+        self.assertIn(quick, picks)
+        record = balancer.directory.serving("p")[slow]
+        usual = response_times.usual_seconds["view"]
+        seconds = response_times.estimate_seconds(record, "view", 4, 12.0)
+        self.assertAlmostEqual(seconds, usual)
+
     def test_another_zone_serves_only_when_the_own_is_full(self):
         balancer = self.make_balancer(2)
         far = MemberRecord("10.1.0.1:1", "y", 1, pool="p", server=ServerState.SERVING)
