--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -21,13 +21,7 @@
     Try,
 )
 from daisylink.request._body import RequestBody
-from daisylink.request._decision import (
-    Admitted,
-    ClaimOutcome,
-    Queued,
-    Refused,
-    RunResult,
-)
+from daisylink.request._decision import ClaimOutcome, RunResult
 from daisylink.request._head import (
     LOAD_HEADER,
     Header,
@@ -56,9 +50,9 @@
     read_load,
     read_refusal,
 )
+from daisylink.request._slot_wait import SlotWait
 
 MS_PER_SECOND = 1000
-DISPLACED_RETRY_MS = 200
 # How long ago a connection to another node must have carried a response if the next
 # request on it cannot be retried after a loss.
 PROVEN_IDLE_SECONDS = 0.5
@@ -100,14 +94,13 @@
         self.plan: RequestPlan | None = None
         self.attempts: Attempts | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.wait_timer: asyncio.TimerHandle | None = None
+        self.slot_wait = SlotWait(self)
         self.tried: set[str] = set()
         self.target = ""
         self.attempt = 0
         self.hop: Any = None
         self.is_connecting = False
         self.local_run: LocalRun | None = None
-        self.is_queued = False
         self.started = False
         self.refusal: Refusal | None = None
         self.pending_output: list[bytes] = []
@@ -262,7 +255,7 @@
             if own_record.pool != self.plan.pool:
                 self.refuse_attempt(ResultCode.REQUEST_WRONG_NODE)
                 return
-            self._try_local_server()
+            self.slot_wait.start()
             return
         record = gateway.choose(self.plan, self.tried)
         if record is None:
@@ -272,41 +265,13 @@
         self.choice = gateway.balancer.describe(record.node, gateway.now())
         gateway.in_flight_tracker.begin(self, record)
         if record.node == own_record.node:
-            self._try_local_server()
+            self.slot_wait.start()
         else:
             self._connect(record.relay)
 
-    def _try_local_server(self) -> None:
-        gateway = self.gateway
-        plan = self.plan
-        match gateway.try_admit(self, plan):
-            case Admitted():
-                self.run_locally()
-            case Queued(displaced, expires):
-                self.is_queued = True
-                self._limit_wait(expires)
-                if displaced is not None:
-                    displaced.refuse_attempt(
-                        ResultCode.REQUEST_OVERLOADED, DISPLACED_RETRY_MS
-                    )
-            case Refused(code, retry_ms):
-                self.refuse_attempt(code, retry_ms)
-
-    def _limit_wait(self, expires: float) -> None:
-        """Refuse the request when waiting longer is of no use to its caller."""
-        if expires == float("inf"):
-            return
-        wait = max(0.0, expires - self.gateway.now())
-        attempt = self.attempt
-        self.wait_timer = self.gateway.loop.call_later(wait, self._end_wait, attempt)
-
-    def _end_wait(self, attempt: int) -> None:
-        if self.is_queued and not self.done and attempt == self.attempt:
-            self.refuse_attempt(ResultCode.REQUEST_DEADLINE_NOT_RUN)
-
     def run_locally(self) -> None:
         """Run the request at the local backend server; its slot is already held."""
-        self.is_queued = False
+        self.slot_wait.end()
         self.local_run = LocalRun(self, self.gateway.now())
         self.local_run.begin()
 
@@ -449,12 +414,7 @@
         if self.target:
             self.gateway.in_flight_tracker.end(self, self.target)
             self.target = ""
-        if self.is_queued:
-            self.is_queued = False
-            self.gateway.admission.withdraw(self)
-        if self.wait_timer is not None:
-            self.wait_timer.cancel()
-            self.wait_timer = None
+        self.slot_wait.cancel()
         hop, self.hop = self.hop, None
         if hop is not None:
             hop.abort()
--- /dev/null
+++ b/src/daisylink/request/_slot_wait.py
@@ -0,0 +1,62 @@
+"""The wait of one request for a slot of the local backend server."""
+
+import asyncio
+from typing import Any
+
+from daisylink.errors import ResultCode
+from daisylink.request._decision import Admitted, Queued, Refused
+
+DISPLACED_RETRY_MS = 200
+
+
+class SlotWait:
+    """Asks admission for a slot and waits for it no longer than is of use.
+
+    :param exchange: the :class:`~daisylink.request.Exchange` that needs the slot.
+    """
+
+    def __init__(self, exchange: Any):
+        self.exchange = exchange
+        self.is_queued = False
+        self.timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Run the request if a slot is free; otherwise wait, or refuse the attempt."""
+        exchange = self.exchange
+        match exchange.gateway.try_admit(exchange, exchange.plan):
+            case Admitted():
+                exchange.run_locally()
+            case Queued(displaced, expires):
+                self.is_queued = True
+                self._limit(expires)
+                if displaced is not None:
+                    displaced.refuse_attempt(
+                        ResultCode.REQUEST_OVERLOADED, DISPLACED_RETRY_MS
+                    )
+            case Refused(code, retry_ms):
+                exchange.refuse_attempt(code, retry_ms)
+
+    def end(self) -> None:
+        """End the wait because a slot was granted."""
+        self.is_queued = False
+
+    def cancel(self) -> None:
+        """End the wait without a slot."""
+        if self.is_queued:
+            self.is_queued = False
+            self.exchange.gateway.admission.withdraw(self.exchange)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def _limit(self, expires: float) -> None:
+        """Refuse the attempt when waiting longer is of no use to its caller."""
+        if expires == float("inf"):
+            return
+        exchange = self.exchange
+        seconds = max(0.0, expires - exchange.gateway.now())
+        self.timer = exchange.gateway.loop.call_later(seconds, self._expire)
+
+    def _expire(self) -> None:
+        if self.is_queued and not self.exchange.done:
+            self.exchange.refuse_attempt(ResultCode.REQUEST_DEADLINE_NOT_RUN)
