--- a/src/daisylink/serving/_reachability.py
+++ b/src/daisylink/serving/_reachability.py
@@ -22,7 +22,7 @@
     """
 
     max_response_delay: timedelta = timedelta(milliseconds=100)
-    probe_interval: timedelta = timedelta(milliseconds=250)
+    probe_interval: timedelta = timedelta(milliseconds=500)
 
 
 class ReachabilityMonitor:
