--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -255,7 +255,7 @@
             if own_record.pool != self.plan.pool:
                 self.refuse_attempt(ResultCode.REQUEST_WRONG_NODE)
                 return
-            self.slot_wait.start()
+            self._try_local_server()
             return
         record = gateway.choose(self.plan, self.tried)
         if record is None:
@@ -265,10 +265,13 @@
         self.choice = gateway.balancer.describe(record.node, gateway.now())
         gateway.in_flight_tracker.begin(self, record)
         if record.node == own_record.node:
-            self.slot_wait.start()
+            self._try_local_server()
         else:
             self._connect(record.relay)
 
+    def _try_local_server(self) -> None:
+        self.slot_wait.start()
+
     def run_locally(self) -> None:
         """Run the request at the local backend server; its slot is already held."""
         self.slot_wait.end()
