Reports of nodes that left and of dropped routes are forgotten

Cause, found on reading the change: load reports were kept for every node and route ever seen. Change: a member that leaves takes its report along; kinds are bounded as in admission.

--- a/src/daisylink/serving/_in_flight.py
+++ b/src/daisylink/serving/_in_flight.py
@@ -79,6 +79,7 @@
     def forget(self, node: str) -> None:
         """Forget a node that is no longer a member."""
         self.balancer.reachability.forget(node)
+        self.balancer.response_times.forget(node)
 
     def close(self) -> None:
         """Stop the checks and the running probes."""
--- a/src/daisylink/serving/_response_times.py
+++ b/src/daisylink/serving/_response_times.py
@@ -14,7 +14,7 @@
 # A server that nobody used for so long counts as an average one and is tried again.
 SPEED_LIFETIME_SECONDS = 10.0
 MEAN_WEIGHT = 0.1
-MAX_KINDS_PER_NODE = 200
+MAX_KINDS = 200
 # Service time in seconds of a server of which nothing is known.
 DEFAULT_SERVICE_SECONDS = 0.1
 
@@ -75,11 +75,17 @@
         if seconds <= 0:
             return
         report.mean_seconds = _move(report.mean_seconds, seconds)
+        if len(self.usual_seconds) >= MAX_KINDS:
+            self.usual_seconds.clear()
         self.usual_seconds[kind] = _move(self.usual_seconds.get(kind, 0.0), seconds)
-        if len(report.service_times) >= MAX_KINDS_PER_NODE:
+        if len(report.service_times) >= MAX_KINDS:
             report.service_times.clear()
         report.service_times[kind] = ServiceTime(seconds, now)
 
+    def forget(self, node: str) -> None:
+        """Forget the report of a node that is no longer a member."""
+        self.reports.pop(node, None)
+
     def get_mean_seconds(self) -> dict[str, float]:
         """Return the mean service time of each node, 0 if unknown."""
         return {node: report.mean_seconds for node, report in self.reports.items()}
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -96,6 +96,15 @@
         Gateway.record_load(gateway, "10.0.0.0:1", b"0.5 10.0", "view")
         self.assertEqual(balancer.response_times.reports["10.0.0.0:1"].load, 0.5)
 
+    def test_reports_stay_bounded_as_nodes_and_routes_come_and_go(self):
+        response_times = self.make_balancer(1).response_times
+        for number in range(1000):
+            response_times.record_report("n", 0.5, 0.0, 0.1, f"route-{number}")
+        self.assertLessEqual(len(response_times.usual_seconds), 200)
+        self.assertLessEqual(len(response_times.reports["n"].service_times), 200)
+        response_times.forget("n")
+        self.assertEqual(response_times.reports, {})
+
     def test_a_long_unused_server_counts_as_an_average_one(self):
         """A server that was slowed for a while would otherwise never be tried again."""
         balancer = self.make_balancer(2)
