--- a/tests/test_worst_load.py
+++ b/tests/test_worst_load.py
@@ -167,6 +167,13 @@
         server.run_events()
         self.assertLessEqual(server.results["view", "lost"], SLOTS)
         self.assertGreater(server.results["view", "refused"], 10 * SLOTS)
+        started = Server().admission
+        decisions = [
+            started.try_admit(number, Priority.NORMAL, DEADLINE, 0.0, OBJECTIVE, "view")
+            for number in range(20 * SLOTS)
+        ]
+        refused = sum(isinstance(decision, Refused) for decision in decisions)
+        self.assertGreater(refused, 10 * SLOTS, "refused at once, not after a wait")
 
     def test_a_request_that_cannot_be_in_time_is_refused_at_once(self):
         admission = Server().admission
