Logs and a counter tell ignored announcements and the instance that a request ran on

Now: 'announcement ignored' with reason, state, sequence and the newest one; sequence in 'backend server is ...'; newest in 'backend server leaves'; instance in 'request ended'; daisylink_announcements by result. No logic changes.

--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -101,6 +101,7 @@
         self.hop: Any = None
         self.is_connecting = False
         self.local_run: LocalRun | None = None
+        self.server_instance = ""
         self.started = False
         self.refusal: Refusal | None = None
         self.pending_output: list[bytes] = []
@@ -302,6 +303,7 @@
     def send_to_local_server(self) -> None:
         """Send the request to the local backend server."""
         self.send_continue()
+        self.server_instance = self.gateway.own_record.instance
         self._connect(self.gateway.server_address)
 
     def _connect(self, address: str) -> None:
--- a/src/daisylink/serving/__init__.py
+++ b/src/daisylink/serving/__init__.py
@@ -4,6 +4,7 @@
 from daisylink.serving._load_balancer import LoadBalancer
 from daisylink.serving._local_server import (
     Announcement,
+    AnnouncementResult,
     Departure,
     LocalServer,
     LocalServerSettings,
@@ -14,6 +15,7 @@
 
 __all__ = [
     "Announcement",
+    "AnnouncementResult",
     "Departure",
     "Gateway",
     "LoadBalancer",
--- a/src/daisylink/serving/_local_server.py
+++ b/src/daisylink/serving/_local_server.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from datetime import timedelta
+from enum import Enum
 from typing import NamedTuple
 
 from msgspec.structs import replace
@@ -73,6 +74,14 @@
     born: int = 0
 
 
+class AnnouncementResult(Enum):
+    """What became of an announcement."""
+
+    APPLIED = "applied"
+    OLDER = "older"
+    DEPARTED = "departed"
+
+
 class LocalServer:
     """State of the local backend server."""
 
@@ -104,15 +113,21 @@
             return min(self.expires, self.kept_out_until)
         return self.expires
 
-    def handle_announcement(self, announcement: Announcement, now: float) -> None:
+    def handle_announcement(
+        self, announcement: Announcement, now: float
+    ) -> AnnouncementResult:
         """Handle an announcement, which also renews the lease.
 
         Late announcements are ignored: those older than another one and those of a
         server that has left.
+
+        :returns: whether it was applied, or why it was ignored.
         """
         order = (announcement.born, announcement.sequence)
-        if order < self.newest or self._has_departed(announcement, now):
-            return
+        if order < self.newest:
+            return AnnouncementResult.OLDER
+        if self._has_departed(announcement, now):
+            return AnnouncementResult.DEPARTED
         self.newest = order
         is_return = self.state is ServerState.ABSENT
         self.announcement = announcement
@@ -120,6 +135,7 @@
         self.expires = now + self.settings.lease.total_seconds()
         if is_return and announcement.state is ServerState.SERVING:
             self._count_return(now)
+        return AnnouncementResult.APPLIED
 
     def renew(self, now: float) -> None:
         """Renew the lease of the announcement.
--- a/src/daisylink/serving/_metrics.py
+++ b/src/daisylink/serving/_metrics.py
@@ -63,6 +63,9 @@
         self.control_messages = meter.create_counter(
             "daisylink.control.messages", "1", "Control messages by direction."
         )
+        self.announcements = meter.create_counter(
+            "daisylink.announcements", "1", "Announcements of the backend server."
+        )
 
     def add_gauge(self, name: str, read: Callable[[], float], description: str) -> None:
         """Register a gauge whose value is read at collection.
@@ -90,6 +93,13 @@
         if attempts > 1:
             self.retries.add(attempts - 1, {"service": service})
 
+    def record_announcement(self, result: str) -> None:
+        """Count an announcement of the local backend server.
+
+        :param result: ``applied``, or why it was ignored.
+        """
+        self.announcements.add(1, {"result": result})
+
     def read_latency(self) -> dict[str, dict[float, int]]:
         """Return latency histograms by service: counts by upper bound in seconds."""
         found: dict[str, dict[float, int]] = {}
--- a/src/daisylink/serving/_request_log.py
+++ b/src/daisylink/serving/_request_log.py
@@ -34,6 +34,8 @@
         fields["route"] = plan.route
         fields["version"] = plan.version
         fields["left_ms"] = round((plan.deadline - now) * MS_PER_SECOND)
+    if exchange.server_instance:
+        fields["instance"] = exchange.server_instance
     refusal = exchange.refusal
     if refusal is not None:
         fields["refused"] = refusal.code.name
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -35,6 +35,7 @@
 from daisylink.request import Fingerprint
 from daisylink.serving import (
     Announcement,
+    AnnouncementResult,
     Departure,
     Gateway,
     LoadBalancer,
@@ -293,6 +294,7 @@
                 instance=record.instance,
                 pool=record.pool,
                 born=self.local_server.newest[0],
+                sequence=self.local_server.newest[1],
             ).info("backend server is {}", record.server.name.lower())
             self._handle_members_change()
         if not self.registration.is_leaving:
@@ -437,16 +439,35 @@
                 raise NodeError(f"pool {pool} is not served here")
             case Announcement():
                 server = self.settings.server
-                self.local_server.handle_announcement(
+                result = self.local_server.handle_announcement(
                     message._replace(address=server), self.now()
                 )
+                self._record_announcement(message, result)
             case Departure():
-                log.bind(instance=message.instance, born=message.born).info(
-                    "backend server leaves"
-                )
+                log.bind(
+                    instance=message.instance,
+                    born=message.born,
+                    newest=self.local_server.newest,
+                ).info("backend server leaves")
                 self.local_server.handle_departure(message, self.now())
         self.update_server()
 
+    def _record_announcement(
+        self, announcement: Announcement, result: AnnouncementResult
+    ) -> None:
+        """Count an announcement; log one that was ignored."""
+        self.metrics.record_announcement(result.value)
+        if result is AnnouncementResult.APPLIED:
+            return
+        log.bind(
+            instance=announcement.instance,
+            born=announcement.born,
+            sequence=announcement.sequence,
+            state=announcement.state.name,
+            reason=result.value,
+            newest=self.local_server.newest,
+        ).info("announcement ignored")
+
     def _export_metrics(self, _request: WebRequest) -> WebResponse:
         return WebResponse(body=self.metrics.format_text(), content_type=METRICS_TYPE)
 
