A store that is down for minutes ends no task: one backoff with bounded doublings

Callers would see a node that never writes its record again: after 1,024 failed calls in a row (about ten minutes at 0.6 s each) the delay '0.1 * 2 ** failures' raised OverflowError in the task, so no later call was scheduled by it. Registration and WatchCache had the same lines; both use Backoff now, which bounds the doublings. The new test fails before with 'OverflowError: int too large to convert to float'.

--- a/src/daisylink/registry/_registration.py
+++ b/src/daisylink/registry/_registration.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from daisylink.errors import ResultCode
+from daisylink.registry._backoff import Backoff, BackoffSettings
 from daisylink.registry._store import Lease
 
 RENEWALS_PER_TTL = 3
@@ -19,15 +20,10 @@
     """Lease duration and retry delays of a :class:`Registration`.
 
     :param ttl: how long the record outlives the process.
-    :param base_retry_delay: delay after the first failed call; doubles with each
-        further one.
-    :param max_retry_delay: longest delay, short enough that a record is back within two
-        seconds of the store's return.
     """
 
     ttl: timedelta = timedelta(seconds=3)
-    base_retry_delay: timedelta = timedelta(milliseconds=100)
-    max_retry_delay: timedelta = timedelta(milliseconds=800)
+    backoff: BackoffSettings = BackoffSettings()
 
 
 @dataclass(frozen=True)
@@ -70,14 +66,12 @@
 
     def __init__(self, settings: RegistrationSettings, rng: random.Random):
         self.settings = settings
-        self.rng = rng
+        self.backoff = Backoff(settings.backoff, rng)
         self.desired_record: bytes | None = None
         self.written_record: bytes | None = None
         self.lease_id = 0
         self.granted_ttl = settings.ttl
         self.renew_at = float("inf")
-        self.retry_at = 0.0
-        self.failures = 0
         self.pending: RegistrationCall | None = None
         self.is_leaving = False
         self.is_done = False
@@ -90,8 +84,8 @@
         if self._next_call(float("inf")) is None:
             return float("inf")
         if self._next_call(0.0) is not None:
-            return self.retry_at
-        return max(self.retry_at, self.renew_at)
+            return self.backoff.retry_at
+        return max(self.backoff.retry_at, self.renew_at)
 
     def set_record(self, value: bytes) -> None:
         """Set the value that the record should have."""
@@ -101,7 +95,7 @@
         """Write a last value of the record, then end the lease."""
         self.desired_record = value
         self.is_leaving = True
-        self.retry_at = 0.0
+        self.backoff.retry_at = 0.0
 
     def mark_unwritten(self) -> None:
         """Note that the store lacks the record, so that it is written again."""
@@ -109,7 +103,7 @@
 
     def tick(self, now: float) -> RegistrationCall | None:
         """Return the call to make now, if any."""
-        if self.pending is not None or self.is_done or now < self.retry_at:
+        if self.pending is not None or self.is_done or now < self.backoff.retry_at:
             return None
         self.pending = self._next_call(now)
         return self.pending
@@ -121,7 +115,7 @@
             None for a write or the end of the lease.
         """
         call, self.pending = self.pending, None
-        self.failures = 0
+        self.backoff.record_success()
         match call:
             case GrantLease():
                 self.lease_id = result.lease_id
@@ -146,12 +140,7 @@
         if isinstance(call, EndLease):
             self.is_done = True
             return
-        self.failures += 1
-        backoff = self.settings.base_retry_delay.total_seconds() * 2 ** (
-            self.failures - 1
-        )
-        delay = min(backoff, self.settings.max_retry_delay.total_seconds())
-        self.retry_at = now + self.rng.uniform(delay / 2, delay)
+        self.backoff.record_failure(now)
 
     def _next_call(self, now: float) -> RegistrationCall | None:
         if self.desired_record is None:
--- a/src/daisylink/registry/_watch_cache.py
+++ b/src/daisylink/registry/_watch_cache.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from daisylink.errors import ResultCode
+from daisylink.registry._backoff import Backoff, BackoffSettings
 from daisylink.registry._store import Changes, Item, Listing
 
 
@@ -29,9 +30,6 @@
         wait for its changes.
     :param watch_timeout: how long a watch waits at the store. An unresponsive
         connection is noticed sooner, by a lease renewal or by a peer's newer version.
-    :param base_retry_delay: delay after the first failed call; doubles with each
-        further one.
-    :param max_retry_delay: longest delay between calls while the store is unavailable.
     """
 
     watch_timeout: timedelta = timedelta(seconds=6)
@@ -39,8 +37,7 @@
     min_batch_delay: timedelta = timedelta(milliseconds=40)
     max_batch_delay: timedelta = timedelta(seconds=1)
     max_reader_batch_delay: timedelta = timedelta(milliseconds=300)
-    base_retry_delay: timedelta = timedelta(milliseconds=100)
-    max_retry_delay: timedelta = timedelta(milliseconds=800)
+    backoff: BackoffSettings = BackoffSettings()
 
 
 @dataclass(frozen=True)
@@ -83,7 +80,7 @@
         self.settings = settings
         self.on_item = on_item
         self.on_listing = on_listing
-        self.rng = rng
+        self.backoff = Backoff(settings.backoff, rng)
         self.revisions: dict[str, int] = {}
         self.values: dict[str, bytes] = {}
         self.prefix = ""
@@ -91,18 +88,19 @@
         self.revision = 0
         self.first_revision = 0
         self.is_listed = False
-        self.failures = 0
-        self.retry_at = 0.0
+        self.read_at = 0.0
         self.pending: ReadCall | None = None
 
     @property
     def wake_at(self) -> float:
         """Return when :meth:`tick` is due, in monotonic seconds."""
-        return self.retry_at if self.pending is None else float("inf")
+        if self.pending is not None:
+            return float("inf")
+        return max(self.read_at, self.backoff.retry_at)
 
     def tick(self, now: float) -> ReadCall | None:
         """Return the call to make now, if any."""
-        if self.pending is not None or now < self.retry_at:
+        if now < self.wake_at:
             return None
         if self.is_listed:
             self.pending = WatchKeys(
@@ -141,7 +139,8 @@
         cancel it.
         """
         self.pending = None
-        self.retry_at = 0.0
+        self.read_at = 0.0
+        self.backoff.retry_at = 0.0
 
     def handle_listing(self, listing: Listing) -> None:
         """Apply a listing; cached keys that it lacks count as deleted."""
@@ -167,7 +166,7 @@
         self._record_reply()
         self.revision = max(self.revision, changes.revision)
         delay = self._batch_delay() if is_from_store else self.settings.min_batch_delay
-        self.retry_at = now + delay.total_seconds()
+        self.read_at = now + delay.total_seconds()
         newest = {item.key: item for item in changes.items}
         for item in newest.values():
             self._apply(item)
@@ -178,12 +177,7 @@
         if code is ResultCode.PLATFORM_HISTORY_GONE:
             self.is_listed = False
             return
-        self.failures += 1
-        backoff = self.settings.base_retry_delay.total_seconds() * 2 ** (
-            self.failures - 1
-        )
-        delay = min(backoff, self.settings.max_retry_delay.total_seconds())
-        self.retry_at = now + self.rng.uniform(delay / 2, delay)
+        self.backoff.record_failure(now)
 
     def _batch_delay(self) -> timedelta:
         settings = self.settings
@@ -210,7 +204,7 @@
 
     def _record_reply(self) -> None:
         self.pending = None
-        self.failures = 0
+        self.backoff.record_success()
 
     def handle_updates(self, items: list[Item]) -> None:
         """Apply keys that a peer sent, where they are newer."""
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -210,7 +210,9 @@
     @property
     def is_store_unavailable(self) -> bool:
         """Return whether the last calls to the store failed."""
-        return bool(self.watch_cache.failures or self.registration.failures)
+        return bool(
+            self.watch_cache.backoff.failures or self.registration.backoff.failures
+        )
 
     async def start(self) -> None:
         """Open the listeners and join the fleet.
--- a/src/daisylink/sidecar/_store_driver.py
+++ b/src/daisylink/sidecar/_store_driver.py
@@ -103,7 +103,7 @@
         self.watch_cache.restart_watch()
 
     async def _register(self, call: RegistrationCall) -> None:
-        had_failed = self.registration.failures > 0
+        had_failed = self.registration.backoff.failures > 0
         try:
             result = await self._send(call)
         except PlatformError as error:
@@ -128,7 +128,7 @@
                 return await self.store.end_lease(lease_id)
 
     async def _read(self, call: ReadCall) -> None:
-        had_failed = self.watch_cache.failures > 0
+        had_failed = self.watch_cache.backoff.failures > 0
         try:
             match call:
                 case ListKeys(prefix):
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -43,6 +43,17 @@
 
 
 class RegistrationTests(unittest.TestCase):
+    def test_a_store_down_for_an_hour_ends_no_task(self):
+        """The delay after a thousand failures in a row was too large for a float."""
+        registration = make_registration()
+        now = 0.0
+        for _ in range(6000):
+            registration.tick(now)
+            registration.handle_failure(ResultCode.PLATFORM_UNAVAILABLE, now)
+            self.assertLessEqual(registration.wake_at - now, 0.8)
+            now = registration.wake_at
+        self.assertIsInstance(registration.tick(now), GrantLease)
+
     def test_a_lease_is_renewed_by_the_time_granted(self):
         """The store grants less than was asked for."""
         registration = make_registration()
