A leave is acknowledged once the store holds it, and a started process reads it first

Cause: the acknowledgement outlived the only memory of it. A process answered 200 to a draining or leave message and noted it in its own memory; killed and started again, it took a heartbeat of before the leave, delivered late, for news, and served the server for the length of an announcement. Class: a promise given by a process that can die before it is due, kept nowhere else.

Change: the starts of the local server that drained or left lie in the store under the node's address, without a lease; the response to such a message waits for that write, 0.8 s at most, and is 503 (6006) otherwise, while new requests are refused from the first moment. A process that starts serves its server only after its first listing of the store. A start that drained gets no requests again, whatever its sequence numbers say. Departures of nodes gone for ten minutes are deleted by one member.

Why it works: whoever serves at that address next has read all that was acknowledged there, as the store's listing is linearizable and the write came before the response. A late write of a former process fails its condition, or is merged.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -262,10 +262,38 @@
     Mutant(
         "late heartbeats bring a server back",
         "serving/_local_server.py",
-        "        if order < self.newest or self._has_departed(announcement, now):\n",
+        "        if order < self.newest:\n",
         "        if False:\n",
         "tests.test_sidecar",
     ),
+    Mutant(
+        "an announcement of a server that left brings it back",
+        "serving/_local_server.py",
+        "        if not is_draining and self._has_departed(announcement, now):\n",
+        "        if False:\n",
+        "tests.test_sidecar",
+    ),
+    Mutant(
+        "a leave is acknowledged before the store holds it",
+        "registry/_departures.py",
+        "        return start in self.stored\n",
+        "        return True\n",
+        "tests.test_departures",
+    ),
+    Mutant(
+        "a process that has just started serves a server that may have left",
+        "serving/_local_server.py",
+        "        self.awaits_departures = awaits_departures\n",
+        "        self.awaits_departures = False\n",
+        "tests.test_departures",
+    ),
+    Mutant(
+        "a started process forgets what the one before it acknowledged",
+        "sidecar/_sidecar.py",
+        "        self.local_server.restore_departures(found, self.now())\n",
+        "        pass\n",
+        "tests.test_forgotten_leave",
+    ),
     Mutant(
         "requests queue by their deadline alone",
         "serving/_waiting_queue.py",
@@ -284,7 +312,7 @@
     Mutant(
         "a server that left before its node knew it comes back",
         "serving/_local_server.py",
-        "        self.departed_unborn[departure.instance] = now + hold\n",
+        "        self.departed_unborn[instance] = now + hold\n",
         "        pass\n",
         "tests.test_local_server",
     ),
--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -87,6 +87,7 @@
     NODE_UNREACHABLE = 6003
     ANNOUNCE_INVALID = 6004
     ADMIN_NOT_FOUND = 6005
+    LEAVE_NOT_STORED = 6006
 
 
 CODE_TABLE: dict[ResultCode, CodeInfo] = {
@@ -273,6 +274,11 @@
     ResultCode.ADMIN_NOT_FOUND: CodeInfo(
         "The admin listener has no such path.", "See `docs/OPERATIONS.md`."
     ),
+    ResultCode.LEAVE_NOT_STORED: CodeInfo(
+        "The platform has not stored in time that a backend server leaves; it gets no "
+        "new requests.",
+        "The server asks again by itself; look at the platform.",
+    ),
 }
 
 
--- a/src/daisylink/platform/_store.py
+++ b/src/daisylink/platform/_store.py
@@ -112,6 +112,12 @@
         """Write a permanent key if its revision is unchanged; return the new one."""
         return await self._write(key, value, 0, [{"key": key, "rev": revision}])
 
+    async def delete(self, key: str, revision: int) -> None:
+        """Delete a key if its revision is unchanged."""
+        expected = [{"key": key, "rev": revision}]
+        body = {"expect_rev": expected, "puts": [], "deletes": [key]}
+        await self._post("/-/kv-txn", body)
+
     async def grant_lease(self, ttl: timedelta) -> Lease:
         """Request a new lease."""
         response = await self._post("/-/kv-lease", {"ttl_time": format_duration(ttl)})
--- a/src/daisylink/registry/__init__.py
+++ b/src/daisylink/registry/__init__.py
@@ -2,10 +2,18 @@
 
 The classes are decision objects, which do no I/O: :class:`Registration` keeps this
 node's record in the store, :class:`WatchCache` keeps a local copy of the store's keys,
-:class:`MemberTable` holds the nodes that serve, and :class:`Publisher` decides when a
+:class:`MemberTable` holds the nodes that serve, :class:`DepartureLog` keeps in the
+store which starts of the local server have left, and :class:`Publisher` decides when a
 version is published in compressed form for the nodes that are not readers.
 """
 
+from daisylink.registry._backoff import BackoffSettings
+from daisylink.registry._departure_sweeper import (
+    DeleteDepartures,
+    DepartureSweeper,
+    DepartureSweeperSettings,
+)
+from daisylink.registry._departures import DepartureLog, WriteDepartures
 from daisylink.registry._members import MemberSettings, MemberTable
 from daisylink.registry._readers import (
     Publish,
@@ -41,7 +49,12 @@
 )
 
 __all__ = [
+    "BackoffSettings",
     "Changes",
+    "DeleteDepartures",
+    "DepartureLog",
+    "DepartureSweeper",
+    "DepartureSweeperSettings",
     "EndLease",
     "GrantLease",
     "Item",
@@ -66,6 +79,7 @@
     "WatchCache",
     "WatchCacheSettings",
     "WatchKeys",
+    "WriteDepartures",
     "WriteRecord",
     "rank_readers",
 ]
--- /dev/null
+++ b/src/daisylink/registry/_departures.py
@@ -0,0 +1,100 @@
+"""Keeps the departures of the local server in the store, without I/O.
+
+A departure must not be acknowledged before the store holds it: the process may be
+killed at any moment, and the next one at this address has no other memory. The key has
+no lease, as the store may end leases, so :class:`DepartureSweeper` deletes the keys of
+nodes that are gone.
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from daisylink.registry._backoff import Backoff, BackoffSettings
+from daisylink.registry._store import Item
+from daisylink.serving import ServerStart
+
+
+@dataclass(frozen=True)
+class WriteDepartures:
+    """A call that writes the departures if their key is unchanged.
+
+    :param revision: last known revision of the key, 0 if it does not exist.
+    """
+
+    value: bytes
+    departures: tuple[ServerStart, ...]
+    revision: int
+
+
+class DepartureLog:
+    """The departures that this node must not forget, and those that the store holds.
+
+    :param rng: source of jitter.
+    """
+
+    def __init__(self, settings: BackoffSettings, rng: random.Random):
+        self.backoff = Backoff(settings, rng)
+        self.departures: tuple[ServerStart, ...] = ()
+        self.stored: frozenset[ServerStart] = frozenset()
+        self.revision = 0
+        self.pending: WriteDepartures | None = None
+
+    @property
+    def wake_at(self) -> float:
+        """Return when :meth:`tick` is due, in monotonic seconds."""
+        if self.pending is not None or self.stored.issuperset(self.departures):
+            return float("inf")
+        return self.backoff.retry_at
+
+    def set_departures(self, departures: Iterable[ServerStart]) -> None:
+        """Set the departures that the store should hold."""
+        self.departures = tuple(departures)
+
+    def is_stored(self, start: ServerStart) -> bool:
+        """Return whether the store holds a departure."""
+        return start in self.stored
+
+    def tick(self, now: float) -> WriteDepartures | None:
+        """Return the call to make now, if any."""
+        if now < self.wake_at:
+            return None
+        value = msgspec.msgpack.encode(self.departures)
+        self.pending = WriteDepartures(value, self.departures, self.revision)
+        return self.pending
+
+    def handle_success(self, revision: int) -> None:
+        """Handle the success of the pending call.
+
+        :param revision: the key's new revision.
+        """
+        call, self.pending = self.pending, None
+        self.backoff.record_success()
+        self._record_stored(call.departures, revision)
+
+    def handle_failure(self, now: float) -> None:
+        """Handle the failure of the pending call, which is repeated.
+
+        After a conflict, or if an earlier call took effect without a response, the
+        key's new content arrives like any other change.
+        """
+        self.pending = None
+        self.backoff.record_failure(now)
+
+    def handle_item(self, item: Item) -> tuple[ServerStart, ...]:
+        """Handle the key as the store holds it; return the departures in it.
+
+        :raises msgspec.MsgspecError: if it cannot be decoded.
+        """
+        if item.value is None:
+            self._record_stored((), 0)
+            return ()
+        found = msgspec.msgpack.decode(item.value, type=tuple[ServerStart, ...])
+        self._record_stored(found, item.revision)
+        return found
+
+    def _record_stored(self, found: Iterable[ServerStart], revision: int) -> None:
+        self.stored = frozenset(found)
+        self.revision = revision
--- a/src/daisylink/registry/_store.py
+++ b/src/daisylink/registry/_store.py
@@ -77,6 +77,12 @@
         :raises PlatformError: ``PLATFORM_CONFLICT`` if the key has another revision.
         """
 
+    async def delete(self, key: str, revision: int) -> None:
+        """Delete a key if its revision is unchanged.
+
+        :raises PlatformError: ``PLATFORM_CONFLICT`` if the key has another revision.
+        """
+
     async def grant_lease(self, ttl: timedelta) -> Lease:
         """Request a new lease."""
 
--- a/src/daisylink/registry/_watch_cache.py
+++ b/src/daisylink/registry/_watch_cache.py
@@ -191,6 +191,12 @@
             default=0,
         )
 
+    def list_revisions(self, prefix: str) -> dict[str, int]:
+        """Return the revisions of the existing keys of a prefix, by key."""
+        return {
+            key: self.revisions[key] for key in self.values if key.startswith(prefix)
+        }
+
     def list_changes_after(self, revision: int, prefix: str) -> list[Item]:
         """Return the keys of a prefix that changed after a revision.
 
--- a/src/daisylink/serving/__init__.py
+++ b/src/daisylink/serving/__init__.py
@@ -8,6 +8,7 @@
     Departure,
     LocalServer,
     LocalServerSettings,
+    ServerStart,
 )
 from daisylink.serving._metrics import Metrics
 from daisylink.serving._quarantine import Quarantine, QuarantineSettings, Strike
@@ -27,6 +28,7 @@
     "Quarantine",
     "QuarantineSettings",
     "RetryBudgetSettings",
+    "ServerStart",
     "ServerState",
     "Strike",
 ]
--- a/src/daisylink/serving/_local_server.py
+++ b/src/daisylink/serving/_local_server.py
@@ -2,10 +2,12 @@
 
 A backend server announces itself, renews its announcement, drains and leaves. It is
 taken out of service if it stops renewing or refuses connections. A server that flaps is
-kept out of service for longer each time.
+kept out of service for longer each time. A start of a server that has said it drains or
+leaves gets no new requests again, whatever arrives late.
 """
 
 from collections import deque
+from collections.abc import Iterable
 from datetime import timedelta
 from enum import Enum
 from typing import NamedTuple
@@ -17,6 +19,9 @@
 
 # Announcements up to this sequence number come from a server's first moments.
 LAST_START_SEQUENCE = 2
+# Starts at one address follow each other seconds apart, so that announcements of older
+# ones are no longer under way.
+MAX_DEPARTURES = 16
 
 
 class LocalServerSettings(NamedTuple):
@@ -63,6 +68,17 @@
     cold_left: timedelta = timedelta(0)
 
 
+class ServerStart(NamedTuple):
+    """One start of a backend server.
+
+    :param instance: name of the start, as in its announcements.
+    :param born: start time on the server's own clock, 0 if unknown.
+    """
+
+    instance: str
+    born: int
+
+
 class Departure(NamedTuple):
     """Message of a backend server that leaves; it may serve for some seconds more.
 
@@ -83,17 +99,23 @@
 
 
 class LocalServer:
-    """State of the local backend server."""
+    """State of the local backend server.
+
+    :param awaits_departures: whether the server is not taken into service before
+        :meth:`end_restore`, because a former process may have acknowledged a departure.
+    """
 
-    def __init__(self, settings: LocalServerSettings):
+    def __init__(self, settings: LocalServerSettings, awaits_departures: bool = False):
         self.settings = settings
+        self.awaits_departures = awaits_departures
         self.announcement: Announcement | None = None
         self.expires = float("inf")
         self.returns: deque[float] = deque()
         self.kept_out_until = float("-inf")
         self.failed = False
         self.newest = (0, 0)
-        self.departed: set[tuple[str, int]] = set()
+        # Starts that drain or left, the latest last.
+        self.departed: dict[ServerStart, None] = {}
         # Until when announcements of an instance are doubted, by instance.
         self.departed_unborn: dict[str, float] = {}
 
@@ -113,6 +135,11 @@
             return min(self.expires, self.kept_out_until)
         return self.expires
 
+    @property
+    def departures(self) -> tuple[ServerStart, ...]:
+        """Return the starts of the server that must not get new requests again."""
+        return tuple(self.departed)
+
     def handle_announcement(
         self, announcement: Announcement, now: float
     ) -> AnnouncementResult:
@@ -123,10 +150,13 @@
 
         :returns: whether it was applied, or why it was ignored.
         """
+        is_draining = announcement.state is ServerState.DRAINING
+        if is_draining and announcement.instance:
+            self._record_departed(ServerStart(announcement.instance, announcement.born))
         order = (announcement.born, announcement.sequence)
         if order < self.newest:
             return AnnouncementResult.OLDER
-        if self._has_departed(announcement, now):
+        if not is_draining and self._has_departed(announcement, now):
             return AnnouncementResult.DEPARTED
         self.newest = order
         is_return = self.state is ServerState.ABSENT
@@ -163,26 +193,40 @@
         """Forget the server."""
         self.announcement = None
 
-    def handle_departure(self, departure: Departure, now: float) -> None:
+    def handle_departure(self, departure: Departure, now: float) -> ServerStart:
         """Handle a departure: accept no new requests; running ones finish.
 
         The server may be one that this process never saw, because the process started
         after the server's last announcement, or one that another server has replaced.
+
+        :returns: the start that leaves.
         """
-        if departure.born and departure.born < self.newest[0]:
-            return
         announcement = self.announcement
         is_announced = (
             announcement is not None and announcement.instance == departure.instance
         )
-        if departure.born or is_announced:
-            born = departure.born or announcement.born
-            self.departed.add((departure.instance, born))
-            if announcement is not None:
-                self.drain()
-            return
-        hold = self.settings.departure_hold.total_seconds()
-        self.departed_unborn[departure.instance] = now + hold
+        born = departure.born or (announcement.born if is_announced else 0)
+        start = ServerStart(departure.instance, born)
+        self._record_departed(start)
+        if not born:
+            self._doubt(departure.instance, now)
+        elif announcement is not None and born >= announcement.born:
+            self.drain()
+        return start
+
+    def restore_departures(self, starts: Iterable[ServerStart], now: float) -> None:
+        """Add the departures that a former process has acknowledged."""
+        for start in starts:
+            self._record_departed(start)
+            if not start.born:
+                self._doubt(start.instance, now)
+        announcement = self.announcement
+        if announcement is not None and self._has_departed(announcement, now):
+            self.drain()
+
+    def end_restore(self) -> None:
+        """Take the server into service if it is announced and has not left."""
+        self.awaits_departures = False
 
     def record_unreachable(self) -> None:
         """Take a server that refused a connection out of service until it renews."""
@@ -198,7 +242,8 @@
     def update_record(self, own_record: MemberRecord, now: float) -> MemberRecord:
         """Return the node's record, updated with the server's state."""
         state = self.state
-        if state is ServerState.SERVING and now < self.kept_out_until:
+        is_kept_out = self.awaits_departures or now < self.kept_out_until
+        if state is ServerState.SERVING and is_kept_out:
             state = ServerState.STARTING
         announcement = self.announcement
         if announcement is None:
@@ -220,16 +265,26 @@
         instance = announcement.instance
         if not instance:
             return False
-        start = (instance, announcement.born)
+        start = ServerStart(instance, announcement.born)
         if start in self.departed:
             return True
         doubted_until = self.departed_unborn.get(instance, float("-inf"))
         if now >= doubted_until or announcement.sequence <= LAST_START_SEQUENCE:
             self.departed_unborn.pop(instance, None)
             return False
-        self.departed.add(start)
+        self._record_departed(start)
         return True
 
+    def _record_departed(self, start: ServerStart) -> None:
+        self.departed.setdefault(start)
+        while len(self.departed) > MAX_DEPARTURES:
+            del self.departed[next(iter(self.departed))]
+
+    def _doubt(self, instance: str, now: float) -> None:
+        """Doubt announcements of an instance of which it is unknown what start left."""
+        hold = self.settings.departure_hold.total_seconds()
+        self.departed_unborn[instance] = now + hold
+
     def _count_return(self, now: float) -> None:
         window = self.settings.flap_window.total_seconds()
         while self.returns and now - self.returns[0] > window:
--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -21,6 +21,7 @@
 # Prefix of the keys that the fleet itself writes.
 FLEET_PREFIX = "daisylink/"
 MEMBER_PREFIX = FLEET_PREFIX + "members/"
+DEPARTURE_PREFIX = FLEET_PREFIX + "departures/"
 
 log = get_logger("knowledge")
 
@@ -30,6 +31,11 @@
     return MEMBER_PREFIX + node
 
 
+def departure_key(node: str) -> str:
+    """Return the key of the departures that a node has acknowledged."""
+    return DEPARTURE_PREFIX + node
+
+
 class FleetState:
     """The version in force and the members.
 
@@ -41,6 +47,7 @@
     :param on_members: called after members have changed.
     :param on_strikes: called with the strikes that a member reports.
     :param on_member_removed: called with each node that is no longer a member.
+    :param on_own_departures: called with the key of this node's departures.
     """
 
     def __init__(
@@ -54,6 +61,7 @@
         on_members: Callable[[], None],
         on_strikes: Callable[[tuple[Strike, ...]], None],
         on_member_removed: Callable[[str], None],
+        on_own_departures: Callable[[Item], None],
     ):
         self.members = members
         self.config_key = config_key
@@ -64,6 +72,8 @@
         self.on_members = on_members
         self.on_strikes = on_strikes
         self.on_member_removed = on_member_removed
+        self.on_own_departures = on_own_departures
+        self.own_departure_key = departure_key(members.own_record.node)
         self.version: Version | None = None
         self.compressed_version: Item | None = None
         self.accepts_compressed_versions = False
@@ -82,6 +92,8 @@
             self._handle_compressed_version(item)
         elif item.key.startswith(MEMBER_PREFIX):
             self._handle_member(item)
+        elif item.key == self.own_departure_key:
+            self.on_own_departures(item)
 
     def accept_compressed_versions(self) -> None:
         """Accept a compressed version as the first one: this node is not a reader.
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -19,6 +19,11 @@
 from daisylink.http_server import WebRequest, WebResponse
 from daisylink.logs import get_logger
 from daisylink.registry import (
+    BackoffSettings,
+    DepartureLog,
+    DepartureSweeper,
+    DepartureSweeperSettings,
+    Item,
     MemberSettings,
     MemberTable,
     Publisher,
@@ -46,11 +51,19 @@
     Metrics,
     Quarantine,
     RetryBudgetSettings,
+    ServerStart,
+    ServerState,
 )
 from daisylink.settings import SidecarSettings
 from daisylink.sidecar._change_feed import ChangeFeed
-from daisylink.sidecar._fleet_state import FLEET_PREFIX, FleetState, member_key
+from daisylink.sidecar._fleet_state import (
+    DEPARTURE_PREFIX,
+    FLEET_PREFIX,
+    FleetState,
+    member_key,
+)
 from daisylink.sidecar._gauges import add_gauges
+from daisylink.sidecar._leave_acknowledger import LeaveAcknowledger
 from daisylink.sidecar._listeners import Listeners
 from daisylink.sidecar._peer_exchange import PeerExchange
 from daisylink.sidecar._peer_versions import PeerVersions
@@ -113,7 +126,13 @@
         self.members = MemberTable(MemberSettings(), own_record, self._last_response_at)
         self.balancer = LoadBalancer(self.members, rng)
         lease = settings.announce_interval * ANNOUNCEMENTS_PER_LEASE
-        self.local_server = LocalServer(LocalServerSettings(lease=lease))
+        self.local_server = LocalServer(
+            LocalServerSettings(lease=lease), awaits_departures=True
+        )
+        self.departure_log = DepartureLog(BackoffSettings(), rng)
+        self.leave_acknowledger = LeaveAcknowledger(
+            self.loop, self.departure_log, platform_adapter.make_response
+        )
         self.metrics = Metrics(node, settings.zone, reads_latency=False)
         self.gateway = Gateway(
             clock,
@@ -145,6 +164,7 @@
             self._handle_members_change,
             lambda strikes: quarantine.merge_strikes(strikes, self.now()),
             self.gateway.in_flight_tracker.forget,
+            self._handle_own_departures,
         )
         ttl = max(settings.min_lease_ttl, RegistrationSettings().ttl)
         self.registration = Registration(RegistrationSettings(ttl=ttl), rng)
@@ -166,7 +186,11 @@
             self.watch_cache,
             self.publisher,
             self.source_selector,
-            member_key(node),
+            self.departure_log,
+            DepartureSweeper(
+                DepartureSweeperSettings(), self.members, self._list_departures
+            ),
+            node,
             self.now,
             self._spawn,
             self.step,
@@ -299,6 +323,7 @@
                 sequence=self.local_server.newest[1],
             ).info("backend server is {}", record.server.name.lower())
             self._handle_members_change()
+        self.departure_log.set_departures(self.local_server.departures)
         if not self.registration.is_leaving:
             self.registration.set_record(msgspec.msgpack.encode(record))
         self.gateway.update_admission()
@@ -316,6 +341,7 @@
         self.store_driver.tick(now, self.role.publish_rank)
         self.peer_exchange.tick(now, self.is_store_unavailable)
         self.change_feed.notify_waiters()
+        self.leave_acknowledger.notify_waiters()
         if now >= self.local_server.wake_at:
             self.loop.call_soon(self.update_server)
         self._set_timer(now)
@@ -328,6 +354,7 @@
             self.watch_cache.wake_at,
             self.members.wake_at,
             self.local_server.wake_at,
+            self.departure_log.wake_at,
             self.peer_exchange.next_fetch_at,
             self.publisher.wake_at(self.role.publish_rank),
         )
@@ -358,6 +385,28 @@
         key = member_key(self.members.own_record.node)
         if key not in self.watch_cache.values:
             self.registration.mark_unwritten()
+        if self.local_server.awaits_departures:
+            self.local_server.end_restore()
+            self.loop.call_soon(self.update_server)
+
+    # Departures of the local server
+
+    def _handle_own_departures(self, item: Item) -> None:
+        try:
+            found = self.departure_log.handle_item(item)
+        except msgspec.MsgspecError as error:
+            log.bind(revision=item.revision).error("departures unreadable: {}", error)
+            return
+        self.local_server.restore_departures(found, self.now())
+        self.loop.call_soon(self.update_server)
+
+    def _list_departures(self) -> dict[str, int]:
+        """Return the revisions of all nodes' departures, by node."""
+        revisions = self.watch_cache.list_revisions(DEPARTURE_PREFIX)
+        return {
+            key.removeprefix(DEPARTURE_PREFIX): revision
+            for key, revision in revisions.items()
+        }
 
     # Peers
 
@@ -424,18 +473,26 @@
             return WebResponse()
         return WebResponse(HTTPStatus.SERVICE_UNAVAILABLE)
 
-    def _receive_announcement(self, request: WebRequest) -> WebResponse:
+    def _receive_announcement(
+        self, request: WebRequest
+    ) -> WebResponse | asyncio.Future[WebResponse]:
         try:
             message = self.platform_adapter.decode_announcement(request)
-            self._handle_announcement(message)
+            departed = self._handle_announcement(message)
         except DaisylinkError as error:
             log.bind(code=int(error.code)).warning("announcement refused: {}", error)
             is_unknown = error.code is ResultCode.ADMIN_NOT_FOUND
             status = HTTPStatus.NOT_FOUND if is_unknown else HTTPStatus.BAD_REQUEST
             return WebResponse.from_error(error, status)
+        if departed is not None:
+            return self.leave_acknowledger.respond(departed)
         return self.platform_adapter.make_response()
 
-    def _handle_announcement(self, message: Announcement | Departure) -> None:
+    def _handle_announcement(
+        self, message: Announcement | Departure
+    ) -> ServerStart | None:
+        """Apply a message; return the start of the server that drains or leaves."""
+        departed = None
         match message:
             case Announcement(pool=pool) if pool != self.settings.pool:
                 raise NodeError(f"pool {pool} is not served here")
@@ -445,14 +502,17 @@
                     message._replace(address=server), self.now()
                 )
                 self._record_announcement(message, result)
+                if message.state is ServerState.DRAINING:
+                    departed = ServerStart(message.instance, message.born)
             case Departure():
                 log.bind(
                     instance=message.instance,
                     born=message.born,
                     newest=self.local_server.newest,
                 ).info("backend server leaves")
-                self.local_server.handle_departure(message, self.now())
+                departed = self.local_server.handle_departure(message, self.now())
         self.update_server()
+        return departed
 
     def _record_announcement(
         self, announcement: Announcement, result: AnnouncementResult
--- a/src/daisylink/sidecar/_store_driver.py
+++ b/src/daisylink/sidecar/_store_driver.py
@@ -7,6 +7,9 @@
 from daisylink.errors import CallError, PlatformError
 from daisylink.logs import get_logger
 from daisylink.registry import (
+    DeleteDepartures,
+    DepartureLog,
+    DepartureSweeper,
     EndLease,
     GrantLease,
     LeaseStore,
@@ -21,6 +24,7 @@
     SourceSelector,
     WatchCache,
     WatchKeys,
+    WriteDepartures,
     WriteRecord,
 )
 from daisylink.sidecar._change_feed import ChangeFeedClient
@@ -28,6 +32,7 @@
     COMPRESSED_VERSION_KEY,
     CompressedVersion,
 )
+from daisylink.sidecar._fleet_state import departure_key, member_key
 
 # Minimum time between restarts of the watch, so that a large configuration can pass a
 # narrow link in between.
@@ -39,7 +44,7 @@
 class StoreDriver:
     """Makes store calls, one at a time for each decision object.
 
-    :param own_key: store key of this node's record.
+    :param node: name of this node.
     :param now: returns the monotonic time in seconds.
     :param spawn: starts a task.
     :param on_call_done: called after each call, also after a failed one.
@@ -52,7 +57,9 @@
         watch_cache: WatchCache,
         publisher: Publisher,
         source_selector: SourceSelector,
-        own_key: str,
+        departure_log: DepartureLog,
+        departure_sweeper: DepartureSweeper,
+        node: str,
         now: Callable[[], float],
         spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task],
         on_call_done: Callable[[], None],
@@ -63,7 +70,9 @@
         self.publisher = publisher
         self.source_selector = source_selector
         self.change_feed_client = ChangeFeedClient()
-        self.own_key = own_key
+        self.departure_log = departure_log
+        self.departure_sweeper = departure_sweeper
+        self.node = node
         self.now = now
         self.spawn = spawn
         self.on_call_done = on_call_done
@@ -78,6 +87,11 @@
         publish = self.publisher.tick(rank, now)
         if publish is not None:
             self.spawn(self._publish(publish))
+        write = self.departure_log.tick(now)
+        if write is not None:
+            self.spawn(self._write_departures(write))
+        for deletion in self.departure_sweeper.tick(now):
+            self.spawn(self._delete_departures(deletion))
         call = self.registration.tick(now)
         if call is not None:
             self.spawn(self._register(call))
@@ -123,7 +137,7 @@
             case RenewLease(lease_id):
                 return await self.store.renew_lease(lease_id)
             case WriteRecord(lease_id, value):
-                return await self.store.write(self.own_key, value, lease_id)
+                return await self.store.write(member_key(self.node), value, lease_id)
             case EndLease(lease_id):
                 return await self.store.end_lease(lease_id)
 
@@ -163,6 +177,30 @@
         else:
             self.watch_cache.handle_changes(updates, self.now(), is_from_store=False)
 
+    async def _write_departures(self, call: WriteDepartures) -> None:
+        had_failed = self.departure_log.backoff.failures > 0
+        try:
+            revision = await self.store.compare_and_swap(
+                departure_key(self.node), call.value, call.revision
+            )
+        except PlatformError as error:
+            _log_failure(call, error, had_failed)
+            self.departure_log.handle_failure(self.now())
+        else:
+            self.departure_log.handle_success(revision)
+        self.on_call_done()
+
+    async def _delete_departures(self, call: DeleteDepartures) -> None:
+        bound_log = log.bind(node=call.node, revision=call.revision)
+        try:
+            await self.store.delete(departure_key(call.node), call.revision)
+        except PlatformError as error:
+            bound_log.bind(code=int(error.code)).info(
+                "departures not deleted: {}", error
+            )
+        else:
+            bound_log.info("departures of a node that is gone deleted")
+
     async def _publish(self, call: Publish) -> None:
         compressed_version = CompressedVersion.from_document(call.number, call.document)
         bound_log = log.bind(version=call.number, known=call.revision)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -188,6 +188,8 @@
             if put["lease"] and put["lease"] not in self.leases:
                 return HTTPStatus.NOT_FOUND, {}
             self.put(put["key"], b64decode(put["value"]), put["lease"])
+        for key in call["deletes"]:
+            self.delete(key)
         return HTTPStatus.OK, {"rev": self.revision}
 
 
--- a/tests/sidecar_case.py
+++ b/tests/sidecar_case.py
@@ -35,6 +35,9 @@
 
     async def start(self):
         await self.server.start()
+        await self.start_sidecar()
+
+    async def start_sidecar(self):
         callers, relay, ready, announcements, peers, metrics = self.addresses
         settings = SidecarSettings(
             node=f"n{self.number}",
