--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -55,6 +55,7 @@
     PLATFORM_HISTORY_GONE = 3005
     PLATFORM_LEASE_ENDED = 3006
     PLATFORM_CONFLICT = 3007
+    PLATFORM_ERA_INVALID = 3008
 
     SETTING_INVALID = 4001
     SETTING_ADDRESS_IN_USE = 4002
@@ -178,6 +179,10 @@
     ResultCode.PLATFORM_CONFLICT: CodeInfo(
         "A key was changed by another writer; nothing was written.", "Read and decide."
     ),
+    ResultCode.PLATFORM_ERA_INVALID: CodeInfo(
+        "A response of the platform states no era, or an older one; it was not used.",
+        "Asked again by itself; look at the platform if it goes on.",
+    ),
     ResultCode.SETTING_INVALID: CodeInfo(
         "A flag or environment variable is not valid.", "Mend the named setting."
     ),
--- a/src/daisylink/http_client.py
+++ b/src/daisylink/http_client.py
@@ -15,10 +15,14 @@
 
 
 class HttpResponse(NamedTuple):
-    """A complete response."""
+    """A complete response.
+
+    :param headers: header values by name in lower case.
+    """
 
     status: int
     body: bytes
+    headers: dict[bytes, bytes] = {}
 
 
 class _Connection(asyncio.Protocol):
@@ -28,6 +32,7 @@
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpResponseParser | None = None
         self.response: asyncio.Future[HttpResponse] | None = None
+        self.headers: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
         self.keep_alive = True
 
@@ -55,6 +60,10 @@
         except httptools.HttpParserError:
             self.transport.abort()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header."""
+        self.headers[name.lower()] = value
+
     def on_body(self, data: bytes) -> None:
         """Append a piece of the body."""
         self.body.append(data)
@@ -62,13 +71,15 @@
     def on_message_complete(self) -> None:
         """Complete the call."""
         self.keep_alive = self.parser.should_keep_alive()
-        response = HttpResponse(self.parser.get_status_code(), b"".join(self.body))
+        status = self.parser.get_status_code()
+        response = HttpResponse(status, b"".join(self.body), self.headers)
         if not self.response.done():
             self.response.set_result(response)
 
     async def call(self, request: bytes) -> HttpResponse:
         """Send a request and return its response."""
         self.parser = httptools.HttpResponseParser(self)
+        self.headers = {}
         self.body = []
         self.response = asyncio.get_running_loop().create_future()
         self.transport.write(request)
--- a/src/daisylink/platform/_settings.py
+++ b/src/daisylink/platform/_settings.py
@@ -37,10 +37,12 @@
     """The metadata store.
 
     :param ttl_min: shortest lease duration that it grants.
+    :param writes_per_s: writes per second that it takes from all nodes.
     """
 
     address: str
     ttl_min: str = "1s"
+    writes_per_s: float = 400.0
 
 
 class _MachineLimits(msgspec.Struct):
@@ -123,6 +125,7 @@
         announce_interval=parse_duration(file.heartbeat),
         link_mbps=file.limits.link_mbps,
         min_lease_ttl=parse_duration(file.platform.ttl_min),
+        store_writes_per_s=max(1.0, file.platform.writes_per_s),
         grace=_parse_bound(bounds, "grace", defaults["grace"]),
         retry_ratio=float(bounds.get("retry_ratio", defaults["retry_ratio"])),
         retry_window=_parse_bound(bounds, "retry_window", defaults["retry_window"]),
--- a/src/daisylink/platform/_store.py
+++ b/src/daisylink/platform/_store.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from datetime import timedelta
 from http import HTTPStatus
+from typing import NamedTuple
 from urllib.parse import urlencode
 
 import msgspec
@@ -11,10 +12,18 @@
 from daisylink.errors import CallError, PlatformError, ResultCode
 from daisylink.http_client import HttpClient, HttpResponse
 from daisylink.platform._units import format_duration, parse_duration
-from daisylink.registry import Changes, Item, Lease, Listing
+from daisylink.registry import (
+    Changes,
+    EraTracker,
+    Item,
+    Lease,
+    Listing,
+    StoreRevision,
+)
 
 # Time for a megabyte, the longest page, on a link of 2.5 Mbit/s.
 READ_TIMEOUT_SECONDS = 3.5
+ERA_HEADER = b"store-era"
 RESULT_CODES = {
     HTTPStatus.TOO_MANY_REQUESTS: ResultCode.PLATFORM_LIMITED,
     HTTPStatus.GONE: ResultCode.PLATFORM_HISTORY_GONE,
@@ -57,6 +66,13 @@
     rev: int
 
 
+class _Response(NamedTuple):
+    """A successful response and the era that it states."""
+
+    body: bytes
+    era: int
+
+
 class MetadataStore:
     """A :class:`~daisylink.registry.LeaseStore` over HTTP.
 
@@ -66,6 +82,7 @@
 
     def __init__(self, address: str, timeout: timedelta):
         self.client = HttpClient(address)
+        self.era_tracker = EraTracker()
         self.timeout = timeout.total_seconds()
 
     def close(self) -> None:
@@ -82,39 +99,50 @@
             target = f"/-/kv-range?{urlencode(query)}"
             response = await self._call("GET", target, seconds=READ_TIMEOUT_SECONDS)
             page = _decode(response, _Page)
-            items += [_convert(item) for item in page.items]
             if revision is None:
-                revision = page.current_rev
+                revision = StoreRevision(response.era, page.current_rev)
+            elif response.era != revision.era:
+                raise PlatformError(
+                    "the store came back", ResultCode.PLATFORM_HISTORY_GONE
+                )
+            items += [_convert(item, response.era) for item in page.items]
             if not page.more_pages or not page.items:
                 return Listing(items, revision)
             after = page.items[-1].key
 
-    async def watch(self, prefix: str, revision: int, wait: timedelta) -> Changes:
+    async def watch(
+        self, prefix: str, revision: StoreRevision, wait: timedelta
+    ) -> Changes:
         """Return the changes after a revision, waiting up to ``wait`` for any."""
+        _check_era(revision, self.era_tracker.current)
         seconds = wait.total_seconds()
         query = {
             "prefix": prefix,
-            "after": revision,
+            "after": revision.number,
             "wait_ms": round(seconds * 1000),
         }
         target = f"/-/kv-watch?{urlencode(query)}"
         response = await self._call(
             "GET", target, seconds=seconds + READ_TIMEOUT_SECONDS
         )
+        _check_era(revision, response.era)
         events = _decode(response, _Events)
-        return Changes([_convert(item) for item in events.events], events.current_rev)
+        items = [_convert(item, response.era) for item in events.events]
+        return Changes(items, StoreRevision(response.era, events.current_rev))
 
-    async def write(self, key: str, value: bytes, lease_id: int) -> int:
+    async def write(self, key: str, value: bytes, lease_id: int) -> StoreRevision:
         """Write a key that lasts as long as a lease; return its revision."""
         return await self._write(key, value, lease_id, [])
 
-    async def compare_and_swap(self, key: str, value: bytes, revision: int) -> int:
+    async def compare_and_swap(
+        self, key: str, value: bytes, revision: StoreRevision
+    ) -> StoreRevision:
         """Write a permanent key if its revision is unchanged; return the new one."""
-        return await self._write(key, value, 0, [{"key": key, "rev": revision}])
+        return await self._write(key, value, 0, [{"key": key, "rev": revision.number}])
 
-    async def delete(self, key: str, revision: int) -> None:
+    async def delete(self, key: str, revision: StoreRevision) -> None:
         """Delete a key if its revision is unchanged."""
-        expected = [{"key": key, "rev": revision}]
+        expected = [{"key": key, "rev": revision.number}]
         body = {"expect_rev": expected, "puts": [], "deletes": [key]}
         await self._post("/-/kv-txn", body)
 
@@ -140,17 +168,18 @@
 
     async def _write(
         self, key: str, value: bytes, lease_id: int, expected: Sequence[dict]
-    ) -> int:
+    ) -> StoreRevision:
         put = {"key": key, "value": b64encode(value).decode(), "lease": lease_id}
         body = {"expect_rev": expected, "puts": [put], "deletes": []}
-        return _decode(await self._post("/-/kv-txn", body), _Written).rev
+        response = await self._post("/-/kv-txn", body)
+        return StoreRevision(response.era, _decode(response, _Written).rev)
 
-    async def _post(self, target: str, value: dict) -> HttpResponse:
+    async def _post(self, target: str, value: dict) -> _Response:
         return await self._call("POST", target, msgspec.json.encode(value))
 
     async def _call(
         self, method: str, target: str, body: bytes = b"", seconds: float = 0.0
-    ) -> HttpResponse:
+    ) -> _Response:
         path = target.partition("?")[0]
         timeout = seconds or self.timeout
         try:
@@ -159,23 +188,42 @@
             lost = error.was_sent
             code = ResultCode.PLATFORM_ANSWER_LOST if lost else None
             raise PlatformError(f"{path}: {error.message}", code) from error
+        era = self.era_tracker.check_response(_parse_era(response))
         if response.status != HTTPStatus.OK:
             code = RESULT_CODES.get(response.status, ResultCode.PLATFORM_UNAVAILABLE)
             raise PlatformError(f"{path}: status {response.status}", code)
-        return response
+        return _Response(response.body, era)
+
+
+def _parse_era(response: HttpResponse) -> int | None:
+    """Return the era that a response states, None if it states no number."""
+    text = response.headers.get(ERA_HEADER, b"")
+    return int(text) if text.isdigit() else None
+
+
+def _check_era(revision: StoreRevision, era: int) -> None:
+    """Refuse to continue a watch in another era.
+
+    :raises PlatformError: ``PLATFORM_HISTORY_GONE``.
+    """
+    if revision.era != era:
+        raise PlatformError(
+            f"era {revision.era} has ended", ResultCode.PLATFORM_HISTORY_GONE
+        )
 
 
-def _decode(response: HttpResponse, expected_type: type):
+def _decode(response: _Response, expected_type: type):
     try:
         return msgspec.json.decode(response.body, type=expected_type)
     except msgspec.MsgspecError as error:
         raise PlatformError(f"response cannot be decoded: {error}") from error
 
 
-def _convert(item: _Item) -> Item:
+def _convert(item: _Item, era: int) -> Item:
+    revision = StoreRevision(era, item.rev)
     if item.tombstone:
-        return Item(item.key, None, item.rev)
+        return Item(item.key, None, revision)
     try:
-        return Item(item.key, b64decode(item.value), item.rev)
+        return Item(item.key, b64decode(item.value), revision)
     except ValueError as error:
         raise PlatformError(f"value of {item.key} is not base64") from error
--- a/src/daisylink/registry/__init__.py
+++ b/src/daisylink/registry/__init__.py
@@ -13,7 +13,12 @@
     DepartureSweeper,
     DepartureSweeperSettings,
 )
-from daisylink.registry._departures import DepartureLog, WriteDepartures
+from daisylink.registry._departures import (
+    DepartureLog,
+    WriteDepartures,
+    decode_departures,
+)
+from daisylink.registry._era import EraTracker
 from daisylink.registry._members import MemberSettings, MemberTable
 from daisylink.registry._readers import (
     Publish,
@@ -34,11 +39,13 @@
 from daisylink.registry._role import ReaderRole
 from daisylink.registry._source_selector import SourceSelector, SourceSelectorSettings
 from daisylink.registry._store import (
+    NO_REVISION,
     Changes,
     Item,
     Lease,
     LeaseStore,
     Listing,
+    StoreRevision,
 )
 from daisylink.registry._watch_cache import (
     ListKeys,
@@ -49,6 +56,7 @@
 )
 
 __all__ = [
+    "NO_REVISION",
     "BackoffSettings",
     "Changes",
     "DeleteDepartures",
@@ -56,6 +64,7 @@
     "DepartureSweeper",
     "DepartureSweeperSettings",
     "EndLease",
+    "EraTracker",
     "GrantLease",
     "Item",
     "Lease",
@@ -76,10 +85,12 @@
     "RenewLease",
     "SourceSelector",
     "SourceSelectorSettings",
+    "StoreRevision",
     "WatchCache",
     "WatchCacheSettings",
     "WatchKeys",
     "WriteDepartures",
     "WriteRecord",
+    "decode_departures",
     "rank_readers",
 ]
--- a/src/daisylink/registry/_departure_sweeper.py
+++ b/src/daisylink/registry/_departure_sweeper.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from daisylink.registry._members import MemberTable
+from daisylink.registry._store import StoreRevision
 
 
 class DepartureSweeperSettings(NamedTuple):
@@ -25,7 +26,7 @@
     """A call that deletes a node's departures if their key is unchanged."""
 
     node: str
-    revision: int
+    revision: StoreRevision
 
 
 class DepartureSweeper:
@@ -41,7 +42,7 @@
         self,
         settings: DepartureSweeperSettings,
         members: MemberTable,
-        list_departures: Callable[[], Mapping[str, int]],
+        list_departures: Callable[[], Mapping[str, StoreRevision]],
     ):
         self.retention_seconds = settings.retention.total_seconds()
         self.interval_seconds = settings.interval.total_seconds()
--- a/src/daisylink/registry/_departures.py
+++ b/src/daisylink/registry/_departures.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from daisylink.registry._backoff import Backoff, BackoffSettings
-from daisylink.registry._store import Item
+from daisylink.registry._store import NO_REVISION, Item, StoreRevision
 from daisylink.serving import ServerStart
 
 
@@ -21,12 +21,20 @@
 class WriteDepartures:
     """A call that writes the departures if their key is unchanged.
 
-    :param revision: last known revision of the key, 0 if it does not exist.
+    :param revision: last known revision of the key, with number 0 if it does not exist.
     """
 
     value: bytes
     departures: tuple[ServerStart, ...]
-    revision: int
+    revision: StoreRevision
+
+
+def decode_departures(value: bytes) -> tuple[ServerStart, ...]:
+    """Decode the departures of a node.
+
+    :raises msgspec.MsgspecError: if they cannot be decoded.
+    """
+    return msgspec.msgpack.decode(value, type=tuple[ServerStart, ...])
 
 
 class DepartureLog:
@@ -39,16 +47,22 @@
         self.backoff = Backoff(settings, rng)
         self.departures: tuple[ServerStart, ...] = ()
         self.stored: frozenset[ServerStart] = frozenset()
-        self.revision = 0
+        self.revision = NO_REVISION
+        self.is_listed = False
         self.pending: WriteDepartures | None = None
 
     @property
     def wake_at(self) -> float:
         """Return when :meth:`tick` is due, in monotonic seconds."""
-        if self.pending is not None or self.stored.issuperset(self.departures):
+        if self.pending is not None or self.is_complete or not self.is_listed:
             return float("inf")
         return self.backoff.retry_at
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the store holds all departures."""
+        return self.stored.issuperset(self.departures)
+
     def set_departures(self, departures: Iterable[ServerStart]) -> None:
         """Set the departures that the store should hold."""
         self.departures = tuple(departures)
@@ -65,7 +79,7 @@
         self.pending = WriteDepartures(value, self.departures, self.revision)
         return self.pending
 
-    def handle_success(self, revision: int) -> None:
+    def handle_success(self, revision: StoreRevision) -> None:
         """Handle the success of the pending call.
 
         :param revision: the key's new revision.
@@ -83,18 +97,35 @@
         self.pending = None
         self.backoff.record_failure(now)
 
+    def begin_era(self) -> None:
+        """Doubt what the store holds until its keys are listed again."""
+        self.stored = frozenset()
+        self.is_listed = False
+
+    def handle_listing(self, revision: StoreRevision, has_key: bool) -> None:
+        """Handle a listing of the store's keys, after :meth:`handle_item`.
+
+        :param revision: the store's revision at the listing.
+        :param has_key: whether it has the key of the departures.
+        """
+        self.is_listed = True
+        if not has_key and revision >= self.revision:
+            self._record_stored((), revision._replace(number=0))
+
     def handle_item(self, item: Item) -> tuple[ServerStart, ...]:
         """Handle the key as the store holds it; return the departures in it.
 
         :raises msgspec.MsgspecError: if it cannot be decoded.
         """
         if item.value is None:
-            self._record_stored((), 0)
+            self._record_stored((), item.revision._replace(number=0))
             return ()
-        found = msgspec.msgpack.decode(item.value, type=tuple[ServerStart, ...])
+        found = decode_departures(item.value)
         self._record_stored(found, item.revision)
         return found
 
-    def _record_stored(self, found: Iterable[ServerStart], revision: int) -> None:
+    def _record_stored(
+        self, found: Iterable[ServerStart], revision: StoreRevision
+    ) -> None:
         self.stored = frozenset(found)
         self.revision = revision
--- a/src/daisylink/registry/_readers.py
+++ b/src/daisylink/registry/_readers.py
@@ -12,6 +12,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from daisylink.registry._store import NO_REVISION, StoreRevision
 from daisylink.serving._records import MemberRecord, compute_ring_position
 
 
@@ -73,12 +74,12 @@
 
     :param number: version number.
     :param document: the configuration as it was read, uncompressed.
-    :param revision: last known revision of the key, 0 if it does not exist.
+    :param revision: last known revision of the key, with number 0 if it does not exist.
     """
 
     number: int
     document: bytes
-    revision: int
+    revision: StoreRevision
 
 
 class PublisherSettings(NamedTuple):
@@ -105,7 +106,7 @@
         self.read_at = 0.0
         self.published_number = 0
         self.published_at = float("-inf")
-        self.revision = 0
+        self.revision = NO_REVISION
         self.pending: Publish | None = None
 
     def handle_version(self, number: int, document: bytes, now: float) -> None:
@@ -118,11 +119,25 @@
         self.read_number = number
         self.document = document
 
-    def record_published(self, number: int, revision: int, now: float) -> None:
-        """Record which compressed version the store holds, whoever wrote it."""
+    def record_published(
+        self, number: int, revision: StoreRevision, now: float
+    ) -> None:
+        """Record which compressed version the store holds, whoever wrote it.
+
+        After the store has come back from an older copy, that may be an older one.
+        """
+        if revision < self.revision:
+            return
         self.revision = revision
         self.published_at = now
-        self.published_number = max(self.published_number, number)
+        self.published_number = number
+
+    def record_deleted(self, revision: StoreRevision) -> None:
+        """Record that the store holds no compressed version any more."""
+        if revision < self.revision:
+            return
+        self.revision = revision._replace(number=0)
+        self.published_number = 0
 
     def wake_at(self, rank: int | None) -> float:
         """Return when :meth:`tick` is due, in monotonic seconds.
@@ -141,7 +156,7 @@
         self.pending = Publish(self.read_number, self.document, self.revision)
         return self.pending
 
-    def handle_success(self, revision: int, now: float) -> None:
+    def handle_success(self, revision: StoreRevision, now: float) -> None:
         """Handle the success of the pending call."""
         call, self.pending = self.pending, None
         self.record_published(call.number, revision, now)
--- a/src/daisylink/registry/_registration.py
+++ b/src/daisylink/registry/_registration.py
@@ -66,6 +66,7 @@
 
     def __init__(self, settings: RegistrationSettings, rng: random.Random):
         self.settings = settings
+        self.rng = rng
         self.backoff = Backoff(settings.backoff, rng)
         self.desired_record: bytes | None = None
         self.written_record: bytes | None = None
@@ -87,6 +88,11 @@
             return self.backoff.retry_at
         return max(self.backoff.retry_at, self.renew_at)
 
+    @property
+    def is_written(self) -> bool:
+        """Return whether the store holds the record under the present lease."""
+        return bool(self.lease_id) and self.written_record == self.desired_record
+
     def set_record(self, value: bytes) -> None:
         """Set the value that the record should have."""
         self.desired_record = value
@@ -101,6 +107,18 @@
         """Note that the store lacks the record, so that it is written again."""
         self.written_record = None
 
+    def begin_era(self, now: float, spread: timedelta) -> None:
+        """Take a new lease and write the record again: the store may have lost both.
+
+        The former lease is not renewed, as the store may grant its number to another
+        node.
+
+        :param spread: longest delay, so that the nodes of a fleet do not call at once.
+        """
+        self._forget_lease()
+        delay = self.rng.uniform(0.0, spread.total_seconds())
+        self.backoff.retry_at = max(self.backoff.retry_at, now + delay)
+
     def tick(self, now: float) -> RegistrationCall | None:
         """Return the call to make now, if any."""
         if self.pending is not None or self.is_done or now < self.backoff.retry_at:
--- a/src/daisylink/registry/_store.py
+++ b/src/daisylink/registry/_store.py
@@ -3,6 +3,22 @@
 from datetime import timedelta
 from typing import NamedTuple, Protocol
 
+from daisylink.registry._era import EraTracker
+
+
+class StoreRevision(NamedTuple):
+    """A state of the store; a later era is newer whatever the numbers are.
+
+    :param era: how often the store had come back from an older copy, 0 if unknown.
+    :param number: the store's revision, given out again in each era.
+    """
+
+    era: int = 0
+    number: int = 0
+
+
+NO_REVISION = StoreRevision()
+
 
 class Item(NamedTuple):
     """A key with its value, or its deletion.
@@ -13,7 +29,7 @@
 
     key: str
     value: bytes | None
-    revision: int
+    revision: StoreRevision
 
 
 class Listing(NamedTuple):
@@ -24,7 +40,7 @@
     """
 
     items: list[Item]
-    revision: int
+    revision: StoreRevision
 
 
 class Changes(NamedTuple):
@@ -34,7 +50,7 @@
     """
 
     items: list[Item]
-    revision: int
+    revision: StoreRevision
 
 
 class Lease(NamedTuple):
@@ -50,34 +66,44 @@
 class LeaseStore(Protocol):
     """Interface to the store.
 
+    :ivar era_tracker: checks the era that each response states.
+
     Every method raises :class:`~daisylink.errors.PlatformError`: with
-    ``PLATFORM_ANSWER_LOST`` when a write may have taken effect or may still do so.
+    ``PLATFORM_ANSWER_LOST`` when a write may have taken effect or may still do so, and
+    with ``PLATFORM_ERA_INVALID`` for a response whose era cannot be believed.
     """
 
+    era_tracker: EraTracker
+
     async def list(self, prefix: str) -> Listing:
         """Return all keys of a prefix."""
 
-    async def watch(self, prefix: str, revision: int, wait: timedelta) -> Changes:
+    async def watch(
+        self, prefix: str, revision: StoreRevision, wait: timedelta
+    ) -> Changes:
         """Return the changes after a revision, waiting up to ``wait`` for any.
 
         :raises PlatformError: ``PLATFORM_HISTORY_GONE`` if the store no longer
-            has them.
+            has them, or is in a later era.
         """
 
-    async def write(self, key: str, value: bytes, lease_id: int) -> int:
+    async def write(self, key: str, value: bytes, lease_id: int) -> StoreRevision:
         """Write a key that lasts as long as a lease; return its revision.
 
         :raises PlatformError: ``PLATFORM_LEASE_ENDED`` if the lease does not exist.
         """
 
-    async def compare_and_swap(self, key: str, value: bytes, revision: int) -> int:
+    async def compare_and_swap(
+        self, key: str, value: bytes, revision: StoreRevision
+    ) -> StoreRevision:
         """Write a permanent key if its revision is unchanged; return the new one.
 
-        :param revision: expected revision of the key, 0 if it does not exist.
+        :param revision: expected revision of the key, with number 0 if it does not
+            exist.
         :raises PlatformError: ``PLATFORM_CONFLICT`` if the key has another revision.
         """
 
-    async def delete(self, key: str, revision: int) -> None:
+    async def delete(self, key: str, revision: StoreRevision) -> None:
         """Delete a key if its revision is unchanged.
 
         :raises PlatformError: ``PLATFORM_CONFLICT`` if the key has another revision.
--- a/src/daisylink/registry/_watch_cache.py
+++ b/src/daisylink/registry/_watch_cache.py
@@ -13,7 +13,13 @@
 
 from daisylink.errors import ResultCode
 from daisylink.registry._backoff import Backoff, BackoffSettings
-from daisylink.registry._store import Changes, Item, Listing
+from daisylink.registry._store import (
+    NO_REVISION,
+    Changes,
+    Item,
+    Listing,
+    StoreRevision,
+)
 
 
 class WatchCacheSettings(NamedTuple):
@@ -54,7 +60,7 @@
     :param wait: how long the store waits for a change.
     """
 
-    revision: int
+    revision: StoreRevision
     wait: timedelta
     prefix: str = ""
 
@@ -67,6 +73,7 @@
 
     :param on_item: called with each new, changed or deleted key.
     :param on_listing: called after each listing.
+    :param on_older_item: called with a peer's key that is not newer than the known one.
     :param rng: source of jitter.
     """
 
@@ -75,18 +82,20 @@
         settings: WatchCacheSettings,
         on_item: Callable[[Item], None],
         on_listing: Callable[[], None],
+        on_older_item: Callable[[Item], None],
         rng: random.Random,
     ):
         self.settings = settings
         self.on_item = on_item
         self.on_listing = on_listing
+        self.on_older_item = on_older_item
         self.backoff = Backoff(settings.backoff, rng)
-        self.revisions: dict[str, int] = {}
+        self.revisions: dict[str, StoreRevision] = {}
         self.values: dict[str, bytes] = {}
         self.prefix = ""
         self.max_batch_delay = settings.max_batch_delay
-        self.revision = 0
-        self.first_revision = 0
+        self.revision = NO_REVISION
+        self.first_revision = NO_REVISION
         self.is_listed = False
         self.read_at = 0.0
         self.pending: ReadCall | None = None
@@ -98,6 +107,11 @@
             return float("inf")
         return max(self.read_at, self.backoff.retry_at)
 
+    @property
+    def has_listed(self) -> bool:
+        """Return whether the keys were listed at least once."""
+        return self.first_revision != NO_REVISION
+
     def tick(self, now: float) -> ReadCall | None:
         """Return the call to make now, if any."""
         if now < self.wake_at:
@@ -146,7 +160,8 @@
         """Apply a listing; cached keys that it lacks count as deleted."""
         self._record_reply()
         self.is_listed = True
-        self.first_revision = self.first_revision or listing.revision
+        if listing.revision.era != self.first_revision.era or not self.has_listed:
+            self.first_revision = listing.revision
         self.revision = listing.revision
         found = {item.key for item in listing.items}
         for key in [key for key in self.values if key not in found]:
@@ -184,20 +199,20 @@
         delay = settings.batch_delay_per_key * len(self.values)
         return min(max(delay, settings.min_batch_delay), self.max_batch_delay)
 
-    def latest_revision(self, prefix: str) -> int:
+    def latest_revision(self, prefix: str) -> StoreRevision:
         """Return the revision of the last known change under a prefix."""
         return max(
             (rev for key, rev in self.revisions.items() if key.startswith(prefix)),
-            default=0,
+            default=NO_REVISION,
         )
 
-    def list_revisions(self, prefix: str) -> dict[str, int]:
+    def list_revisions(self, prefix: str) -> dict[str, StoreRevision]:
         """Return the revisions of the existing keys of a prefix, by key."""
         return {
             key: self.revisions[key] for key in self.values if key.startswith(prefix)
         }
 
-    def list_changes_after(self, revision: int, prefix: str) -> list[Item]:
+    def list_changes_after(self, revision: StoreRevision, prefix: str) -> list[Item]:
         """Return the keys of a prefix that changed after a revision.
 
         Deletions are included from ``first_revision`` on, the first listing's revision.
@@ -215,19 +230,23 @@
     def handle_updates(self, items: list[Item]) -> None:
         """Apply keys that a peer sent, where they are newer."""
         for item in items:
-            self._apply(item)
+            if not self._apply(item):
+                self.on_older_item(item)
 
-    def _apply(self, item: Item) -> None:
+    def _apply(self, item: Item) -> bool:
         """Store a key and report it, unless its known revision is at least as new.
 
         The revision of a deleted key is kept, so that a late update cannot restore
         the key.
+
+        :returns: whether the key was stored.
         """
-        if item.revision <= self.revisions.get(item.key, 0):
-            return
+        if item.revision <= self.revisions.get(item.key, NO_REVISION):
+            return False
         self.revisions[item.key] = item.revision
         if item.value is None:
             self.values.pop(item.key, None)
         else:
             self.values[item.key] = item.value
         self.on_item(item)
+        return True
--- a/src/daisylink/serving/_local_server.py
+++ b/src/daisylink/serving/_local_server.py
@@ -224,9 +224,15 @@
         if announcement is not None and self._has_departed(announcement, now):
             self.drain()
 
-    def end_restore(self) -> None:
-        """Take the server into service if it is announced and has not left."""
+    def end_restore(self, is_complete: bool = True) -> None:
+        """Take the server into service if it is announced and has not left.
+
+        :param is_complete: whether all departures are known; otherwise the server has
+            to be announced again, as one that left is not.
+        """
         self.awaits_departures = False
+        if not is_complete:
+            self.announcement = None
 
     def record_unreachable(self) -> None:
         """Take a server that refused a connection out of service until it renews."""
--- a/src/daisylink/serving/_records.py
+++ b/src/daisylink/serving/_records.py
@@ -43,6 +43,7 @@
     :param instance: name of this start of the backend server, "" without one.
     :param link_mbps: bandwidth of the machine's link in Mbit/s, 0 if unknown.
     :param strikes: strikes and pardons that the node publishes.
+    :param era: era of the store in which the record was written, 0 if unknown.
     """
 
     node: str
@@ -57,6 +58,7 @@
     instance: str = ""
     link_mbps: float = 0.0
     strikes: tuple[Strike, ...] = ()
+    era: int = 0
 
     @property
     def is_alive(self) -> bool:
--- a/src/daisylink/settings.py
+++ b/src/daisylink/settings.py
@@ -104,6 +104,7 @@
     :param store: address of the store.
     :param announce_interval: interval of the backend server's announcements.
     :param min_lease_ttl: shortest lease that the store grants.
+    :param store_writes_per_s: writes per second that the store takes from all nodes.
     :param link_mbps: bandwidth of the machine's link in Mbit/s.
     :param grace: time between the request to stop and the end of the process.
     :param retry_ratio: retries of the whole fleet, as a share of first attempts.
@@ -124,6 +125,7 @@
     store: str
     announce_interval: timedelta = timedelta(seconds=1)
     min_lease_ttl: timedelta = timedelta(seconds=1)
+    store_writes_per_s: float = 400.0
     link_mbps: float = 0.0
     grace: timedelta = timedelta(seconds=6)
     retry_ratio: float = 0.2
--- a/src/daisylink/sidecar/_change_feed.py
+++ b/src/daisylink/sidecar/_change_feed.py
@@ -10,7 +10,14 @@
 from daisylink.errors import CallError
 from daisylink.http_client import HttpClient
 from daisylink.http_server import WebRequest, WebResponse
-from daisylink.registry import Changes, Item, Listing, WatchCache
+from daisylink.registry import (
+    NO_REVISION,
+    Changes,
+    Item,
+    Listing,
+    StoreRevision,
+    WatchCache,
+)
 
 CHANGES_PATH = "/v1/changes"
 # Long polls to a reader cost no store call, so they can be short: an unresponsive
@@ -21,6 +28,19 @@
 MAX_UPDATES_BYTES = 32 * 1024 * 1024
 
 
+def format_revision(revision: StoreRevision) -> str:
+    """Return a revision as a query parameter."""
+    return f"{revision.era}-{revision.number}"
+
+
+def parse_revision(text: str) -> StoreRevision:
+    """Return the revision of a query parameter, :data:`NO_REVISION` if malformed."""
+    era, _, number = text.partition("-")
+    if not era.isdigit() or not number.isdigit():
+        return NO_REVISION
+    return StoreRevision(int(era), int(number))
+
+
 class KeyUpdates(msgspec.Struct, array_like=True):
     """Changed keys that one node sends to another, compressed in transit.
 
@@ -28,11 +48,13 @@
     :param items: key, value (None if deleted) and revision of each newer key.
     :param is_whole: whether these are all keys, because the sender cannot know which
         ones were deleted since the requested revision.
+    :param version: number of the version in force at the sender, 0 for none.
     """
 
-    revision: int
-    items: list[tuple[str, bytes | None, int]]
+    revision: StoreRevision
+    items: list[tuple[str, bytes | None, StoreRevision]]
     is_whole: bool = False
+    version: int = 0
 
     @classmethod
     def from_bytes(cls, data: bytes) -> "KeyUpdates":
@@ -69,15 +91,14 @@
         self.prefix = prefix
         self.can_serve = can_serve
         self.loop = asyncio.get_running_loop()
-        self.waiting: list[tuple[int, asyncio.Future[WebResponse]]] = []
-        self.notified_revision = 0
+        self.waiting: list[tuple[StoreRevision, asyncio.Future[WebResponse]]] = []
+        self.notified_revision = NO_REVISION
 
     def handle_request(
         self, request: WebRequest
     ) -> WebResponse | asyncio.Future[WebResponse]:
         """Respond to a long poll, at once or when there are changes."""
-        text = request.query.get("after", "0")
-        after = int(text) if text.isdigit() else 0
+        after = parse_revision(request.query.get("after", ""))
         if not self.can_serve():
             return WebResponse(HTTPStatus.SERVICE_UNAVAILABLE)
         if self.watch_cache.latest_revision(self.prefix) > after:
@@ -98,15 +119,18 @@
                 response.set_result(self._make_response(after))
         self.waiting = [item for item in self.waiting if not item[1].done()]
 
-    def _end_wait(self, after: int, response: asyncio.Future[WebResponse]) -> None:
+    def _end_wait(
+        self, after: StoreRevision, response: asyncio.Future[WebResponse]
+    ) -> None:
         if not response.done():
             response.set_result(self._make_response(after))
         self.waiting = [item for item in self.waiting if item[1] is not response]
 
-    def _make_response(self, after: int) -> WebResponse:
+    def _make_response(self, after: StoreRevision) -> WebResponse:
         watch_cache = self.watch_cache
         is_whole = after < watch_cache.first_revision
-        items = watch_cache.list_changes_after(0 if is_whole else after, self.prefix)
+        start = NO_REVISION if is_whole else after
+        items = watch_cache.list_changes_after(start, self.prefix)
         if is_whole:
             items = [item for item in items if item.value is not None]
         updates = KeyUpdates(
@@ -121,7 +145,7 @@
     def __init__(self):
         self.client: HttpClient | None = None
 
-    async def watch(self, reader: str, after: int) -> Changes | Listing:
+    async def watch(self, reader: str, after: StoreRevision) -> Changes | Listing:
         """Return the changes after a revision, or all keys.
 
         :raises CallError: if the reader does not respond or serves no changes.
@@ -129,7 +153,7 @@
         if self.client is None or self.client.address != reader:
             self.close()
             self.client = HttpClient(reader)
-        target = f"{CHANGES_PATH}?after={after}"
+        target = f"{CHANGES_PATH}?after={format_revision(after)}"
         response = await self.client.call(
             "GET", target, WAIT_SECONDS + RESPONSE_SECONDS
         )
--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -1,16 +1,25 @@
 """The state of the fleet as a sidecar knows it: the version in force and the members.
 
 Keys come from the store or, while it is unavailable, from peers; either way they are
-ordered by the store's revisions.
+ordered by the store's eras and revisions. Versions are ordered by their own numbers, so
+that a store that came back from an older copy takes none out of force.
 """
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 
 from daisylink.errors import VersionError
 from daisylink.logs import get_logger
-from daisylink.registry import Item, MemberTable, Publisher
+from daisylink.registry import (
+    NO_REVISION,
+    EraTracker,
+    Item,
+    MemberTable,
+    Publisher,
+    StoreRevision,
+)
 from daisylink.serving import MemberRecord, MemberState, Strike
 from daisylink.sidecar._compressed_version import (
     COMPRESSED_VERSION_KEY,
@@ -36,18 +45,44 @@
     return DEPARTURE_PREFIX + node
 
 
+class FleetListeners(NamedTuple):
+    """Who is told of changes of the fleet's state.
+
+    :param on_version: called with each version that comes into force.
+    :param on_members: called after members have changed.
+    :param on_strikes: called with the strikes that a member reports.
+    :param on_member_removed: called with each node that is no longer a member.
+    :param on_own_departures: called with the key of this node's departures.
+    """
+
+    on_version: Callable[[Version], None]
+    on_members: Callable[[], None]
+    on_strikes: Callable[[tuple[Strike, ...]], None]
+    on_member_removed: Callable[[str], None]
+    on_own_departures: Callable[[Item], None]
+
+
+class Candidate(NamedTuple):
+    """A version that was read and is not in force yet.
+
+    :param document: the configuration, uncompressed.
+    :param is_configuration: whether it was read from the configuration itself.
+    """
+
+    version: Version
+    document: bytes
+    revision: StoreRevision
+    is_configuration: bool
+
+
 class FleetState:
     """The version in force and the members.
 
     :param config_key: store key of the configuration.
     :param decode_configuration: decodes a configuration and builds its version.
     :param publisher: receives the versions that were read and those already published.
+    :param era_tracker: knows the newest era of the store.
     :param now: returns the monotonic time in seconds.
-    :param on_version: called with each version that comes into force.
-    :param on_members: called after members have changed.
-    :param on_strikes: called with the strikes that a member reports.
-    :param on_member_removed: called with each node that is no longer a member.
-    :param on_own_departures: called with the key of this node's departures.
     """
 
     def __init__(
@@ -56,28 +91,29 @@
         config_key: str,
         decode_configuration: Callable[[bytes], Version],
         publisher: Publisher,
+        era_tracker: EraTracker,
         now: Callable[[], float],
-        on_version: Callable[[Version], None],
-        on_members: Callable[[], None],
-        on_strikes: Callable[[tuple[Strike, ...]], None],
-        on_member_removed: Callable[[str], None],
-        on_own_departures: Callable[[Item], None],
+        listeners: FleetListeners,
     ):
         self.members = members
         self.config_key = config_key
         self.decode_configuration = decode_configuration
         self.publisher = publisher
+        self.era_tracker = era_tracker
         self.now = now
-        self.on_version = on_version
-        self.on_members = on_members
-        self.on_strikes = on_strikes
-        self.on_member_removed = on_member_removed
-        self.on_own_departures = on_own_departures
+        self.listeners = listeners
         self.own_departure_key = departure_key(members.own_record.node)
         self.version: Version | None = None
+        self.document = b""
+        self.compressed_document = b""
         self.compressed_version: Item | None = None
         self.accepts_compressed_versions = False
         self.is_own_record_missing = False
+        self.has_listed = False
+        # Whether the store may be behind the fleet, so that peers are asked for the
+        # first version, and the newest version read until then.
+        self.is_deferring = False
+        self.candidate: Candidate | None = None
 
     @property
     def version_number(self) -> int:
@@ -93,7 +129,28 @@
         elif item.key.startswith(MEMBER_PREFIX):
             self._handle_member(item)
         elif item.key == self.own_departure_key:
-            self.on_own_departures(item)
+            self.listeners.on_own_departures(item)
+
+    def handle_older_item(self, item: Item) -> None:
+        """Handle a peer's key that is not newer than the known one.
+
+        It may still hold a newer version: the store may have come back without it.
+        """
+        if item.value is None:
+            return
+        if item.key == self.config_key:
+            self._handle_configuration(item)
+        elif item.key == COMPRESSED_VERSION_KEY:
+            self._read_compressed_version(item)
+
+    def handle_listing(self, revision: StoreRevision, has_compressed: bool) -> None:
+        """Handle a listing of the store's keys, after :meth:`handle_item`.
+
+        :param has_compressed: whether it has a compressed version.
+        """
+        self.has_listed = True
+        if not has_compressed:
+            self.publisher.record_deleted(revision)
 
     def accept_compressed_versions(self) -> None:
         """Accept a compressed version as the first one: this node is not a reader.
@@ -105,14 +162,29 @@
         if self.compressed_version is not None:
             self._handle_compressed_version(self.compressed_version)
 
+    def end_deferral(self) -> None:
+        """Put the newest version that was read into force."""
+        self.is_deferring = False
+        candidate, self.candidate = self.candidate, None
+        if candidate is not None and candidate.version.number > self.version_number:
+            self._put_in_force(candidate)
+
+    def compress_version(self) -> bytes:
+        """Return the version in force as a compressed one, encoded."""
+        if not self.compressed_document:
+            self.compressed_document = CompressedVersion.from_document(
+                self.version_number, self.document
+            ).to_bytes()
+        return self.compressed_document
+
     def tick(self, now: float) -> None:
         """Drop the members whose expired records did not return in time."""
         dropped = self.members.tick(now)
         for node in dropped:
             log.bind(node=node).info("member dropped: its record was not written again")
-            self.on_member_removed(node)
+            self.listeners.on_member_removed(node)
         if dropped:
-            self.on_members()
+            self.listeners.on_members()
 
     def _handle_configuration(self, item: Item) -> None:
         """Install a configuration if its number is higher than the one in force."""
@@ -121,10 +193,7 @@
             bound_log.warning("configuration deleted; the version in force stays")
             return
         try:
-            if self._install(item.value, item.revision):
-                self.publisher.handle_version(
-                    self.version_number, item.value, self.now()
-                )
+            self._install(item.value, item.revision, is_configuration=True)
         except VersionError as error:
             bound_log.bind(code=int(error.code)).error("version refused: {}", error)
 
@@ -132,25 +201,37 @@
         """Install a version that a reader published if its number is higher."""
         self.compressed_version = item if item.value is not None else None
         if item.value is None:
+            self.publisher.record_deleted(item.revision)
             return
-        bound_log = log.bind(revision=item.revision, in_force=self.version_number)
-        try:
-            compressed = CompressedVersion.from_bytes(item.value)
+        compressed = self._read_compressed_version(item)
+        if compressed is not None:
             self.publisher.record_published(
                 compressed.number, item.revision, self.now()
             )
-            is_first = self.version is None
+
+    def _read_compressed_version(self, item: Item) -> CompressedVersion | None:
+        """Decode a compressed version, and install it if its number is higher."""
+        is_first = self.version is None
+        may_install = self.accepts_compressed_versions or not is_first
+        try:
+            compressed = CompressedVersion.from_bytes(item.value)
             if compressed.number > self.version_number and (
-                self.accepts_compressed_versions or not is_first
+                may_install or item.revision == NO_REVISION
             ):
                 self._install(compressed.decompress(), item.revision)
         except VersionError as error:
-            bound_log.bind(code=int(error.code)).error(
-                "compressed version refused: {}", error
-            )
+            log.bind(
+                revision=item.revision,
+                in_force=self.version_number,
+                code=int(error.code),
+            ).error("compressed version refused: {}", error)
+            return None
+        return compressed
 
-    def _install(self, document: bytes, revision: int) -> bool:
-        """Put a version into force if its number is higher; return whether it is.
+    def _install(
+        self, document: bytes, revision: StoreRevision, is_configuration: bool = False
+    ) -> None:
+        """Put a version into force if its number is higher.
 
         :raises VersionError: if it cannot be decoded.
         """
@@ -160,11 +241,30 @@
         )
         if version.number <= self.version_number:
             bound_log.info("version is not newer; ignored")
-            return False
+            return
+        candidate = Candidate(version, document, revision, is_configuration)
+        if not self.is_deferring:
+            self._put_in_force(candidate)
+            return
+        bound_log.info("version deferred: the store may be behind the fleet")
+        if self.candidate is None or version.number > self.candidate.version.number:
+            self.candidate = candidate
+
+    def _put_in_force(self, candidate: Candidate) -> None:
+        version = candidate.version
+        log.bind(
+            revision=candidate.revision,
+            in_force=self.version_number,
+            version=version.number,
+        ).info("version in force")
         self.version = version
-        bound_log.info("version in force")
-        self.on_version(version)
-        return True
+        self.document = candidate.document
+        self.compressed_document = b""
+        self.listeners.on_version(version)
+        if candidate.is_configuration:
+            self.publisher.handle_version(
+                version.number, candidate.document, self.now()
+            )
 
     def _handle_member(self, item: Item) -> None:
         node = item.key.removeprefix(MEMBER_PREFIX)
@@ -175,18 +275,21 @@
         if item.value is None:
             if self.members.mark_expired(node, self.now()):
                 bound_log.info("member's record left the store")
-                self.on_members()
+                self.listeners.on_members()
             return
         try:
             record = msgspec.msgpack.decode(item.value, type=MemberRecord)
         except msgspec.MsgspecError as error:
             bound_log.warning("member's record cannot be read: {}", error)
             return
+        if 0 < record.era < self.era_tracker.current:
+            self._handle_outdated_member(record)
+            return
         if record.state is MemberState.LEFT:
-            self.on_member_removed(node)
+            self.listeners.on_member_removed(node)
         if record.strikes:
             bound_log.bind(strikes=len(record.strikes)).info("strikes received")
-            self.on_strikes(record.strikes)
+            self.listeners.on_strikes(record.strikes)
         if self.members.put(record):
             bound_log.bind(
                 state=record.state.name,
@@ -195,4 +298,20 @@
                 zone=record.zone,
                 instance=record.instance,
             ).info("member changed")
-            self.on_members()
+            self.listeners.on_members()
+
+    def _handle_outdated_member(self, record: MemberRecord) -> None:
+        """Handle a record of an earlier era, which its node has not written again yet.
+
+        A known member stays as it is known and has the usual time to write; one that
+        is not known has left. A process that has just started knows none: it uses the
+        records, and asks their nodes for what the store has lost.
+        """
+        if not self.has_listed:
+            self.is_deferring = self.version is None
+            self.members.put(record)
+        if self.members.mark_expired(record.node, self.now()):
+            log.bind(node=record.node, era=record.era).info(
+                "member's record is of an earlier era"
+            )
+            self.listeners.on_members()
--- a/src/daisylink/sidecar/_gauges.py
+++ b/src/daisylink/sidecar/_gauges.py
@@ -23,6 +23,22 @@
     metrics.add_gauge(
         "daisylink.members", lambda: len(members.records), "Nodes known to run."
     )
+    era_tracker = sidecar.era_tracker
+    metrics.add_gauge(
+        "daisylink.store.era",
+        lambda: era_tracker.current,
+        "Era of the store, 0 if it states none.",
+    )
+    metrics.add_gauge(
+        "daisylink.store.responses.rejected",
+        lambda: era_tracker.rejected,
+        "Responses of the store that stated an older era, or none any more.",
+    )
+    metrics.add_gauge(
+        "daisylink.store.responses.without_era",
+        lambda: era_tracker.unstated,
+        "Responses of the store without an era, or with one that is no number.",
+    )
     metrics.add_gauge(
         "daisylink.slots.in_use",
         lambda: admission.in_use,
--- a/src/daisylink/sidecar/_peer_exchange.py
+++ b/src/daisylink/sidecar/_peer_exchange.py
@@ -10,8 +10,16 @@
 from daisylink.http_client import HttpClient
 from daisylink.http_server import WebRequest, WebResponse
 from daisylink.logs import get_logger
-from daisylink.registry import MemberTable, WatchCache
-from daisylink.sidecar._change_feed import CHANGES_PATH, ChangeFeed, KeyUpdates
+from daisylink.registry import NO_REVISION, EraTracker, MemberTable, WatchCache
+from daisylink.sidecar._change_feed import (
+    CHANGES_PATH,
+    ChangeFeed,
+    KeyUpdates,
+    format_revision,
+    parse_revision,
+)
+from daisylink.sidecar._compressed_version import COMPRESSED_VERSION_KEY
+from daisylink.sidecar._fleet_state import FleetState
 
 CALL_SECONDS = 0.5
 INTERVAL_SECONDS = 0.5
@@ -24,7 +32,10 @@
 class PeerExchange:
     """Fetches keys from peers while the store is unavailable, and serves keys to them.
 
+    :param fleet_state: has the version in force.
+    :param era_tracker: learns the era of the store from peers.
     :param change_feed: serves peers that do not watch the store.
+    :param now: returns the monotonic time in seconds.
     :param spawn: starts a task.
     :param on_updates: called after each fetch, also after a failed one.
     """
@@ -33,24 +44,36 @@
         self,
         watch_cache: WatchCache,
         members: MemberTable,
+        fleet_state: FleetState,
+        era_tracker: EraTracker,
         change_feed: ChangeFeed,
         rng: random.Random,
+        now: Callable[[], float],
         spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task],
         on_updates: Callable[[], None],
     ):
         self.watch_cache = watch_cache
         self.members = members
+        self.fleet_state = fleet_state
+        self.era_tracker = era_tracker
         self.change_feed = change_feed
         self.rng = rng
+        self.now = now
         self.spawn = spawn
         self.on_updates = on_updates
-        self.revision = 0
+        self.revision = NO_REVISION
         self.next_fetch_at = float("inf")
+        # When a peer with a version in force last responded.
+        self.answered_at = float("-inf")
         self.is_fetching = False
 
-    def tick(self, now: float, is_store_unavailable: bool) -> None:
-        """Fetch updates if the store is unavailable and a fetch is due."""
-        if not is_store_unavailable:
+    def tick(self, now: float, needs_peers: bool) -> None:
+        """Fetch updates if a fetch is due.
+
+        :param needs_peers: whether the store is unavailable, or may be behind the
+            fleet.
+        """
+        if not needs_peers:
             self.next_fetch_at = float("inf")
         elif self.next_fetch_at == float("inf"):
             self.next_fetch_at = now
@@ -68,15 +91,45 @@
             return self.change_feed.handle_request(request)
         if request.path != UPDATES_PATH:
             return WebResponse(HTTPStatus.NOT_FOUND)
-        text = request.query.get("after", "0")
-        after = int(text) if text.isdigit() else 0
+        after = parse_revision(request.query.get("after", ""))
+        number = request.query.get("version", "")
         watch_cache = self.watch_cache
         items = [
             tuple(item) for item in watch_cache.list_changes_after(after, prefix="")
         ]
-        updates = KeyUpdates(max(watch_cache.revision, self.revision), items)
+        known = int(number) if number.isdigit() else 0
+        if not self._has_version_in_force(items):
+            items += self._list_missing_version(known)
+        updates = KeyUpdates(
+            max(watch_cache.revision, self.revision),
+            items,
+            version=self.fleet_state.version_number,
+        )
         return WebResponse(body=updates.to_bytes())
 
+    def _has_version_in_force(self, items: list[tuple]) -> bool:
+        """Return whether keys include the version in force."""
+        fleet_state = self.fleet_state
+        publisher = fleet_state.publisher
+        is_published = publisher.published_number >= fleet_state.version_number
+        return any(
+            (key == fleet_state.config_key and value == fleet_state.document)
+            or (key == COMPRESSED_VERSION_KEY and is_published)
+            for key, value, _ in items
+        )
+
+    def _list_missing_version(self, known: int) -> list[tuple]:
+        """Return the version in force for a peer that lacks it, else nothing.
+
+        The store may have come back without it.
+
+        :param known: number of the version that the peer has in force.
+        """
+        if self.fleet_state.version_number <= known:
+            return []
+        value = self.fleet_state.compress_version()
+        return [(COMPRESSED_VERSION_KEY, value, NO_REVISION)]
+
     def fetch_updates(self) -> None:
         """Fetch the keys that this node lacks from a random peer."""
         own_node = self.members.own_record.node
@@ -87,14 +140,19 @@
 
     async def _fetch(self, peer: str) -> None:
         client = HttpClient(peer)
-        known = self.watch_cache.revision if self.watch_cache.is_listed else 0
-        target = f"{UPDATES_PATH}?after={max(self.revision, known)}"
+        known = self.watch_cache.revision if self.watch_cache.is_listed else NO_REVISION
+        after = format_revision(max(self.revision, known))
+        number = self.fleet_state.version_number
+        target = f"{UPDATES_PATH}?after={after}&version={number}"
         try:
             response = await client.call("GET", target, CALL_SECONDS)
             updates = KeyUpdates.from_bytes(response.body)
         except CallError as error:
             log.bind(peer=peer).debug("no updates from peer: {}", error)
         else:
+            if updates.version:
+                self.answered_at = self.now()
+            self.era_tracker.learn(updates.revision.era)
             self.revision = max(self.revision, updates.revision)
             self.watch_cache.handle_updates(updates.list_items())
         finally:
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -34,6 +34,7 @@
     RegistrationSettings,
     SourceSelector,
     SourceSelectorSettings,
+    StoreRevision,
     WatchCache,
     WatchCacheSettings,
 )
@@ -56,10 +57,14 @@
 )
 from daisylink.settings import SidecarSettings
 from daisylink.sidecar._change_feed import ChangeFeed
+from daisylink.sidecar._compressed_version import COMPRESSED_VERSION_KEY
+from daisylink.sidecar._era_recovery import EraRecovery
 from daisylink.sidecar._fleet_state import (
     DEPARTURE_PREFIX,
     FLEET_PREFIX,
+    FleetListeners,
     FleetState,
+    departure_key,
     member_key,
 )
 from daisylink.sidecar._gauges import add_gauges
@@ -154,17 +159,22 @@
         self.gateway.on_suspect_answered = self._handle_suspect_answered
         self.gateway.record_peer_version = self._handle_peer_version
         self.publisher = Publisher(PublisherSettings())
+        self.era_tracker = platform_adapter.store.era_tracker
+        self.era_tracker.on_rise = self._handle_era
         self.fleet_state = FleetState(
             self.members,
             platform_adapter.config_key,
             platform_adapter.decode_configuration,
             self.publisher,
+            self.era_tracker,
             self.now,
-            self._install,
-            self._handle_members_change,
-            lambda strikes: quarantine.merge_strikes(strikes, self.now()),
-            self.gateway.in_flight_tracker.forget,
-            self._handle_own_departures,
+            FleetListeners(
+                self._install,
+                self._handle_members_change,
+                lambda strikes: quarantine.merge_strikes(strikes, self.now()),
+                self.gateway.in_flight_tracker.forget,
+                self._handle_own_departures,
+            ),
         )
         ttl = max(settings.min_lease_ttl, RegistrationSettings().ttl)
         self.registration = Registration(RegistrationSettings(ttl=ttl), rng)
@@ -172,8 +182,17 @@
             WatchCacheSettings(),
             self.fleet_state.handle_item,
             self._handle_listing,
+            self.fleet_state.handle_older_item,
             rng,
         )
+        self.era_recovery = EraRecovery(
+            self.era_tracker,
+            self.registration,
+            self.departure_log,
+            self.members,
+            settings.store_writes_per_s,
+            self.now,
+        )
         self.source_selector = SourceSelector(
             SourceSelectorSettings(), node, settings.zone
         )
@@ -201,8 +220,11 @@
         self.peer_exchange = PeerExchange(
             self.watch_cache,
             self.members,
+            self.fleet_state,
+            self.era_tracker,
             self.change_feed,
             rng,
+            self.now,
             self._spawn,
             self.step,
         )
@@ -313,7 +335,9 @@
         now = self.now()
         self.local_server.tick(now)
         strikes = self.strike_reporter.list_current(now)
-        own_record = msgspec.structs.replace(self.members.own_record, strikes=strikes)
+        own_record = msgspec.structs.replace(
+            self.members.own_record, strikes=strikes, era=self.era_tracker.current
+        )
         record = self.local_server.update_record(own_record, now)
         if self.members.set_own_record(record):
             log.bind(
@@ -333,13 +357,15 @@
         """Run what is due in each decision object, and set the timer for the next."""
         now = self.now()
         self.fleet_state.tick(now)
+        self._continue_recovery(now)
         self.gateway.quarantine.purge(now)
         if self.fleet_state.is_own_record_missing and self.registration.pending is None:
             self.fleet_state.is_own_record_missing = False
             self.registration.mark_unwritten()
         self._update_prefix(now)
         self.store_driver.tick(now, self.role.publish_rank)
-        self.peer_exchange.tick(now, self.is_store_unavailable)
+        needs_peers = self.is_store_unavailable or self.fleet_state.is_deferring
+        self.peer_exchange.tick(now, needs_peers)
         self.change_feed.notify_waiters()
         self.leave_acknowledger.notify_waiters()
         if now >= self.local_server.wake_at:
@@ -355,6 +381,7 @@
             self.members.wake_at,
             self.local_server.wake_at,
             self.departure_log.wake_at,
+            self.era_recovery.wake_at,
             self.peer_exchange.next_fetch_at,
             self.publisher.wake_at(self.role.publish_rank),
         )
@@ -366,7 +393,7 @@
         """Return whether other nodes may get key changes from this one."""
         if self.peer_versions.is_behind or self.stopping:
             return False
-        is_watching = self.role.is_reader and self.watch_cache.is_listed
+        is_watching = self.role.is_reader and self.watch_cache.has_listed
         return is_watching and not self.is_store_unavailable
 
     def _update_prefix(self, now: float) -> None:
@@ -383,12 +410,50 @@
         if not self.role.is_reader:
             self.fleet_state.accept_compressed_versions()
         key = member_key(self.members.own_record.node)
-        if key not in self.watch_cache.values:
+        cache = self.watch_cache
+        if key not in cache.values:
             self.registration.mark_unwritten()
-        if self.local_server.awaits_departures:
-            self.local_server.end_restore()
+        has_key = departure_key(self.members.own_record.node) in cache.values
+        self.departure_log.handle_listing(cache.revision, has_key)
+        has_compressed = COMPRESSED_VERSION_KEY in cache.values
+        self.fleet_state.handle_listing(cache.revision, has_compressed)
+        if self.fleet_state.is_deferring:
+            self.era_recovery.settle()
+        elif self.local_server.awaits_departures:
+            self._end_restore()
+
+    def _end_restore(self, is_complete: bool = True) -> None:
+        """Take the local server into service, now that departures are known.
+
+        :param is_complete: whether the store cannot have lost any.
+        """
+        self.local_server.end_restore(is_complete)
+        if self.local_server.announcement is not None:
+            self.loop.call_soon(self.update_server)
+
+    # Eras of the store
+
+    def _handle_era(self, previous: int) -> None:
+        """Write again what the store may have lost, and list its keys again.
+
+        :param previous: the era before, 0 if this is the first one.
+        """
+        if previous:
+            self.era_recovery.begin(previous)
+            self.loop.call_soon(self.store_driver.end_outdated_watch)
+        if self.registration.desired_record is not None:
             self.loop.call_soon(self.update_server)
 
+    def _continue_recovery(self, now: float) -> None:
+        has_settled = self.era_recovery.tick(now)
+        if has_settled:
+            self._handle_members_change()
+            if self.local_server.awaits_departures:
+                self._end_restore(is_complete=False)
+        has_answer = self.peer_exchange.answered_at >= self.era_recovery.began_at
+        if self.fleet_state.is_deferring and (has_answer or has_settled):
+            self.fleet_state.end_deferral()
+
     # Departures of the local server
 
     def _handle_own_departures(self, item: Item) -> None:
@@ -400,7 +465,7 @@
         self.local_server.restore_departures(found, self.now())
         self.loop.call_soon(self.update_server)
 
-    def _list_departures(self) -> dict[str, int]:
+    def _list_departures(self) -> dict[str, StoreRevision]:
         """Return the revisions of all nodes' departures, by node."""
         revisions = self.watch_cache.list_revisions(DEPARTURE_PREFIX)
         return {
@@ -451,7 +516,8 @@
     def _handle_members_change(self) -> None:
         self.balancer.invalidate_candidates()
         self._divide_retry_budget()
-        self.role.update_rank()
+        if not self.era_recovery.is_settling:
+            self.role.update_rank()
 
     def _divide_retry_budget(self) -> None:
         """Divide the fleet's retry budget among the known members."""
--- a/src/daisylink/sidecar/_store_driver.py
+++ b/src/daisylink/sidecar/_store_driver.py
@@ -116,6 +116,23 @@
             self.watch_task.cancel()
         self.watch_cache.restart_watch()
 
+    def end_outdated_watch(self) -> None:
+        """Cancel a watch of the store that was begun in an earlier era.
+
+        It may hear nothing for as long as it waits. A reader's long poll is short.
+        """
+        call = self.watch_cache.pending
+        if not isinstance(call, WatchKeys) or self._choose_reader(call) is not None:
+            return
+        if call.revision.era < self.store.era_tracker.current:
+            self.restart_watch("the store's era rose", is_urgent=True)
+            self.on_call_done()
+
+    def _choose_reader(self, call: WatchKeys) -> str | None:
+        """Return the reader to ask, None for the store."""
+        # Readers serve only the fleet's own keys.
+        return self.source_selector.choose(self.now()) if call.prefix else None
+
     async def _register(self, call: RegistrationCall) -> None:
         had_failed = self.registration.backoff.failures > 0
         try:
@@ -159,8 +176,7 @@
         self.on_call_done()
 
     async def _watch(self, call: WatchKeys) -> None:
-        # Readers serve only the fleet's own keys.
-        reader = self.source_selector.choose(self.now()) if call.prefix else None
+        reader = self._choose_reader(call)
         if reader is None:
             changes = await self.store.watch(call.prefix, call.revision, call.wait)
             self.watch_cache.handle_changes(changes, self.now())
@@ -172,6 +188,7 @@
             self.source_selector.record_failure(self.now())
             self.watch_cache.restart_watch()
             return
+        self.store.era_tracker.learn(updates.revision.era)
         if isinstance(updates, Listing):
             self.watch_cache.handle_listing(updates)
         else:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import copy
 from base64 import b64decode, b64encode
 from enum import Enum
 from http import HTTPStatus
@@ -81,9 +82,12 @@
         self.events = []
         self.compacted = 0
         self.leases = {}
+        self.next_lease = 100
         self.changed = asyncio.Event()
         self.calls = 0
         self.watched_prefixes = []
+        self.era = 1
+        self.era_header = None
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -107,6 +111,27 @@
         self.events.clear()
         self.abort_connections()
 
+    def make_copy(self):
+        """Return a copy of the contents, for :meth:`come_back`."""
+        return copy.deepcopy((self.items, self.leases, self.next_lease, self.revision))
+
+    async def come_back(self, saved, away_seconds=0.5, on_return=None):
+        """Be away for a moment, then come back from an older copy in the next era.
+
+        :param on_return: called before the first call after the return.
+        """
+        self.fault = Fault.UNRESPONSIVE
+        self.abort_connections()
+        await asyncio.sleep(away_seconds)
+        self.items, self.leases, self.next_lease, self.revision = copy.deepcopy(saved)
+        self.events.clear()
+        self.compacted = self.revision
+        self.era += 1
+        if on_return is not None:
+            on_return()
+        self.fault = Fault.NONE
+        self.abort_connections()
+
     def abort_connections(self):
         for writer in list(self.writers):
             writer.transport.abort()
@@ -119,7 +144,7 @@
     async def handle_request(self, writer, method, target, headers, body):
         self.calls += 1
         if self.fault is Fault.UNAVAILABLE:
-            write(writer, HTTPStatus.SERVICE_UNAVAILABLE, b"")
+            self._respond(writer, HTTPStatus.SERVICE_UNAVAILABLE, b"")
             return
         if self.fault is Fault.UNRESPONSIVE:
             return
@@ -127,7 +152,11 @@
         query = dict(parse_qsl(text))
         status, value = await self._perform(method, path, query, body)
         if self.fault is not Fault.LOSE_ANSWERS:
-            write(writer, status, msgspec.json.encode(value))
+            self._respond(writer, status, msgspec.json.encode(value))
+
+    def _respond(self, writer, status, body):
+        era = self.era if self.era_header is None else self.era_header
+        write(writer, status, body, f"Store-Era: {era}\r\n")
 
     async def _perform(self, method, path, query, body):
         match method, path.split("/")[2:]:
@@ -138,7 +167,8 @@
             case "POST", ["kv-txn"]:
                 return self._write(msgspec.json.decode(body))
             case "POST", ["kv-lease"]:
-                lease = 100 + len(self.leases)
+                lease = self.next_lease
+                self.next_lease += 1
                 self.leases[lease] = msgspec.json.decode(body)["ttl_time"]
                 return HTTPStatus.OK, {"lease": lease, "ttl_time": self.leases[lease]}
             case "POST", ["kv-keep", number]:
@@ -160,7 +190,7 @@
     async def _watch(self, query):
         self.watched_prefixes.append(query.get("prefix", ""))
         after = int(query["after"])
-        if after < self.compacted:
+        if not self.compacted <= after <= self.revision:
             return HTTPStatus.GONE, {}
         deadline = int(query["wait_ms"]) / 1000
         try:
@@ -237,6 +267,7 @@
     return head.encode() + body
 
 
-def write(writer, status, body):
-    head = f"HTTP/1.1 {int(status)} X\r\nContent-Length: {len(body)}\r\n\r\n"
+def write(writer, status, body, extra=""):
+    length = f"Content-Length: {len(body)}\r\n"
+    head = f"HTTP/1.1 {int(status)} X\r\n{extra}{length}\r\n"
     writer.write(head.encode() + body)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -19,6 +19,7 @@
 )
 from daisylink.serving import MemberRecord, ServerStart
 from tests.platform_standin import Fault
+from tests.revisions import at
 from tests.sidecar_case import SidecarTestCase
 
 FIRST = ServerStart("i-1", 1000)
@@ -77,21 +78,34 @@
 
     def test_a_write_of_a_former_process_that_comes_late_loses_no_departure(self):
         self.log.set_departures([SECOND])
-        self.assertEqual(self.log.tick(0.0).revision, 0)
+        self.log.handle_listing(at(5), has_key=False)
+        self.assertEqual(self.log.tick(0.0).revision, at(0))
         self.log.handle_failure(0.0)
         self.assertFalse(self.log.is_stored(SECOND))
-        late = Item(KEY, msgspec.msgpack.encode((FIRST,)), 7)
+        late = Item(KEY, msgspec.msgpack.encode((FIRST,)), at(7))
         self.log.set_departures([*self.log.handle_item(late), SECOND])
         call = self.log.tick(1.0)
-        self.assertEqual((call.revision, call.departures), (7, (FIRST, SECOND)))
-        self.log.handle_success(8)
+        self.assertEqual((call.revision, call.departures), (at(7), (FIRST, SECOND)))
+        self.log.handle_success(at(8))
         self.assertTrue(self.log.is_stored(SECOND))
         self.assertIsNone(self.log.tick(2.0))
 
+    def test_a_departure_that_the_store_may_have_lost_is_not_acknowledged(self):
+        """The store came back from an older copy and is not listed yet."""
+        self.log.set_departures([FIRST])
+        self.log.handle_listing(at(5), has_key=False)
+        self.log.tick(0.0)
+        self.log.handle_success(at(6))
+        self.log.begin_era()
+        self.assertFalse(self.log.is_stored(FIRST))
+        self.assertIsNone(self.log.tick(1.0))
+        self.log.handle_listing(at(2, era=2), has_key=False)
+        self.assertEqual(self.log.tick(1.0).revision, at(0, era=2))
+
 
 class DepartureSweeperTests(unittest.TestCase):
     def setUp(self):
-        self.departures = {"a": 3, "c": 5}
+        self.departures = {"a": at(3), "c": at(5)}
         self.members = MemberTable(
             MemberSettings(), MemberRecord("b", "z", 0), lambda _node: 0.0
         )
@@ -103,7 +117,7 @@
         self.assertEqual(self.sweeper.tick(0.0), [])
         self.assertEqual(self.sweeper.tick(590.0), [])
         self.members.put(MemberRecord("c", "z", 0))
-        self.assertEqual(self.sweeper.tick(660.0), [DeleteDepartures("a", 3)])
+        self.assertEqual(self.sweeper.tick(660.0), [DeleteDepartures("a", at(3))])
 
     def test_one_node_alone_deletes_departures(self):
         self.members.put(MemberRecord("aa", "z", 0))
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -16,12 +16,13 @@
     WatchCacheSettings,
 )
 from daisylink.sidecar import Sidecar
-from daisylink.sidecar._change_feed import ChangeFeed, KeyUpdates
+from daisylink.sidecar._change_feed import ChangeFeed, KeyUpdates, format_revision
 from daisylink.sidecar._compressed_version import (
     COMPRESSED_VERSION_KEY,
     CompressedVersion,
 )
 from daisylink.sidecar._fleet_state import FLEET_PREFIX
+from tests.revisions import at
 from tests.sidecar_case import Machine, SidecarTestCase
 from tests.test_platform import make_configuration
 
@@ -104,6 +105,27 @@
 
         self.run_machines(scenario, count=3)
 
+    def test_a_new_era_makes_no_node_read_the_configuration_itself(self):
+        """All records are outdated for a moment, as if the fleet were small."""
+
+        async def scenario(store, *machines):
+            reader, others = await self.select_reader(machines)
+            saved = store.make_copy()
+            await asyncio.sleep(1.0)
+            await store.come_back(saved)
+            for _ in range(4):
+                await asyncio.sleep(1.0)
+                for machine in machines:
+                    await machine.send_heartbeat()
+                for machine in others:
+                    self.assertEqual(machine.sidecar.watch_cache.prefix, FLEET_PREFIX)
+            for machine in machines:
+                members = machine.sidecar.members
+                self.assertEqual(len(members.serving("one")), len(machines))
+                self.assertEqual(machine.sidecar.watch_cache.revision.era, 2)
+
+        self.run_machines(scenario, count=4)
+
     def test_a_reader_that_is_behind_is_not_asked(self):
         """A reader on a full link served outdated keys (hanbit-grown, trouble-3)."""
 
@@ -194,25 +216,37 @@
 
     def setUp(self):
         self.watch_cache = WatchCache(
-            WatchCacheSettings(), lambda _: None, lambda: None, random.Random(1)
+            WatchCacheSettings(),
+            lambda _: None,
+            lambda: None,
+            lambda _: None,
+            random.Random(1),
         )
-        own = [Item("own/a", b"1", 3), Item("own/b", b"2", 8), Item("op", b"", 9)]
+        own = [
+            Item("own/a", b"1", at(3)),
+            Item("own/b", b"2", at(8)),
+            Item("op", b"", at(9)),
+        ]
         self.watch_cache.tick(0.0)
-        self.watch_cache.handle_listing(Listing(own, 10))
+        self.watch_cache.handle_listing(Listing(own, at(10)))
         self.watch_cache.tick(0.0)
-        self.watch_cache.handle_changes(Changes([Item("own/a", None, 12)], 12), 0.0)
+        self.watch_cache.handle_changes(
+            Changes([Item("own/a", None, at(12))], at(12)), 0.0
+        )
 
     def poll_feed(self, after):
         change_feed = ChangeFeed(self.watch_cache, "own/", lambda: True)
-        request = WebRequest("GET", "/v1/changes", {"after": str(after)}, b"")
+        request = WebRequest(
+            "GET", "/v1/changes", {"after": format_revision(at(after))}, b""
+        )
         return KeyUpdates.from_bytes(change_feed.handle_request(request).body)
 
     async def test_deletions_since_the_first_listing_are_served(self):
         updates = self.poll_feed(11)
         self.assertFalse(updates.is_whole)
-        self.assertEqual(updates.list_items(), [Item("own/a", None, 12)])
+        self.assertEqual(updates.list_items(), [Item("own/a", None, at(12))])
 
     async def test_a_node_that_may_have_missed_a_deletion_gets_all_keys(self):
         updates = self.poll_feed(9)
         self.assertTrue(updates.is_whole)
-        self.assertEqual(updates.list_items(), [Item("own/b", b"2", 8)])
+        self.assertEqual(updates.list_items(), [Item("own/b", b"2", at(8))])
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -13,6 +13,7 @@
 )
 from daisylink.serving import MemberRecord
 from daisylink.sidecar._compressed_version import CompressedVersion
+from tests.revisions import at
 
 SETTINGS = PublisherSettings()
 RANK_DELAY_SECONDS = SETTINGS.rank_delay.total_seconds()
@@ -107,7 +108,7 @@
 
     def test_what_another_reader_published_is_not_published_again(self):
         self.publisher.handle_version(5, b"five", 10.0)
-        self.publisher.record_published(5, 77, 10.01)
+        self.publisher.record_published(5, at(77), 10.01)
         self.assertIsNone(self.publisher.tick(0, 20.0))
 
     def test_frequent_versions_are_published_at_intervals_and_the_newest_last(self):
@@ -118,7 +119,7 @@
             call = self.publisher.tick(0, now)
             if call is not None:
                 written.append((call.number, now))
-                self.publisher.handle_success(100 + number, now)
+                self.publisher.handle_success(at(100 + number), now)
             now += 0.08
         now = max(now, self.publisher.wake_at(0))
         written.append((self.publisher.tick(0, now).number, now))
@@ -127,14 +128,28 @@
         self.assertEqual(written[-1][0], 40)
 
     def test_a_failed_write_is_repeated_with_the_latest_known_revision(self):
-        self.publisher.record_published(4, 70, 9.0)
+        self.publisher.record_published(4, at(70), 9.0)
         self.publisher.handle_version(5, b"five", 10.0)
-        self.assertEqual(self.publisher.tick(0, 10.0).revision, 70)
+        self.assertEqual(self.publisher.tick(0, 10.0).revision, at(70))
         self.publisher.handle_failure(10.1)
         self.assertIsNone(self.publisher.tick(0, 10.2))
-        self.publisher.record_published(4, 75, 10.2)
+        self.publisher.record_published(4, at(75), 10.2)
         again = self.publisher.tick(0, 10.2 + MIN_INTERVAL_SECONDS)
-        self.assertEqual((again.number, again.revision), (5, 75))
+        self.assertEqual((again.number, again.revision), (5, at(75)))
+
+    def test_a_version_that_the_store_lost_is_published_again(self):
+        """The store came back from an older copy, at a lower revision."""
+        for lost in (
+            lambda: self.publisher.record_published(4, at(60, era=2), 20.0),
+            lambda: self.publisher.record_deleted(at(60, era=2)),
+        ):
+            self.publisher.handle_version(5, b"five", 10.0)
+            self.publisher.record_published(5, at(70), 10.0)
+            self.assertIsNone(self.publisher.tick(0, 20.0))
+            lost()
+            self.assertEqual(self.publisher.tick(0, 21.0).number, 5)
+            self.publisher.handle_failure(21.0)
+            self.publisher.revision = at(70)
 
 
 class CompressedVersionTests(unittest.TestCase):
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -24,6 +24,7 @@
     WriteRecord,
 )
 from daisylink.serving import MemberRecord, MemberState, ServerState
+from tests.revisions import at
 
 LEASE = Lease(7, timedelta(seconds=3))
 
@@ -124,50 +125,51 @@
             WatchCacheSettings(),
             self.reported_items.append,
             lambda: None,
+            lambda _: None,
             random.Random(1),
         )
 
     def list(self, items, revision, now=0.0):
         self.assertEqual(self.watch_cache.tick(now), ListKeys())
-        self.watch_cache.handle_listing(Listing(items, revision))
+        self.watch_cache.handle_listing(Listing(items, at(revision)))
 
     def test_the_watch_begins_where_the_listing_ended(self):
-        self.list([Item("a", b"1", 3)], 5)
+        self.list([Item("a", b"1", at(3))], 5)
         call = self.watch_cache.tick(0.0)
-        self.assertEqual(call, WatchKeys(5, WatchCacheSettings().watch_timeout))
+        self.assertEqual(call, WatchKeys(at(5), WatchCacheSettings().watch_timeout))
 
     def test_a_compacted_history_leads_to_a_listing_at_once(self):
-        self.list([Item("a", b"1", 3)], 5)
+        self.list([Item("a", b"1", at(3))], 5)
         self.watch_cache.tick(0.0)
         self.watch_cache.handle_failure(ResultCode.PLATFORM_HISTORY_GONE, 0.0)
-        self.list([Item("b", b"2", 9)], 9)
+        self.list([Item("b", b"2", at(9))], 9)
         self.assertEqual(
-            self.reported_items[1:], [Item("a", None, 9), Item("b", b"2", 9)]
+            self.reported_items[1:], [Item("a", None, at(9)), Item("b", b"2", at(9))]
         )
 
     def test_an_older_update_from_a_peer_is_ignored(self):
-        self.list([Item("a", b"new", 8)], 8)
-        self.watch_cache.handle_updates([Item("a", b"old", 4)])
+        self.list([Item("a", b"new", at(8))], 8)
+        self.watch_cache.handle_updates([Item("a", b"old", at(4))])
         self.assertEqual(self.watch_cache.values["a"], b"new")
 
     def test_a_late_update_does_not_restore_a_deleted_key(self):
-        self.list([Item("a", b"1", 3)], 5)
+        self.list([Item("a", b"1", at(3))], 5)
         self.watch_cache.tick(0.0)
-        self.watch_cache.handle_changes(Changes([Item("a", None, 6)], 6), 0.0)
-        self.watch_cache.handle_updates([Item("a", b"1", 3)])
+        self.watch_cache.handle_changes(Changes([Item("a", None, at(6))], at(6)), 0.0)
+        self.watch_cache.handle_updates([Item("a", b"1", at(3))])
         self.assertNotIn("a", self.watch_cache.values)
 
     def count_watches(self, members, is_reader=False):
         """Count the watches of ten seconds in which a member changes every 50 ms."""
-        keys = [Item(f"n{number}", b"", 1) for number in range(members)]
+        keys = [Item(f"n{number}", b"", at(1)) for number in range(members)]
         self.watch_cache.set_prefix("n", is_reader)
         self.watch_cache.tick(0.0)
-        self.watch_cache.handle_listing(Listing(keys, 1))
+        self.watch_cache.handle_listing(Listing(keys, at(1)))
         watches = 0
         for step in range(200):
             if self.watch_cache.tick(step / 20) is not None:
                 watches += 1
-                changes = Changes([Item("n0", b"", 2 + step)], 2 + step)
+                changes = Changes([Item("n0", b"", at(2 + step))], at(2 + step))
                 self.watch_cache.handle_changes(changes, step / 20)
         return watches
 
