--- a/specs/run.py
+++ b/specs/run.py
@@ -4,9 +4,9 @@
 
 from minicheck import check_liveness, check_safety
 
-from specs import acceptance, distribution, keys, membership
+from specs import acceptance, distribution, keys, membership, store_era
 
-ALL_SPECS = (acceptance, distribution, membership, keys)
+ALL_SPECS = (acceptance, distribution, membership, keys, store_era)
 MAX_STATES = 400_000
 
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -86,6 +86,8 @@
         self.changed = asyncio.Event()
         self.calls = 0
         self.watched_prefixes = []
+        # When the calls that count as writes arrived, in seconds of the loop's clock.
+        self.write_times = []
         self.era = 1
         self.era_header = None
 
@@ -148,6 +150,8 @@
             return
         if self.fault is Fault.UNRESPONSIVE:
             return
+        if method == "POST" and "kv-keep" not in target:
+            self.write_times.append(asyncio.get_running_loop().time())
         path, _, text = target.partition("?")
         query = dict(parse_qsl(text))
         status, value = await self._perform(method, path, query, body)
