--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -289,7 +289,7 @@
     ),
     Mutant(
         "a started process forgets what the one before it acknowledged",
-        "sidecar/_sidecar.py",
+        "sidecar/_announcement_handler.py",
         "        self.local_server.restore_departures(found, self.now())\n",
         "        pass\n",
         "tests.test_forgotten_leave",
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -11,9 +11,6 @@
 
 from daisylink.clock import Clock, SystemClock
 from daisylink.errors import (
-    DaisylinkError,
-    NodeError,
-    ResultCode,
     SettingError,
 )
 from daisylink.http_server import WebRequest, WebResponse
@@ -23,7 +20,6 @@
     DepartureLog,
     DepartureSweeper,
     DepartureSweeperSettings,
-    Item,
     MemberSettings,
     MemberTable,
     Publisher,
@@ -40,9 +36,6 @@
 )
 from daisylink.request import Fingerprint
 from daisylink.serving import (
-    Announcement,
-    AnnouncementResult,
-    Departure,
     Gateway,
     LoadBalancer,
     LocalServer,
@@ -52,10 +45,9 @@
     Metrics,
     Quarantine,
     RetryBudgetSettings,
-    ServerStart,
-    ServerState,
 )
 from daisylink.settings import SidecarSettings
+from daisylink.sidecar._announcement_handler import AnnouncementHandler
 from daisylink.sidecar._change_feed import ChangeFeed
 from daisylink.sidecar._compressed_version import COMPRESSED_VERSION_KEY
 from daisylink.sidecar._era_recovery import EraRecovery
@@ -68,7 +60,6 @@
     member_key,
 )
 from daisylink.sidecar._gauges import add_gauges
-from daisylink.sidecar._leave_acknowledger import LeaveAcknowledger
 from daisylink.sidecar._listeners import Listeners
 from daisylink.sidecar._peer_exchange import PeerExchange
 from daisylink.sidecar._peer_versions import PeerVersions
@@ -135,10 +126,16 @@
             LocalServerSettings(lease=lease), awaits_departures=True
         )
         self.departure_log = DepartureLog(BackoffSettings(), rng)
-        self.leave_acknowledger = LeaveAcknowledger(
-            self.loop, self.departure_log, platform_adapter.make_response
-        )
         self.metrics = Metrics(node, settings.zone, reads_latency=False)
+        self.announcement_handler = AnnouncementHandler(
+            settings,
+            platform_adapter,
+            self.local_server,
+            self.departure_log,
+            self.metrics,
+            self.now,
+            self.update_server,
+        )
         self.gateway = Gateway(
             clock,
             self.loop,
@@ -173,7 +170,7 @@
                 self._handle_members_change,
                 lambda strikes: quarantine.merge_strikes(strikes, self.now()),
                 self.gateway.in_flight_tracker.forget,
-                self._handle_own_departures,
+                self.announcement_handler.handle_stored_departures,
             ),
         )
         ttl = max(settings.min_lease_ttl, RegistrationSettings().ttl)
@@ -276,7 +273,7 @@
         )
         await listeners.listen_auxiliary(settings.ready, self._check_ready)
         await listeners.listen_auxiliary(
-            settings.announcements, self._receive_announcement
+            settings.announcements, self.announcement_handler.handle_request
         )
         await listeners.listen_auxiliary(
             settings.peers, self.peer_exchange.handle_request
@@ -367,7 +364,7 @@
         needs_peers = self.is_store_unavailable or self.fleet_state.is_deferring
         self.peer_exchange.tick(now, needs_peers)
         self.change_feed.notify_waiters()
-        self.leave_acknowledger.notify_waiters()
+        self.announcement_handler.acknowledger.notify_waiters()
         if now >= self.local_server.wake_at:
             self.loop.call_soon(self.update_server)
         self._set_timer(now)
@@ -414,22 +411,14 @@
         if key not in cache.values:
             self.registration.mark_unwritten()
         has_key = departure_key(self.members.own_record.node) in cache.values
-        self.departure_log.handle_listing(cache.revision, has_key)
+        is_deferring = self.fleet_state.is_deferring
+        self.announcement_handler.handle_listing(
+            cache.revision, has_key, is_complete=not is_deferring
+        )
         has_compressed = COMPRESSED_VERSION_KEY in cache.values
         self.fleet_state.handle_listing(cache.revision, has_compressed)
-        if self.fleet_state.is_deferring:
+        if is_deferring:
             self.era_recovery.settle()
-        elif self.local_server.awaits_departures:
-            self._end_restore()
-
-    def _end_restore(self, is_complete: bool = True) -> None:
-        """Take the local server into service, now that departures are known.
-
-        :param is_complete: whether the store cannot have lost any.
-        """
-        self.local_server.end_restore(is_complete)
-        if self.local_server.announcement is not None:
-            self.loop.call_soon(self.update_server)
 
     # Eras of the store
 
@@ -449,22 +438,11 @@
         if has_settled:
             self._handle_members_change()
             if self.local_server.awaits_departures:
-                self._end_restore(is_complete=False)
+                self.announcement_handler.end_restore(is_complete=False)
         has_answer = self.peer_exchange.answered_at >= self.era_recovery.began_at
         if self.fleet_state.is_deferring and (has_answer or has_settled):
             self.fleet_state.end_deferral()
 
-    # Departures of the local server
-
-    def _handle_own_departures(self, item: Item) -> None:
-        try:
-            found = self.departure_log.handle_item(item)
-        except msgspec.MsgspecError as error:
-            log.bind(revision=item.revision).error("departures unreadable: {}", error)
-            return
-        self.local_server.restore_departures(found, self.now())
-        self.loop.call_soon(self.update_server)
-
     def _list_departures(self) -> dict[str, StoreRevision]:
         """Return the revisions of all nodes' departures, by node."""
         revisions = self.watch_cache.list_revisions(DEPARTURE_PREFIX)
@@ -539,63 +517,6 @@
             return WebResponse()
         return WebResponse(HTTPStatus.SERVICE_UNAVAILABLE)
 
-    def _receive_announcement(
-        self, request: WebRequest
-    ) -> WebResponse | asyncio.Future[WebResponse]:
-        try:
-            message = self.platform_adapter.decode_announcement(request)
-            departed = self._handle_announcement(message)
-        except DaisylinkError as error:
-            log.bind(code=int(error.code)).warning("announcement refused: {}", error)
-            is_unknown = error.code is ResultCode.ADMIN_NOT_FOUND
-            status = HTTPStatus.NOT_FOUND if is_unknown else HTTPStatus.BAD_REQUEST
-            return WebResponse.from_error(error, status)
-        if departed is not None:
-            return self.leave_acknowledger.respond(departed)
-        return self.platform_adapter.make_response()
-
-    def _handle_announcement(
-        self, message: Announcement | Departure
-    ) -> ServerStart | None:
-        """Apply a message; return the start of the server that drains or leaves."""
-        departed = None
-        match message:
-            case Announcement(pool=pool) if pool != self.settings.pool:
-                raise NodeError(f"pool {pool} is not served here")
-            case Announcement():
-                server = self.settings.server
-                result = self.local_server.handle_announcement(
-                    message._replace(address=server), self.now()
-                )
-                self._record_announcement(message, result)
-                if message.state is ServerState.DRAINING:
-                    departed = ServerStart(message.instance, message.born)
-            case Departure():
-                log.bind(
-                    instance=message.instance,
-                    born=message.born,
-                    newest=self.local_server.newest,
-                ).info("backend server leaves")
-                departed = self.local_server.handle_departure(message, self.now())
-        self.update_server()
-        return departed
-
-    def _record_announcement(
-        self, announcement: Announcement, result: AnnouncementResult
-    ) -> None:
-        """Count an announcement; log one that was ignored."""
-        self.metrics.record_announcement(result.value)
-        if result is AnnouncementResult.APPLIED:
-            return
-        log.bind(
-            instance=announcement.instance,
-            born=announcement.born,
-            sequence=announcement.sequence,
-            state=announcement.state.name,
-            reason=result.value,
-            newest=self.local_server.newest,
-        ).info("announcement ignored")
-
     def _export_metrics(self, _request: WebRequest) -> WebResponse:
         return WebResponse(body=self.metrics.format_text(), content_type=METRICS_TYPE)
 
