Eras: a header too long for a number is refused, a store without eras is noted once

int() refuses more than 4,300 digits with a ValueError that no caller expects; a test with 5,000 digits. The log says once if the store states no era.

--- a/src/daisylink/platform/_store.py
+++ b/src/daisylink/platform/_store.py
@@ -24,6 +24,8 @@
 # Time for a megabyte, the longest page, on a link of 2.5 Mbit/s.
 READ_TIMEOUT_SECONDS = 3.5
 ERA_HEADER = b"store-era"
+# Of a number that fits 63 bits.
+MAX_ERA_DIGITS = 18
 RESULT_CODES = {
     HTTPStatus.TOO_MANY_REQUESTS: ResultCode.PLATFORM_LIMITED,
     HTTPStatus.GONE: ResultCode.PLATFORM_HISTORY_GONE,
@@ -198,7 +200,8 @@
 def _parse_era(response: HttpResponse) -> int | None:
     """Return the era that a response states, None if it states no number."""
     text = response.headers.get(ERA_HEADER, b"")
-    return int(text) if text.isdigit() else None
+    is_number = text.isdigit() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if is_number else None
 
 
 def _check_era(revision: StoreRevision, era: int) -> None:
--- a/src/daisylink/registry/__init__.py
+++ b/src/daisylink/registry/__init__.py
@@ -13,11 +13,7 @@
     DepartureSweeper,
     DepartureSweeperSettings,
 )
-from daisylink.registry._departures import (
-    DepartureLog,
-    WriteDepartures,
-    decode_departures,
-)
+from daisylink.registry._departures import DepartureLog, WriteDepartures
 from daisylink.registry._era import EraTracker
 from daisylink.registry._members import MemberSettings, MemberTable
 from daisylink.registry._readers import (
@@ -91,6 +87,5 @@
     "WatchKeys",
     "WriteDepartures",
     "WriteRecord",
-    "decode_departures",
     "rank_readers",
 ]
--- a/src/daisylink/registry/_departures.py
+++ b/src/daisylink/registry/_departures.py
@@ -29,14 +29,6 @@
     revision: StoreRevision
 
 
-def decode_departures(value: bytes) -> tuple[ServerStart, ...]:
-    """Decode the departures of a node.
-
-    :raises msgspec.MsgspecError: if they cannot be decoded.
-    """
-    return msgspec.msgpack.decode(value, type=tuple[ServerStart, ...])
-
-
 class DepartureLog:
     """The departures that this node must not forget, and those that the store holds.
 
@@ -120,7 +112,7 @@
         if item.value is None:
             self._record_stored((), item.revision._replace(number=0))
             return ()
-        found = decode_departures(item.value)
+        found = msgspec.msgpack.decode(item.value, type=tuple[ServerStart, ...])
         self._record_stored(found, item.revision)
         return found
 
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -403,6 +403,8 @@
             self.store_driver.restart_watch("key prefix changed", is_urgent=True)
 
     def _handle_listing(self) -> None:
+        if not self.fleet_state.has_listed and not self.era_tracker.current:
+            log.info("the store states no era")
         self.role.handle_listing()
         if not self.role.is_reader:
             self.fleet_state.accept_compressed_versions()
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -249,7 +249,7 @@
         async def scenario(store, machine):
             sidecar = machine.sidecar
             await self.wait_for(lambda: sidecar.registration.is_written)
-            for header in ("x", "", "0", "-1", "1e3"):
+            for header in ("x", "", "0", "-1", "1e3", "9" * 5000):
                 store.era_header = header
                 store.abort_connections()
                 store.put(platform.CONFIG_KEY, make_version(14))
