A leave without a birth covers all starts of its server that were born before it

What callers would see: requests reach a server after its leave was acknowledged, when the leave came to a process that had not heard from the server and a heartbeat of its first moments arrives late.

Change: server and node share a clock, so a leave without a birth bounds it by the time of the message; departures are kept as the last birth by instance. Doubts, their ten seconds and the sequence rule go away.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -269,7 +269,7 @@
     Mutant(
         "an announcement of a server that left brings it back",
         "serving/_local_server.py",
-        "        if not is_draining and self._has_departed(announcement, now):\n",
+        "        if not is_draining and self._has_departed(announcement):\n",
         "        if False:\n",
         "tests.test_sidecar",
     ),
@@ -290,7 +290,7 @@
     Mutant(
         "a started process forgets what the one before it acknowledged",
         "sidecar/_announcement_handler.py",
-        "        self.local_server.restore_departures(found, self.now())\n",
+        "        self.local_server.restore_departures(found)\n",
         "        pass\n",
         "tests.test_forgotten_leave",
     ),
@@ -312,8 +312,9 @@
     Mutant(
         "a server that left before its node knew it comes back",
         "serving/_local_server.py",
-        "        self.departed_unborn[instance] = now + hold\n",
-        "        pass\n",
+        "        return self._record_departed(ServerStart(departure.instance, born"
+        " or left_ms))\n",
+        "        return self._record_departed(ServerStart(departure.instance, born))\n",
         "tests.test_local_server",
     ),
     Mutant(
--- a/src/daisylink/serving/_local_server.py
+++ b/src/daisylink/serving/_local_server.py
@@ -17,9 +17,7 @@
 from daisylink.errors import NodeError, ResultCode
 from daisylink.serving._records import MemberRecord, ServerState
 
-# Announcements up to this sequence number come from a server's first moments.
-LAST_START_SEQUENCE = 2
-# Starts at one address follow each other seconds apart, so that announcements of older
+# Servers at one address follow each other seconds apart, so that announcements of older
 # ones are no longer under way.
 MAX_DEPARTURES = 16
 
@@ -32,8 +30,6 @@
     :param flap_allowance: returns in the window that have no penalty.
     :param flap_penalty: first time out of service; doubles with each further return.
     :param max_flap_penalty: maximum time out of service.
-    :param departure_hold: how late an announcement may arrive after the server that
-        sent it has left.
     """
 
     lease: timedelta = timedelta(seconds=5)
@@ -41,7 +37,6 @@
     flap_allowance: int = 3
     flap_penalty: timedelta = timedelta(seconds=5)
     max_flap_penalty: timedelta = timedelta(seconds=60)
-    departure_hold: timedelta = timedelta(seconds=10)
 
 
 class Announcement(NamedTuple):
@@ -72,7 +67,7 @@
     """One start of a backend server.
 
     :param instance: name of the start, as in its announcements.
-    :param born: start time on the server's own clock, 0 if unknown.
+    :param born: start time on the server's own clock, in milliseconds.
     """
 
     instance: str
@@ -114,10 +109,8 @@
         self.kept_out_until = float("-inf")
         self.failed = False
         self.newest = (0, 0)
-        # Starts that drain or left, the latest last.
-        self.departed: dict[ServerStart, None] = {}
-        # Until when announcements of an instance are doubted, by instance.
-        self.departed_unborn: dict[str, float] = {}
+        # Birth of the last start that drains or left, by instance, the latest last.
+        self.departed: dict[str, int] = {}
 
     @property
     def state(self) -> ServerState:
@@ -137,8 +130,11 @@
 
     @property
     def departures(self) -> tuple[ServerStart, ...]:
-        """Return the starts of the server that must not get new requests again."""
-        return tuple(self.departed)
+        """Return the starts that must not get new requests again.
+
+        Neither must earlier starts of their instances.
+        """
+        return tuple(ServerStart(*item) for item in self.departed.items())
 
     def handle_announcement(
         self, announcement: Announcement, now: float
@@ -156,7 +152,7 @@
         order = (announcement.born, announcement.sequence)
         if order < self.newest:
             return AnnouncementResult.OLDER
-        if not is_draining and self._has_departed(announcement, now):
+        if not is_draining and self._has_departed(announcement):
             return AnnouncementResult.DEPARTED
         self.newest = order
         is_return = self.state is ServerState.ABSENT
@@ -193,12 +189,14 @@
         """Forget the server."""
         self.announcement = None
 
-    def handle_departure(self, departure: Departure, now: float) -> ServerStart:
+    def handle_departure(self, departure: Departure, left_ms: int) -> ServerStart:
         """Handle a departure: accept no new requests; running ones finish.
 
         The server may be one that this process never saw, because the process started
         after the server's last announcement, or one that another server has replaced.
 
+        :param left_ms: wall-clock time of the departure in milliseconds, before which
+            a server of unknown birth was born.
         :returns: the start that leaves.
         """
         announcement = self.announcement
@@ -206,22 +204,16 @@
             announcement is not None and announcement.instance == departure.instance
         )
         born = departure.born or (announcement.born if is_announced else 0)
-        start = ServerStart(departure.instance, born)
-        self._record_departed(start)
-        if not born:
-            self._doubt(departure.instance, now)
-        elif announcement is not None and born >= announcement.born:
+        if born and announcement is not None and born >= announcement.born:
             self.drain()
-        return start
+        return self._record_departed(ServerStart(departure.instance, born or left_ms))
 
-    def restore_departures(self, starts: Iterable[ServerStart], now: float) -> None:
+    def restore_departures(self, starts: Iterable[ServerStart]) -> None:
         """Add the departures that a former process has acknowledged."""
         for start in starts:
             self._record_departed(start)
-            if not start.born:
-                self._doubt(start.instance, now)
         announcement = self.announcement
-        if announcement is not None and self._has_departed(announcement, now):
+        if announcement is not None and self._has_departed(announcement):
             self.drain()
 
     def end_restore(self, is_complete: bool = True) -> None:
@@ -262,34 +254,18 @@
             instance=announcement.instance,
         )
 
-    def _has_departed(self, announcement: Announcement, now: float) -> bool:
-        """Return whether an announcement comes from a server that has left.
+    def _has_departed(self, announcement: Announcement) -> bool:
+        """Return whether an announcement comes from a server that drains or left."""
+        last_born = self.departed.get(announcement.instance)
+        return last_born is not None and announcement.born <= last_born
 
-        If the departure did not state which start of the instance left, a later start
-        is recognized by its low sequence number.
-        """
-        instance = announcement.instance
-        if not instance:
-            return False
-        start = ServerStart(instance, announcement.born)
-        if start in self.departed:
-            return True
-        doubted_until = self.departed_unborn.get(instance, float("-inf"))
-        if now >= doubted_until or announcement.sequence <= LAST_START_SEQUENCE:
-            self.departed_unborn.pop(instance, None)
-            return False
-        self._record_departed(start)
-        return True
-
-    def _record_departed(self, start: ServerStart) -> None:
-        self.departed.setdefault(start)
+    def _record_departed(self, start: ServerStart) -> ServerStart:
+        """Note that a start and those before it have left; return the latest one."""
+        last_born = self.departed.pop(start.instance, 0)
+        self.departed[start.instance] = max(start.born, last_born)
         while len(self.departed) > MAX_DEPARTURES:
             del self.departed[next(iter(self.departed))]
-
-    def _doubt(self, instance: str, now: float) -> None:
-        """Doubt announcements of an instance of which it is unknown what start left."""
-        hold = self.settings.departure_hold.total_seconds()
-        self.departed_unborn[instance] = now + hold
+        return ServerStart(start.instance, self.departed[start.instance])
 
     def _count_return(self, now: float) -> None:
         window = self.settings.flap_window.total_seconds()
--- a/src/daisylink/sidecar/_announcement_handler.py
+++ b/src/daisylink/sidecar/_announcement_handler.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from daisylink.clock import Clock
 from daisylink.errors import DaisylinkError, NodeError, ResultCode
 from daisylink.http_server import WebRequest, WebResponse
 from daisylink.logs import get_logger
@@ -23,6 +24,8 @@
 from daisylink.sidecar._leave_acknowledger import LeaveAcknowledger
 from daisylink.sidecar._platform_adapter import PlatformAdapter
 
+MS_PER_SECOND = 1000
+
 log = get_logger("sidecar")
 
 
@@ -32,7 +35,6 @@
     A process that starts takes the server into service only once it knows what a
     former process at this address has acknowledged.
 
-    :param now: returns the monotonic time in seconds.
     :param on_change: called after the server's state may have changed.
     """
 
@@ -43,7 +45,7 @@
         local_server: LocalServer,
         departure_log: DepartureLog,
         metrics: Metrics,
-        now: Callable[[], float],
+        clock: Clock,
         on_change: Callable[[], None],
     ):
         self.pool = settings.pool
@@ -52,7 +54,7 @@
         self.local_server = local_server
         self.departure_log = departure_log
         self.metrics = metrics
-        self.now = now
+        self.clock = clock
         self.on_change = on_change
         self.loop = asyncio.get_running_loop()
         self.acknowledger = LeaveAcknowledger(
@@ -83,7 +85,7 @@
         except msgspec.MsgspecError as error:
             log.bind(revision=item.revision).error("departures unreadable: {}", error)
             return
-        self.local_server.restore_departures(found, self.now())
+        self.local_server.restore_departures(found)
         self.loop.call_soon(self.on_change)
 
     def handle_listing(
@@ -120,10 +122,12 @@
                     born=message.born,
                     newest=self.local_server.newest,
                 ).info("backend server leaves")
-                return self.local_server.handle_departure(message, self.now())
+                left_ms = round(self.clock.now().timestamp() * MS_PER_SECOND)
+                return self.local_server.handle_departure(message, left_ms)
 
     def _announce(self, announcement: Announcement) -> ServerStart | None:
-        result = self.local_server.handle_announcement(announcement, self.now())
+        now = self.clock.monotonic()
+        result = self.local_server.handle_announcement(announcement, now)
         self.metrics.record_announcement(result.value)
         if result is not AnnouncementResult.APPLIED:
             log.bind(
@@ -135,5 +139,6 @@
                 newest=self.local_server.newest,
             ).info("announcement ignored")
         if announcement.state is ServerState.DRAINING:
-            return ServerStart(announcement.instance, announcement.born)
+            last_born = self.local_server.departed[announcement.instance]
+            return ServerStart(announcement.instance, last_born)
         return None
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -133,7 +133,7 @@
             self.local_server,
             self.departure_log,
             self.metrics,
-            self.now,
+            clock,
             self.update_server,
         )
         self.gateway = Gateway(
--- a/tests/test_forgotten_leave.py
+++ b/tests/test_forgotten_leave.py
@@ -36,7 +36,7 @@
     :param folder: holds the settings file.
     """
 
-    def __init__(self, store, server, folder):
+    def __init__(self, store, server, folder, zone="a"):
         ports = {
             name: f"{LOOPBACK_HOST}:{reserve_port()}"
             for name in ("inbound", "outbound", "ready", "control")
@@ -46,7 +46,7 @@
         peers = reserve_port()
         settings = {
             "node": "n-1",
-            "zone": "a",
+            "zone": zone,
             "ip": LOOPBACK_HOST,
             "service": SERVICE,
             "app_addr": server.address,
@@ -56,13 +56,21 @@
             "platform": {"address": store.address},
         }
         self.path.write_bytes(msgspec.json.encode(settings))
+        self.log_file = self.path.with_suffix(".log").open("ab")
         self.process = None
 
-    def start(self):
+    def start(self, sources=None):
+        """Start the process, whose log is added to the one of earlier starts.
+
+        :param sources: folder of the sources, None for the installed ones.
+        """
+        environment = {**os.environ, "DAISYLINK_CONFIG": str(self.path)}
+        if sources is not None:
+            environment["PYTHONPATH"] = sources
         self.process = subprocess.Popen(
             [sys.executable, "-m", "daisylink.sidecar"],
-            env={**os.environ, "DAISYLINK_CONFIG": str(self.path)},
-            stdout=subprocess.DEVNULL,
+            env=environment,
+            stdout=self.log_file,
         )
 
     def kill(self):
@@ -70,18 +78,23 @@
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
 
+    def close(self):
+        self.kill()
+        self.log_file.close()
+
     async def wait_until_ready(self):
         async with asyncio.timeout(START_SECONDS):
             while await self.call("ready", "GET", platform.READY_PATH) != 200:
                 await asyncio.sleep(POLL_SECONDS)
 
-    async def send_heartbeat(self, state, sequence):
+    async def send_heartbeat(self, state, sequence, instance=INSTANCE, start=0):
         body = {**HEARTBEAT, "service": SERVICE, "state": state, "seq": sequence}
-        target = f"/-/rpc?call=instances.heartbeat&of={INSTANCE}"
+        body["born"] += start
+        target = f"/-/rpc?call=instances.heartbeat&of={instance}"
         return await self.call("control", "POST", target, msgspec.json.encode(body))
 
-    async def send_leave(self):
-        target = f"/-/rpc?call=instances.leave&of={INSTANCE}"
+    async def send_leave(self, instance=INSTANCE):
+        target = f"/-/rpc?call=instances.leave&of={instance}"
         return await self.call("control", "POST", target)
 
     async def call(self, listener, method, target, body=b""):
@@ -114,7 +127,7 @@
         self.addCleanup(self.server.close)
         folder = self.enterContext(tempfile.TemporaryDirectory())
         self.node = SidecarProcess(self.store, self.server, folder)
-        self.addCleanup(self.node.kill)
+        self.addCleanup(self.node.close)
         self.node.start()
         await self.node.wait_until_ready()
         self.assertEqual(await self.node.send_heartbeat("ready", 5), 200)
@@ -128,9 +141,9 @@
         self.node.start()
         await self.node.wait_until_ready()
 
-    async def assert_stays_closed(self):
+    async def assert_stays_closed(self, sequence=5):
         """Deliver a heartbeat of before the leave, late; the server gets nothing."""
-        self.assertEqual(await self.node.send_heartbeat("ready", 5), 200)
+        self.assertEqual(await self.node.send_heartbeat("ready", sequence), 200)
         self.assertEqual(await self.node.request("after"), 503)
         self.assertEqual(self.server.runs, ["before"])
 
@@ -149,3 +162,8 @@
         await self.restart()
         self.assertEqual(await self.node.send_leave(), 200)
         await self.assert_stays_closed()
+
+    async def test_such_a_leave_is_undone_by_the_servers_first_heartbeat(self):
+        await self.restart()
+        self.assertEqual(await self.node.send_leave(), 200)
+        await self.assert_stays_closed(sequence=1)
