A process that starts after the store came back doubts its server until it proves itself

What callers would see: requests reach a server after its leave was acknowledged, if the store came back without the leave and the process that knew it was killed before it wrote it again.

Cause: 'complete' was inferred from the moment's listing. Change: records say for ten seconds whether their node has settled since the era rose, and the own former record is read too; a process that starts in that time serves its server only after two announcements with rising numbers, since one that left sends no new ones and late ones come singly.

--- a/bench/leave_drill.py
+++ b/bench/leave_drill.py
@@ -4,7 +4,9 @@
 load. Servers leave, with or without saying that they drain, and serve on for some
 seconds; their last heartbeat of before is delivered again, late; the processes are
 killed soon after the acknowledgement, alone or all at once. Counted are requests that
-reach a server later than the time to drain after its leave was acknowledged.
+reach a server later than the time to drain after its leave was acknowledged. With
+--store-returns the store also comes back from a copy of three seconds ago, every nine
+seconds.
 
     python -m bench.leave_drill --seed 1 --seconds 60 --sources src
 """
@@ -34,6 +36,8 @@
 CALLS_PER_SECOND = 20
 KILL_ALL_SHARE = 0.2
 ABRUPT_SHARE = 0.5
+COPY_AGE_SECONDS = 3.0
+STORE_PAUSE_SECONDS = 6.0
 
 
 class TimedServer(ServerStandIn):
@@ -165,7 +169,7 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def run(self, seconds):
+    async def run(self, seconds, store_returns=False):
         await self.store.start()
         self.store.put(platform.CONFIG_KEY, make_configuration())
         try:
@@ -177,6 +181,8 @@
                 self.spawn(slot.announce())
                 self.spawn(self.call(slot))
             await asyncio.sleep(2.0)
+            if store_returns:
+                self.spawn(self.return_store())
             await self.make_servers_leave(self.now() + seconds)
         finally:
             for task in list(self.tasks):
@@ -198,6 +204,14 @@
             await asyncio.sleep(self.rng.uniform(0.5, 2.0))
         await asyncio.gather(*leaving)
 
+    async def return_store(self):
+        """Let the store come back from an older copy again and again."""
+        while True:
+            saved = self.store.make_copy()
+            await asyncio.sleep(COPY_AGE_SECONDS)
+            await self.store.come_back(saved)
+            await asyncio.sleep(STORE_PAUSE_SECONDS)
+
     async def kill(self, slot):
         """Kill the process of a slot, or all, and start them again."""
         is_alone = self.rng.random() >= KILL_ALL_SHARE
@@ -235,10 +249,10 @@
     yield path
 
 
-async def play(seed, seconds, sources, logs):
+async def play(seed, seconds, sources, logs, store_returns=False):
     with keep_folder(logs) if logs else tempfile.TemporaryDirectory() as folder:
         drill = Drill(seed, sources, folder)
-        await drill.run(seconds)
+        await drill.run(seconds, store_returns)
     print(f"seed {seed}: {dict(drill.leaves)}")
     print(f"  calls by status: {dict(drill.outcomes)}", flush=True)
     return drill.leaves["requests that reached them"]
@@ -250,9 +264,18 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--sources", help="folder of the sources to run")
     parser.add_argument("--logs", help="new folder in which settings and logs stay")
+    parser.add_argument("--store-returns", action="store_true")
     options = parser.parse_args()
     sources = os.path.abspath(options.sources) if options.sources else None
-    found = asyncio.run(play(options.seed, options.seconds, sources, options.logs))
+    found = asyncio.run(
+        play(
+            options.seed,
+            options.seconds,
+            sources,
+            options.logs,
+            options.store_returns,
+        )
+    )
     raise SystemExit(1 if found else 0)
 
 
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -391,8 +391,8 @@
     Mutant(
         "spread: strikes stay at the node that saw the crash",
         "sidecar/_sidecar.py",
-        "            self.members.own_record, strikes=strikes, era=",
-        "            self.members.own_record, era=",
+        "            strikes=strikes,\n",
+        "",
         "tests.test_strikes",
     ),
     Mutant(
@@ -405,15 +405,15 @@
     Mutant(
         "an old copy of a record brings a node back",
         "sidecar/_fleet_state.py",
-        "        if 0 < record.era < self.era_tracker.current:\n",
-        "        if False:\n",
+        "        return 0 < record.era < self.era_tracker.current\n",
+        "        return False\n",
         "tests.test_store_era",
     ),
     Mutant(
         "a node that starts believes the store's older copy",
         "sidecar/_fleet_state.py",
         "            self.is_deferring = self.version is None\n",
-        "            pass\n",
+        "            self.is_deferring = False\n",
         "tests.test_store_era",
     ),
     Mutant(
@@ -423,6 +423,13 @@
         "        if True:\n",
         "tests.test_store_era",
     ),
+    Mutant(
+        "one late heartbeat is proof that a server has not left",
+        "serving/_local_server.py",
+        "        self.needs_proof = not is_complete\n",
+        "        self.needs_proof = False\n",
+        "tests.test_store_era",
+    ),
     Mutant(
         "a lease is kept over a change of the era",
         "sidecar/_era_recovery.py",
--- a/src/daisylink/serving/_local_server.py
+++ b/src/daisylink/serving/_local_server.py
@@ -109,6 +109,10 @@
         self.kept_out_until = float("-inf")
         self.failed = False
         self.newest = (0, 0)
+        # Whether the server has to prove by a second announcement that it has not left,
+        # and the first one heard of its present start.
+        self.needs_proof = False
+        self.first_heard: Announcement | None = None
         # Birth of the last start that drains or left, by instance, the latest last.
         self.departed: dict[str, int] = {}
 
@@ -130,10 +134,7 @@
 
     @property
     def departures(self) -> tuple[ServerStart, ...]:
-        """Return the starts that must not get new requests again.
-
-        Neither must earlier starts of their instances.
-        """
+        """Return the starts that must not get new requests again, nor earlier ones."""
         return tuple(ServerStart(*item) for item in self.departed.items())
 
     def handle_announcement(
@@ -155,6 +156,7 @@
         if not is_draining and self._has_departed(announcement):
             return AnnouncementResult.DEPARTED
         self.newest = order
+        self._check_proof(announcement)
         is_return = self.state is ServerState.ABSENT
         self.announcement = announcement
         self.failed = False
@@ -220,11 +222,11 @@
         """Take the server into service if it is announced and has not left.
 
         :param is_complete: whether all departures are known; otherwise the server has
-            to be announced again, as one that left is not.
+            to be announced twice, as one that left sends no new announcements and
+            late ones come singly.
         """
         self.awaits_departures = False
-        if not is_complete:
-            self.announcement = None
+        self.needs_proof = not is_complete
 
     def record_unreachable(self) -> None:
         """Take a server that refused a connection out of service until it renews."""
@@ -240,8 +242,8 @@
     def update_record(self, own_record: MemberRecord, now: float) -> MemberRecord:
         """Return the node's record, updated with the server's state."""
         state = self.state
-        is_kept_out = self.awaits_departures or now < self.kept_out_until
-        if state is ServerState.SERVING and is_kept_out:
+        is_doubted = self.awaits_departures or self.needs_proof
+        if state is ServerState.SERVING and (is_doubted or now < self.kept_out_until):
             state = ServerState.STARTING
         announcement = self.announcement
         if announcement is None:
@@ -254,6 +256,13 @@
             instance=announcement.instance,
         )
 
+    def _check_proof(self, announcement: Announcement) -> None:
+        first = self.first_heard
+        if first is None or first.born != announcement.born:
+            self.first_heard = announcement
+        elif announcement.sequence > first.sequence:
+            self.needs_proof = False
+
     def _has_departed(self, announcement: Announcement) -> bool:
         """Return whether an announcement comes from a server that drains or left."""
         last_born = self.departed.get(announcement.instance)
--- a/src/daisylink/serving/_records.py
+++ b/src/daisylink/serving/_records.py
@@ -44,6 +44,8 @@
     :param link_mbps: bandwidth of the machine's link in Mbit/s, 0 if unknown.
     :param strikes: strikes and pardons that the node publishes.
     :param era: era of the store in which the record was written, 0 if unknown.
+    :param is_settled: false for some seconds after the node has noticed that the store
+        came back from an older copy.
     """
 
     node: str
@@ -59,6 +61,7 @@
     link_mbps: float = 0.0
     strikes: tuple[Strike, ...] = ()
     era: int = 0
+    is_settled: bool = True
 
     @property
     def is_alive(self) -> bool:
--- a/src/daisylink/sidecar/_announcement_handler.py
+++ b/src/daisylink/sidecar/_announcement_handler.py
@@ -97,14 +97,8 @@
         :param is_complete: whether the store cannot have lost departures.
         """
         self.departure_log.handle_listing(revision, has_key)
-        if is_complete and self.local_server.awaits_departures:
-            self.end_restore()
-
-    def end_restore(self, is_complete: bool = True) -> None:
-        """Take the server into service, now that departures are known.
-
-        :param is_complete: whether the store cannot have lost departures.
-        """
+        if not self.local_server.awaits_departures:
+            return
         self.local_server.end_restore(is_complete)
         if self.local_server.announcement is not None:
             self.loop.call_soon(self.on_change)
--- a/src/daisylink/sidecar/_era_recovery.py
+++ b/src/daisylink/sidecar/_era_recovery.py
@@ -12,6 +12,9 @@
 WRITE_SHARE = 0.5
 # Records have to be back within two seconds of the store's return.
 MAX_SPREAD_SECONDS = 1.2
+# How long processes that start are told that the store may have lost something: longer
+# than a process that was killed meanwhile takes to start.
+RECENT_SECONDS = 10.0
 MS_PER_SECOND = 1000
 
 log = get_logger("store")
@@ -41,6 +44,7 @@
         self.members = members
         self.writes_per_s = writes_per_s
         self.now = now
+        self.rose_at = float("-inf")
         self.began_at = float("-inf")
         self.settles_at = float("inf")
         self.is_settling = False
@@ -51,6 +55,11 @@
         """Return when :meth:`tick` is due, in monotonic seconds."""
         return self.settles_at if self.is_settling else float("inf")
 
+    @property
+    def is_recent(self) -> bool:
+        """Return whether the era has risen in the last seconds."""
+        return self.now() < self.rose_at + RECENT_SECONDS
+
     def begin(self, previous: int) -> None:
         """Begin to write again what this node keeps in the store.
 
@@ -66,6 +75,7 @@
         self.registration.begin_era(self.now(), spread)
         self.departure_log.begin_era()
         self.is_written = False
+        self.rose_at = self.now()
         self.settle()
 
     def settle(self) -> None:
--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -269,7 +269,7 @@
     def _handle_member(self, item: Item) -> None:
         node = item.key.removeprefix(MEMBER_PREFIX)
         if node == self.members.own_record.node:
-            self.is_own_record_missing = item.value is None
+            self._handle_own_record(item)
             return
         bound_log = log.bind(node=node, revision=item.revision)
         if item.value is None:
@@ -277,12 +277,10 @@
                 bound_log.info("member's record left the store")
                 self.listeners.on_members()
             return
-        try:
-            record = msgspec.msgpack.decode(item.value, type=MemberRecord)
-        except msgspec.MsgspecError as error:
-            bound_log.warning("member's record cannot be read: {}", error)
+        record = self._decode_record(item)
+        if record is None:
             return
-        if 0 < record.era < self.era_tracker.current:
+        if self._is_outdated(record):
             self._handle_outdated_member(record)
             return
         if record.state is MemberState.LEFT:
@@ -300,6 +298,33 @@
             ).info("member changed")
             self.listeners.on_members()
 
+    def _handle_own_record(self, item: Item) -> None:
+        self.is_own_record_missing = item.value is None
+        if item.value is not None and not self.has_listed:
+            self._decode_record(item)
+
+    def _decode_record(self, item: Item) -> MemberRecord | None:
+        """Decode a record; it tells a starting process whether the fleet has settled.
+
+        After the store has come back from an older copy, it may lack what the fleet, or
+        a former process at this address, has known.
+        """
+        try:
+            record = msgspec.msgpack.decode(item.value, type=MemberRecord)
+        except msgspec.MsgspecError as error:
+            log.bind(key=item.key, revision=item.revision).warning(
+                "member's record cannot be read: {}", error
+            )
+            return None
+        is_settled = record.is_settled and not self._is_outdated(record)
+        if not self.has_listed and not is_settled:
+            self.is_deferring = self.version is None
+        return record
+
+    def _is_outdated(self, record: MemberRecord) -> bool:
+        """Return whether a record was written in an earlier era, so is an old copy."""
+        return 0 < record.era < self.era_tracker.current
+
     def _handle_outdated_member(self, record: MemberRecord) -> None:
         """Handle a record of an earlier era, which its node has not written again yet.
 
@@ -308,7 +333,6 @@
         records, and asks their nodes for what the store has lost.
         """
         if not self.has_listed:
-            self.is_deferring = self.version is None
             self.members.put(record)
         if self.members.mark_expired(record.node, self.now()):
             log.bind(node=record.node, era=record.era).info(
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -333,7 +333,10 @@
         self.local_server.tick(now)
         strikes = self.strike_reporter.list_current(now)
         own_record = msgspec.structs.replace(
-            self.members.own_record, strikes=strikes, era=self.era_tracker.current
+            self.members.own_record,
+            strikes=strikes,
+            era=self.era_tracker.current,
+            is_settled=not self.era_recovery.is_recent,
         )
         record = self.local_server.update_record(own_record, now)
         if self.members.set_own_record(record):
@@ -439,8 +442,6 @@
         has_settled = self.era_recovery.tick(now)
         if has_settled:
             self._handle_members_change()
-            if self.local_server.awaits_departures:
-                self.announcement_handler.end_restore(is_complete=False)
         has_answer = self.peer_exchange.answered_at >= self.era_recovery.began_at
         if self.fleet_state.is_deferring and (has_answer or has_settled):
             self.fleet_state.end_deferral()
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -143,6 +143,28 @@
 
         self.run_machines(scenario, count=2)
 
+    def test_a_leave_lost_by_store_and_process_survives_a_late_heartbeat(
+        self,
+    ):
+        """The process is killed before it can write the leave again."""
+
+        async def scenario(store, first, second):
+            saved = store.make_copy()
+            self.assertEqual(await second.send_leave(), 200)
+            second.sidecar.close()
+            await store.come_back(saved)
+            await self.wait_for_records(store, [first])
+            await second.start_sidecar()
+            await self.wait_for(lambda: second.sidecar.is_ready)
+            for _ in range(2):
+                await second.send_heartbeat(seq=1)
+                await asyncio.sleep(1.5)
+                self.assertFalse(second.admission.is_open)
+            await second.send_heartbeat(seq=2)
+            self.assertTrue(second.admission.is_open)
+
+        self.run_machines(scenario, count=2)
+
     def test_a_node_that_starts_meanwhile_takes_the_version_of_its_peers(self):
         async def scenario(store, *machines):
             saved = store.make_copy()
@@ -195,7 +217,7 @@
                 await asyncio.sleep(0.7)
             await coming_back
             await asyncio.sleep(SETTLED_SECONDS)
-            for machine in machines:
+            for machine in machines * 2:
                 await machine.send_heartbeat()
             await self.wait_for_version(machines, 14)
             await self.wait_for(
