--- a/src/daisylink/http_client.py
+++ b/src/daisylink/http_client.py
@@ -25,10 +25,32 @@
     headers: dict[bytes, bytes] = {}
 
 
+class Transfer:
+    """What has arrived of the response to one call.
+
+    :param started_at: when the call began, in seconds of the event loop's clock.
+    """
+
+    def __init__(self, started_at: float):
+        self.started_at = started_at
+        self.received_bytes = 0
+        self.received_at = float("-inf")
+
+    def record(self, size: int, now: float) -> None:
+        """Record bytes that arrived."""
+        self.received_bytes += size
+        self.received_at = now
+
+
 class _Connection(asyncio.Protocol):
-    """A connection that carries one call at a time."""
+    """A connection that carries one call at a time.
 
-    def __init__(self):
+    :param loop: its clock dates the bytes that arrive.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        self.loop = loop
+        self.transfer: Transfer | None = None
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpResponseParser | None = None
         self.response: asyncio.Future[HttpResponse] | None = None
@@ -55,6 +77,8 @@
         if self.response is None or self.response.done():
             self.transport.abort()
             return
+        if self.transfer is not None:
+            self.transfer.record(len(data), self.loop.time())
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
@@ -76,12 +100,16 @@
         if not self.response.done():
             self.response.set_result(response)
 
-    async def call(self, request: bytes) -> HttpResponse:
-        """Send a request and return its response."""
+    async def call(self, request: bytes, transfer: Transfer | None) -> HttpResponse:
+        """Send a request and return its response.
+
+        :param transfer: records what arrives.
+        """
+        self.transfer = transfer
         self.parser = httptools.HttpResponseParser(self)
         self.headers = {}
         self.body = []
-        self.response = asyncio.get_running_loop().create_future()
+        self.response = self.loop.create_future()
         self.transport.write(request)
         return await self.response
 
@@ -97,12 +125,18 @@
         self.idle: list[_Connection] = []
 
     async def call(
-        self, method: str, target: str, timeout_seconds: float, body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        timeout_seconds: float,
+        body: bytes = b"",
+        transfer: Transfer | None = None,
     ) -> HttpResponse:
         """Send a request and return its response.
 
         :param target: path and query.
         :param timeout_seconds: timeout of the call, including the connection setup.
+        :param transfer: records what arrives of the response.
         :raises CallError: with ``was_sent`` if the request may have been carried out.
         """
         lines = [f"{method} {target} HTTP/1.1", f"host: {self.address}"]
@@ -114,7 +148,7 @@
         try:
             async with asyncio.timeout(timeout_seconds):
                 connection = self._acquire_idle() or await self._connect()
-                response = await connection.call(request)
+                response = await connection.call(request, transfer)
         except TimeoutError as error:
             raise CallError("timed out", was_sent=connection is not None) from error
         except OSError as error:
@@ -158,5 +192,7 @@
     async def _connect(self) -> _Connection:
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(_Connection, host, int(port))
+        _, connection = await loop.create_connection(
+            lambda: _Connection(loop), host, int(port)
+        )
         return connection
--- a/src/daisylink/platform/_store.py
+++ b/src/daisylink/platform/_store.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store."""
 
+import asyncio
 from base64 import b64decode, b64encode
 from collections.abc import Sequence
 from datetime import timedelta
@@ -10,7 +11,7 @@
 import msgspec
 
 from daisylink.errors import CallError, PlatformError, ResultCode
-from daisylink.http_client import HttpClient, HttpResponse
+from daisylink.http_client import HttpClient, HttpResponse, Transfer
 from daisylink.platform._units import format_duration, parse_duration
 from daisylink.registry import (
     Changes,
@@ -86,6 +87,7 @@
         self.client = HttpClient(address)
         self.era_tracker = EraTracker()
         self.timeout = timeout.total_seconds()
+        self.transfer: Transfer | None = None
 
     def close(self) -> None:
         """Close the connections."""
@@ -99,7 +101,7 @@
         while True:
             query = {"prefix": prefix, "after": after} if after else {"prefix": prefix}
             target = f"/-/kv-range?{urlencode(query)}"
-            response = await self._call("GET", target, seconds=READ_TIMEOUT_SECONDS)
+            response = await self._read(target, READ_TIMEOUT_SECONDS)
             page = _decode(response, _Page)
             if revision is None:
                 revision = StoreRevision(response.era, page.current_rev)
@@ -124,9 +126,7 @@
             "wait_ms": round(seconds * 1000),
         }
         target = f"/-/kv-watch?{urlencode(query)}"
-        response = await self._call(
-            "GET", target, seconds=seconds + READ_TIMEOUT_SECONDS
-        )
+        response = await self._read(target, seconds + READ_TIMEOUT_SECONDS)
         _check_era(revision, response.era)
         events = _decode(response, _Events)
         items = [_convert(item, response.era) for item in events.events]
@@ -179,13 +179,22 @@
     async def _post(self, target: str, value: dict) -> _Response:
         return await self._call("POST", target, msgspec.json.encode(value))
 
+    async def _read(self, target: str, seconds: float) -> _Response:
+        self.transfer = Transfer(asyncio.get_running_loop().time())
+        return await self._call("GET", target, b"", seconds, self.transfer)
+
     async def _call(
-        self, method: str, target: str, body: bytes = b"", seconds: float = 0.0
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        seconds: float = 0.0,
+        transfer: Transfer | None = None,
     ) -> _Response:
         path = target.partition("?")[0]
         timeout = seconds or self.timeout
         try:
-            response = await self.client.call(method, target, timeout, body)
+            response = await self.client.call(method, target, timeout, body, transfer)
         except CallError as error:
             lost = error.was_sent
             code = ResultCode.PLATFORM_ANSWER_LOST if lost else None
--- a/src/daisylink/registry/_store.py
+++ b/src/daisylink/registry/_store.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import NamedTuple, Protocol
 
+from daisylink.http_client import Transfer
 from daisylink.registry._era import EraTracker
 
 
@@ -67,6 +68,7 @@
     """Interface to the store.
 
     :ivar era_tracker: checks the era that each response states.
+    :ivar transfer: what has arrived of the last listing or watch, None before it.
 
     Every method raises :class:`~daisylink.errors.PlatformError`: with
     ``PLATFORM_ANSWER_LOST`` when a write may have taken effect or may still do so, and
@@ -74,6 +76,7 @@
     """
 
     era_tracker: EraTracker
+    transfer: Transfer | None
 
     async def list(self, prefix: str) -> Listing:
         """Return all keys of a prefix."""
--- a/src/daisylink/sidecar/_change_feed.py
+++ b/src/daisylink/sidecar/_change_feed.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from daisylink.errors import CallError
-from daisylink.http_client import HttpClient
+from daisylink.http_client import HttpClient, Transfer
 from daisylink.http_server import WebRequest, WebResponse
 from daisylink.registry import (
     NO_REVISION,
@@ -144,6 +144,7 @@
 
     def __init__(self):
         self.client: HttpClient | None = None
+        self.transfer: Transfer | None = None
 
     async def watch(self, reader: str, after: StoreRevision) -> Changes | Listing:
         """Return the changes after a revision, or all keys.
@@ -154,8 +155,9 @@
             self.close()
             self.client = HttpClient(reader)
         target = f"{CHANGES_PATH}?after={format_revision(after)}"
+        self.transfer = Transfer(asyncio.get_running_loop().time())
         response = await self.client.call(
-            "GET", target, WAIT_SECONDS + RESPONSE_SECONDS
+            "GET", target, WAIT_SECONDS + RESPONSE_SECONDS, transfer=self.transfer
         )
         if response.status != HTTPStatus.OK:
             raise CallError(f"status {response.status}", was_sent=True)
--- a/src/daisylink/sidecar/_gauges.py
+++ b/src/daisylink/sidecar/_gauges.py
@@ -23,6 +23,16 @@
     metrics.add_gauge(
         "daisylink.members", lambda: len(members.records), "Nodes known to run."
     )
+    metrics.add_gauge(
+        "daisylink.members.expired",
+        lambda: len(members.expired),
+        "Members whose records are missing from the store.",
+    )
+    metrics.add_gauge(
+        "daisylink.reader",
+        lambda: int(sidecar.role.is_reader),
+        "Whether this node reads the configuration itself.",
+    )
     era_tracker = sidecar.era_tracker
     metrics.add_gauge(
         "daisylink.store.era",
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -498,7 +498,18 @@
         self.balancer.invalidate_candidates()
         self._divide_retry_budget()
         if not self.era_recovery.is_settling:
-            self.role.update_rank()
+            self._update_rank()
+
+    def _update_rank(self) -> None:
+        previous = self.role.rank
+        self.role.update_rank()
+        if self.role.rank != previous:
+            log.bind(
+                rank=self.role.rank,
+                previous=previous,
+                members=len(self.members.records),
+                expired=len(self.members.expired),
+            ).info("reader rank changed")
 
     def _divide_retry_budget(self) -> None:
         """Divide the fleet's retry budget among the known members."""
--- a/src/daisylink/sidecar/_store_driver.py
+++ b/src/daisylink/sidecar/_store_driver.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from daisylink.errors import CallError, PlatformError
+from daisylink.http_client import Transfer
 from daisylink.logs import get_logger
 from daisylink.registry import (
     DeleteDepartures,
@@ -37,6 +38,7 @@
 # Minimum time between restarts of the watch, so that a large configuration can pass a
 # narrow link in between.
 REWATCH_INTERVAL_SECONDS = 2.0
+MS_PER_SECOND = 1000
 
 log = get_logger("store")
 
@@ -77,6 +79,8 @@
         self.spawn = spawn
         self.on_call_done = on_call_done
         self.watch_task: asyncio.Task | None = None
+        # Where the pending read comes from: the store or a reader.
+        self.read_source: LeaseStore | ChangeFeedClient = store
         self.watch_restarted_at = float("-inf")
 
     def tick(self, now: float, rank: int | None) -> None:
@@ -109,9 +113,14 @@
         if not is_urgent and now - self.watch_restarted_at < REWATCH_INTERVAL_SECONDS:
             return
         self.watch_restarted_at = now
-        log.bind(reason=reason, revision=self.watch_cache.revision).info(
-            "watch restarted"
-        )
+        transfer = self._get_pending_transfer()
+        log.bind(
+            reason=reason,
+            revision=self.watch_cache.revision,
+            call=type(self.watch_cache.pending).__name__,
+            ms=_count_ms(now - transfer.started_at) if transfer else 0,
+            received_bytes=transfer.received_bytes if transfer else 0,
+        ).info("watch restarted")
         if self.watch_task is not None:
             self.watch_task.cancel()
         self.watch_cache.restart_watch()
@@ -128,6 +137,12 @@
             self.restart_watch("the store's era rose", is_urgent=True)
             self.on_call_done()
 
+    def _get_pending_transfer(self) -> Transfer | None:
+        """Return what has arrived of the pending read, None without one."""
+        if self.watch_cache.pending is None:
+            return None
+        return self.read_source.transfer
+
     def _choose_reader(self, call: WatchKeys) -> str | None:
         """Return the reader to ask, None for the store."""
         # Readers serve only the fleet's own keys.
@@ -163,6 +178,7 @@
         try:
             match call:
                 case ListKeys(prefix):
+                    self.read_source = self.store
                     listing = await self.store.list(prefix)
                     self.watch_cache.handle_listing(listing)
                 case WatchKeys():
@@ -177,6 +193,7 @@
 
     async def _watch(self, call: WatchKeys) -> None:
         reader = self._choose_reader(call)
+        self.read_source = self.store if reader is None else self.change_feed_client
         if reader is None:
             changes = await self.store.watch(call.prefix, call.revision, call.wait)
             self.watch_cache.handle_changes(changes, self.now())
@@ -239,6 +256,10 @@
         self.on_call_done()
 
 
+def _count_ms(seconds: float) -> int:
+    return round(seconds * MS_PER_SECOND)
+
+
 def _log_failure(call: Any, error: PlatformError, had_failed: bool) -> None:
     bound_log = log.bind(call=type(call).__name__, code=int(error.code))
     if had_failed:
