--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -16,6 +16,8 @@
 
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 PAGE_SIZE = 3
+# Time between two pieces of a response on a narrow link.
+NARROW_STEP_SECONDS = 0.1
 
 
 class Fault(Enum):
@@ -90,6 +92,8 @@
         self.write_times = []
         self.era = 1
         self.era_header = None
+        # Bandwidth of every connection, None if responses are sent at once.
+        self.bytes_per_second = None
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -146,7 +150,7 @@
     async def handle_request(self, writer, method, target, headers, body):
         self.calls += 1
         if self.fault is Fault.UNAVAILABLE:
-            self._respond(writer, HTTPStatus.SERVICE_UNAVAILABLE, b"")
+            await self._respond(writer, HTTPStatus.SERVICE_UNAVAILABLE, b"")
             return
         if self.fault is Fault.UNRESPONSIVE:
             return
@@ -156,11 +160,18 @@
         query = dict(parse_qsl(text))
         status, value = await self._perform(method, path, query, body)
         if self.fault is not Fault.LOSE_ANSWERS:
-            self._respond(writer, status, msgspec.json.encode(value))
+            await self._respond(writer, status, msgspec.json.encode(value))
 
-    def _respond(self, writer, status, body):
+    async def _respond(self, writer, status, body):
         era = self.era if self.era_header is None else self.era_header
-        write(writer, status, body, f"Store-Era: {era}\r\n")
+        data = encode(status, body, f"Store-Era: {era}\r\n")
+        step = len(data)
+        if self.bytes_per_second is not None:
+            step = round(self.bytes_per_second * NARROW_STEP_SECONDS)
+        for start in range(0, len(data), step):
+            writer.write(data[start : start + step])
+            if step < len(data):
+                await asyncio.sleep(NARROW_STEP_SECONDS)
 
     async def _perform(self, method, path, query, body):
         match method, path.split("/")[2:]:
@@ -271,7 +282,11 @@
     return head.encode() + body
 
 
-def write(writer, status, body, extra=""):
+def encode(status, body, extra=""):
     length = f"Content-Length: {len(body)}\r\n"
     head = f"HTTP/1.1 {int(status)} X\r\n{extra}{length}\r\n"
-    writer.write(head.encode() + body)
+    return head.encode() + body
+
+
+def write(writer, status, body, extra=""):
+    writer.write(encode(status, body, extra))
--- a/tests/sidecar_case.py
+++ b/tests/sidecar_case.py
@@ -11,8 +11,10 @@
 from daisylink.clock import LoopClock
 from daisylink.http_client import HttpClient
 from daisylink.logs import configure_logging
+from daisylink.registry import ReaderSettings
 from daisylink.settings import Address, SidecarSettings
 from daisylink.sidecar import PlatformAdapter, Sidecar
+from daisylink.sidecar._fleet_state import FLEET_PREFIX
 from daisylink.standin import CallerClient
 from tests.loopback import LOOPBACK_HOST, reserve_port
 from tests.paced_loop import PacedLoop
@@ -20,6 +22,7 @@
 from tests.test_platform import HEARTBEAT, make_configuration
 
 HOST = "a.example"
+ONE_READER = ReaderSettings(max_small_fleet=1, max_readers_per_zone=1, min_readers=1)
 
 
 class Machine:
@@ -136,6 +139,18 @@
                 machine.close()
             store.close()
 
+    async def select_reader(self, machines):
+        """Make one machine the only reader; return it and the others."""
+        for machine in machines:
+            machine.sidecar.role.settings = ONE_READER
+            machine.sidecar._handle_members_change()
+        (reader,) = [m for m in machines if m.sidecar.role.rank == 0]
+        others = [machine for machine in machines if machine is not reader]
+        await self.wait_for(
+            lambda: all(m.sidecar.watch_cache.prefix == FLEET_PREFIX for m in others)
+        )
+        return reader, others
+
     async def wait_for(self, condition, seconds=8.0):
         async with asyncio.timeout(seconds):
             while not condition():
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -11,7 +11,6 @@
     Changes,
     Item,
     Listing,
-    ReaderSettings,
     WatchCache,
     WatchCacheSettings,
 )
@@ -23,27 +22,13 @@
 )
 from daisylink.sidecar._fleet_state import FLEET_PREFIX
 from tests.revisions import at
-from tests.sidecar_case import Machine, SidecarTestCase
+from tests.sidecar_case import ONE_READER, Machine, SidecarTestCase
 from tests.test_platform import make_configuration
 
-ONE_READER = ReaderSettings(max_small_fleet=1, max_readers_per_zone=1, min_readers=1)
-
 
 class LargeFleetTests(SidecarTestCase):
     """Whole configurations filled links of 5 Mbit/s on the calm day of hanbit-grown."""
 
-    async def select_reader(self, machines):
-        """Make one machine the only reader; return it and the others."""
-        for machine in machines:
-            machine.sidecar.role.settings = ONE_READER
-            machine.sidecar._handle_members_change()
-        (reader,) = [m for m in machines if m.sidecar.role.rank == 0]
-        others = [machine for machine in machines if machine is not reader]
-        await self.wait_for(
-            lambda: all(m.sidecar.watch_cache.prefix == FLEET_PREFIX for m in others)
-        )
-        return reader, others
-
     def test_the_rest_of_the_fleet_gets_compressed_versions(self):
         async def scenario(store, *machines):
             reader, others = await self.select_reader(machines)
