A lapse of the leases makes no follower a reader

Callers saw: requests handled by a version older than one accepted more than 2.5 s before (CONFIG), on a fleet of 85 after the store had answered nobody for 3 s and leases ran out.

Cause: readers were selected from the records in the store at that moment. A record that came back unchanged did not count as a change, so the wrong rank stayed.

Fix: the fleet's size counts all known members; while most records are missing at once, and for the time that their nodes have to write them, readers are selected from all members; a record that is back counts as a change; the readers are selected once for all changes of a batch. A few expired readers are still replaced at once.

--- a/src/daisylink/registry/_members.py
+++ b/src/daisylink/registry/_members.py
@@ -2,7 +2,8 @@
 
 A record that disappears without the state ``LEFT`` may have expired because the store
 was unavailable or its owner could not reach it. Its node stays a member for as long as
-it responds, or until it has had time to write the record again.
+it responds, or until it has had time to write the record again. When most records are
+missing at once, that says more about the store than about their nodes.
 """
 
 from collections.abc import Callable
@@ -43,17 +44,31 @@
         self.last_response_at = last_response_at
         self.records: dict[str, MemberRecord] = {own_record.node: own_record}
         self.expired: dict[str, float] = {}
+        # Whether most records were missing a moment ago, and until when it counts.
+        self.is_lapse = False
+        self.lapse_ends_at = float("-inf")
         self.pools: dict[str, dict[str, MemberRecord]] = {}
 
     @property
     def wake_at(self) -> float:
         """Return when :meth:`tick` is due, in monotonic seconds."""
-        return min(self.expired.values(), default=float("inf"))
+        next_due = min(self.expired.values(), default=float("inf"))
+        return min(next_due, self.lapse_ends_at) if self.is_lapse else next_due
 
     def serving(self, pool: str) -> dict[str, MemberRecord]:
         """Return the records of the nodes that serve a pool, by node."""
         return self.pools.get(pool, {})
 
+    def list_current(self) -> dict[str, MemberRecord]:
+        """Return the records in the store, or all known ones during a lapse."""
+        if self.is_lapse:
+            return dict(self.records)
+        return {
+            node: record
+            for node, record in self.records.items()
+            if node not in self.expired
+        }
+
     def set_own_record(self, record: MemberRecord) -> bool:
         """Set this node's record; return whether it changed."""
         if record == self.own_record:
@@ -63,15 +78,15 @@
         return True
 
     def put(self, record: MemberRecord) -> bool:
-        """Store the record of another node; return whether it changed.
+        """Store the record of another node; return whether it changed or is back.
 
         A record of this node is ignored, because the node itself sets its record.
         """
         if record.node == self.own_record.node:
             return False
-        self.expired.pop(record.node, None)
+        was_expired = self.expired.pop(record.node, None) is not None
         if record == self.records.get(record.node):
-            return False
+            return was_expired
         if record.state is MemberState.ALIVE:
             self._put(record)
         else:
@@ -83,6 +98,9 @@
         if node == self.own_record.node or node not in self.records:
             return False
         self.expired.setdefault(node, now + self.rewrite_seconds)
+        if len(self.expired) * 2 > len(self.records):
+            self.is_lapse = True
+            self.lapse_ends_at = now + self.rewrite_seconds
         return True
 
     def tick(self, now: float) -> list[str]:
@@ -100,6 +118,8 @@
             del self.expired[node]
             self._drop(node)
             dropped.append(node)
+        if now >= self.lapse_ends_at:
+            self.is_lapse = False
         return dropped
 
     def _put(self, record: MemberRecord) -> None:
--- a/src/daisylink/registry/_readers.py
+++ b/src/daisylink/registry/_readers.py
@@ -35,7 +35,7 @@
 
 
 def rank_readers(
-    records: Mapping[str, MemberRecord], settings: ReaderSettings
+    records: Mapping[str, MemberRecord], settings: ReaderSettings, fleet_size: int = 0
 ) -> list[str]:
     """Return the nodes that read the configuration itself, in publishing order.
 
@@ -43,8 +43,9 @@
     different readers; then there are a few readers more or fewer.
 
     :param records: records of the running nodes, by node.
+    :param fleet_size: number of known nodes, if some of them may not be running.
     """
-    if len(records) <= settings.max_small_fleet:
+    if max(len(records), fleet_size) <= settings.max_small_fleet:
         return list(records)
     members = _sort(records.values())
     min_wide_mbps = members[0].link_mbps * settings.narrow_link_ratio
--- a/src/daisylink/registry/_role.py
+++ b/src/daisylink/registry/_role.py
@@ -33,6 +33,8 @@
         self.rank: int | None = 0
         self.last_reader_at = float("-inf")
         self.is_fleet_listed = False
+        # Whether members have changed since the readers were selected.
+        self.is_outdated = False
 
     @property
     def is_reader(self) -> bool:
@@ -50,14 +52,15 @@
         return self.rank
 
     def update_rank(self) -> None:
-        """Select the readers from the nodes whose records are in the store."""
+        """Select the readers from the nodes whose records are in the store.
+
+        The fleet's size counts the other members too: most of them will write their
+        records again.
+        """
         members = self.members
-        records = {
-            node: record
-            for node, record in members.records.items()
-            if node not in members.expired
-        }
-        readers = rank_readers(records, self.settings)
+        records = members.list_current()
+        readers = rank_readers(records, self.settings, len(members.records))
+        self.is_outdated = False
         node = members.own_record.node
         self.rank = readers.index(node) if node in readers else None
         candidates = [] if self.is_reader else [records[name] for name in readers]
--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -179,11 +179,12 @@
 
     def tick(self, now: float) -> None:
         """Drop the members whose expired records did not return in time."""
+        was_lapse = self.members.is_lapse
         dropped = self.members.tick(now)
         for node in dropped:
             log.bind(node=node).info("member dropped: its record was not written again")
             self.listeners.on_member_removed(node)
-        if dropped:
+        if dropped or was_lapse != self.members.is_lapse:
             self.listeners.on_members()
 
     def _handle_configuration(self, item: Item) -> None:
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -362,6 +362,7 @@
         if self.fleet_state.is_own_record_missing and self.registration.pending is None:
             self.fleet_state.is_own_record_missing = False
             self.registration.mark_unwritten()
+        self._update_rank()
         self._update_prefix(now)
         self.store_driver.tick(now, self.role.publish_rank)
         needs_peers = self.is_store_unavailable or self.fleet_state.is_deferring
@@ -497,10 +498,12 @@
     def _handle_members_change(self) -> None:
         self.balancer.invalidate_candidates()
         self._divide_retry_budget()
-        if not self.era_recovery.is_settling:
-            self._update_rank()
+        self.role.is_outdated = True
 
     def _update_rank(self) -> None:
+        """Select the readers again, once for all changes of a batch."""
+        if not self.role.is_outdated or self.era_recovery.is_settling:
+            return
         previous = self.role.rank
         self.role.update_rank()
         if self.role.rank != previous:
@@ -509,6 +512,7 @@
                 previous=previous,
                 members=len(self.members.records),
                 expired=len(self.members.expired),
+                lapse=self.members.is_lapse,
             ).info("reader rank changed")
 
     def _divide_retry_budget(self) -> None:
--- a/tests/sidecar_case.py
+++ b/tests/sidecar_case.py
@@ -144,6 +144,7 @@
         for machine in machines:
             machine.sidecar.role.settings = ONE_READER
             machine.sidecar._handle_members_change()
+            machine.sidecar.step()
         (reader,) = [m for m in machines if m.sidecar.role.rank == 0]
         others = [machine for machine in machines if machine is not reader]
         await self.wait_for(
