A read that receives bytes is not begun anew

Cause: each newer version that a peer had cancelled the pending read, at most every 2 s, and a listing timed out 3.5 s after its start, however much had arrived. A transfer that takes longer than the interval is then repeated for ever.

Fix: bytes that arrive extend the timeout of a listing, a watch or a reader's long poll by its stall time, and a read that received bytes within the last second is not restarted. A silent connection is restarted as before. Responses are bounded at 64 MiB, so that bytes without end end the call.

--- a/src/daisylink/http_client.py
+++ b/src/daisylink/http_client.py
@@ -12,6 +12,8 @@
 from daisylink.errors import CallError
 
 MAX_IDLE_CONNECTIONS = 4
+# More than all versions that the store keeps of a large configuration.
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
 class HttpResponse(NamedTuple):
@@ -26,20 +28,28 @@
 
 
 class Transfer:
-    """What has arrived of the response to one call.
+    """What has arrived of a response, which may take long on a narrow link.
+
+    As long as bytes arrive, the call does not time out.
 
     :param started_at: when the call began, in seconds of the event loop's clock.
+    :param stall_seconds: the call times out when nothing arrives for this long.
     """
 
-    def __init__(self, started_at: float):
+    def __init__(self, started_at: float, stall_seconds: float):
         self.started_at = started_at
+        self.stall_seconds = stall_seconds
         self.received_bytes = 0
         self.received_at = float("-inf")
+        self.timeout: asyncio.Timeout | None = None
 
     def record(self, size: int, now: float) -> None:
-        """Record bytes that arrived."""
+        """Record bytes that arrived, and extend the timeout."""
         self.received_bytes += size
         self.received_at = now
+        timeout = self.timeout
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(max(timeout.when(), now + self.stall_seconds))
 
 
 class _Connection(asyncio.Protocol):
@@ -57,6 +67,7 @@
         self.headers: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
         self.keep_alive = True
+        self.received_bytes = 0
 
     @property
     def is_open(self) -> bool:
@@ -73,10 +84,14 @@
             self.response.set_exception(CallError("connection lost", was_sent=True))
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; abort if no call is in progress."""
+        """Parse received bytes; abort if no call is in progress or they do not end."""
         if self.response is None or self.response.done():
             self.transport.abort()
             return
+        self.received_bytes += len(data)
+        if self.received_bytes > MAX_RESPONSE_BYTES:
+            self.transport.abort()
+            return
         if self.transfer is not None:
             self.transfer.record(len(data), self.loop.time())
         try:
@@ -109,6 +124,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.headers = {}
         self.body = []
+        self.received_bytes = 0
         self.response = self.loop.create_future()
         self.transport.write(request)
         return await self.response
@@ -136,7 +152,7 @@
 
         :param target: path and query.
         :param timeout_seconds: timeout of the call, including the connection setup.
-        :param transfer: records what arrives of the response.
+        :param transfer: records what arrives of the response and extends the timeout.
         :raises CallError: with ``was_sent`` if the request may have been carried out.
         """
         lines = [f"{method} {target} HTTP/1.1", f"host: {self.address}"]
@@ -146,7 +162,9 @@
         request = ("\r\n".join(lines) + "\r\n\r\n").encode() + body
         connection = None
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with asyncio.timeout(timeout_seconds) as timeout:
+                if transfer is not None:
+                    transfer.timeout = timeout
                 connection = self._acquire_idle() or await self._connect()
                 response = await connection.call(request, transfer)
         except TimeoutError as error:
--- a/src/daisylink/platform/_store.py
+++ b/src/daisylink/platform/_store.py
@@ -95,13 +95,16 @@
 
     async def list(self, prefix: str) -> Listing:
         """Return all keys of a prefix."""
+        transfer = self._begin_transfer()
         items: list[Item] = []
         revision = None
         after = ""
         while True:
             query = {"prefix": prefix, "after": after} if after else {"prefix": prefix}
             target = f"/-/kv-range?{urlencode(query)}"
-            response = await self._read(target, READ_TIMEOUT_SECONDS)
+            response = await self._call(
+                "GET", target, seconds=READ_TIMEOUT_SECONDS, transfer=transfer
+            )
             page = _decode(response, _Page)
             if revision is None:
                 revision = StoreRevision(response.era, page.current_rev)
@@ -126,7 +129,12 @@
             "wait_ms": round(seconds * 1000),
         }
         target = f"/-/kv-watch?{urlencode(query)}"
-        response = await self._read(target, seconds + READ_TIMEOUT_SECONDS)
+        response = await self._call(
+            "GET",
+            target,
+            seconds=seconds + READ_TIMEOUT_SECONDS,
+            transfer=self._begin_transfer(),
+        )
         _check_era(revision, response.era)
         events = _decode(response, _Events)
         items = [_convert(item, response.era) for item in events.events]
@@ -179,9 +187,10 @@
     async def _post(self, target: str, value: dict) -> _Response:
         return await self._call("POST", target, msgspec.json.encode(value))
 
-    async def _read(self, target: str, seconds: float) -> _Response:
-        self.transfer = Transfer(asyncio.get_running_loop().time())
-        return await self._call("GET", target, b"", seconds, self.transfer)
+    def _begin_transfer(self) -> Transfer:
+        now = asyncio.get_running_loop().time()
+        self.transfer = Transfer(now, READ_TIMEOUT_SECONDS)
+        return self.transfer
 
     async def _call(
         self,
--- a/src/daisylink/sidecar/_change_feed.py
+++ b/src/daisylink/sidecar/_change_feed.py
@@ -155,7 +155,8 @@
             self.close()
             self.client = HttpClient(reader)
         target = f"{CHANGES_PATH}?after={format_revision(after)}"
-        self.transfer = Transfer(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.transfer = Transfer(now, RESPONSE_SECONDS)
         response = await self.client.call(
             "GET", target, WAIT_SECONDS + RESPONSE_SECONDS, transfer=self.transfer
         )
--- a/src/daisylink/sidecar/_store_driver.py
+++ b/src/daisylink/sidecar/_store_driver.py
@@ -35,9 +35,11 @@
 )
 from daisylink.sidecar._fleet_state import departure_key, member_key
 
-# Minimum time between restarts of the watch, so that a large configuration can pass a
-# narrow link in between.
+# Minimum time between restarts of the watch.
 REWATCH_INTERVAL_SECONDS = 2.0
+# A call that received bytes within this time is not unresponsive: on a narrow link a
+# large configuration takes long, and would never arrive if it were begun anew.
+RECEIVING_SECONDS = 1.0
 MS_PER_SECOND = 1000
 
 log = get_logger("store")
@@ -107,13 +109,19 @@
         """Cancel the pending call, which may be unresponsive, and start a new one.
 
         :param is_urgent: whether the pending call watches keys that are no longer
-            wanted, so that the minimum time between restarts does not apply.
+            wanted, so that it is cancelled whatever it has received.
         """
         now = self.now()
-        if not is_urgent and now - self.watch_restarted_at < REWATCH_INTERVAL_SECONDS:
-            return
-        self.watch_restarted_at = now
         transfer = self._get_pending_transfer()
+        if not is_urgent:
+            if now - self.watch_restarted_at < REWATCH_INTERVAL_SECONDS:
+                return
+            if transfer and now - transfer.received_at < RECEIVING_SECONDS:
+                log.bind(reason=reason, received_bytes=transfer.received_bytes).info(
+                    "watch not restarted: it receives bytes"
+                )
+                return
+        self.watch_restarted_at = now
         log.bind(
             reason=reason,
             revision=self.watch_cache.revision,
