A node that is behind asks a peer for the version beside its watch

Callers saw: requests handled by an older version at nodes whose watch was choked.

Cause: a node that heard of a newer version restarted its watch first and asked a peer only a second later, one at a time and with 0.5 s for the whole answer. The answer held the whole configuration beside its compressed copy, or everything changed since.

Fix: a peer is asked at once, up to three while none answers, with 2 s to begin and for as long as bytes arrive; peers send the version compressed, once, and only to one that lacks it. What came of it is logged.

--- a/src/daisylink/sidecar/_peer_exchange.py
+++ b/src/daisylink/sidecar/_peer_exchange.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from daisylink.errors import CallError
-from daisylink.http_client import HttpClient
+from daisylink.http_client import HttpClient, Transfer
 from daisylink.http_server import WebRequest, WebResponse
 from daisylink.logs import get_logger
 from daisylink.registry import NO_REVISION, EraTracker, MemberTable, WatchCache
@@ -21,8 +21,12 @@
 from daisylink.sidecar._compressed_version import COMPRESSED_VERSION_KEY
 from daisylink.sidecar._fleet_state import FleetState
 
-CALL_SECONDS = 0.5
+# A peer's answer may wait for other traffic of its link.
+CALL_SECONDS = 2.0
+STALL_SECONDS = 1.0
 INTERVAL_SECONDS = 0.5
+# Peers asked at the same time, as one that does not answer must not hold up the rest.
+MAX_FETCHES = 3
 UPDATES_PATH = "/v1/news"
 MEMBERS_PATH = "/v1/members"
 
@@ -65,7 +69,7 @@
         self.next_fetch_at = float("inf")
         # When a peer with a version in force last responded.
         self.answered_at = float("-inf")
-        self.is_fetching = False
+        self.transfers: dict[str, Transfer] = {}
 
     def tick(self, now: float, needs_peers: bool) -> None:
         """Fetch updates if a fetch is due.
@@ -93,35 +97,23 @@
             return WebResponse(HTTPStatus.NOT_FOUND)
         after = parse_revision(request.query.get("after", ""))
         number = request.query.get("version", "")
+        known = int(number) if number.isdigit() else 0
         watch_cache = self.watch_cache
+        version_keys = (self.fleet_state.config_key, COMPRESSED_VERSION_KEY)
         items = [
-            tuple(item) for item in watch_cache.list_changes_after(after, prefix="")
+            tuple(item)
+            for item in watch_cache.list_changes_after(after, prefix="")
+            if item.key not in version_keys
         ]
-        known = int(number) if number.isdigit() else 0
-        if not self._has_version_in_force(items):
-            items += self._list_missing_version(known)
         updates = KeyUpdates(
             max(watch_cache.revision, self.revision),
-            items,
+            items + self._list_missing_version(known),
             version=self.fleet_state.version_number,
         )
         return WebResponse(body=updates.to_bytes())
 
-    def _has_version_in_force(self, items: list[tuple]) -> bool:
-        """Return whether keys include the version in force."""
-        fleet_state = self.fleet_state
-        publisher = fleet_state.publisher
-        is_published = publisher.published_number >= fleet_state.version_number
-        return any(
-            (key == fleet_state.config_key and value == fleet_state.document)
-            or (key == COMPRESSED_VERSION_KEY and is_published)
-            for key, value, _ in items
-        )
-
     def _list_missing_version(self, known: int) -> list[tuple]:
-        """Return the version in force for a peer that lacks it, else nothing.
-
-        The store may have come back without it.
+        """Return the version in force, compressed, for a peer that lacks it.
 
         :param known: number of the version that the peer has in force.
         """
@@ -131,25 +123,42 @@
         return [(COMPRESSED_VERSION_KEY, value, NO_REVISION)]
 
     def fetch_updates(self) -> None:
-        """Fetch the keys that this node lacks from a random peer."""
+        """Fetch the keys that this node lacks from a random peer.
+
+        No other peer is asked while one's answer arrives.
+        """
+        asked = self.transfers
+        if len(asked) >= MAX_FETCHES or any(t.received_bytes for t in asked.values()):
+            return
         own_node = self.members.own_record.node
-        peers = [node for node in self.members.records if node != own_node]
-        if peers and not self.is_fetching:
-            self.is_fetching = True
-            self.spawn(self._fetch(self.rng.choice(peers)))
+        peers = [
+            node
+            for node in self.members.records
+            if node != own_node and node not in asked
+        ]
+        if not peers:
+            return
+        peer = self.rng.choice(peers)
+        asked[peer] = Transfer(self.now(), STALL_SECONDS)
+        self.spawn(self._fetch(peer, asked[peer]))
 
-    async def _fetch(self, peer: str) -> None:
+    async def _fetch(self, peer: str, transfer: Transfer) -> None:
         client = HttpClient(peer)
         known = self.watch_cache.revision if self.watch_cache.is_listed else NO_REVISION
         after = format_revision(max(self.revision, known))
         number = self.fleet_state.version_number
         target = f"{UPDATES_PATH}?after={after}&version={number}"
+        bound_log = log.bind(peer=peer, in_force=number)
         try:
-            response = await client.call("GET", target, CALL_SECONDS)
+            response = await client.call("GET", target, CALL_SECONDS, transfer=transfer)
             updates = KeyUpdates.from_bytes(response.body)
         except CallError as error:
-            log.bind(peer=peer).debug("no updates from peer: {}", error)
+            bound_log.bind(received_bytes=transfer.received_bytes).info(
+                "no updates from peer: {}", error
+            )
         else:
+            if updates.version > number:
+                bound_log.bind(version=updates.version).info("peer has a newer version")
             if updates.version:
                 self.answered_at = self.now()
             self.era_tracker.learn(updates.revision.era)
@@ -157,5 +166,5 @@
             self.watch_cache.handle_updates(updates.list_items())
         finally:
             client.close()
-            self.is_fetching = False
+            del self.transfers[peer]
         self.on_updates()
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -463,8 +463,9 @@
     def _get_missed_version(self, is_first: bool) -> bool:
         """Get a version that peers have had for a while and this node lacks.
 
-        :param is_first: whether this is the first attempt, which restarts the watch;
-            later ones fetch updates from a peer.
+        The watch may be full of other keys, so a peer is asked beside it.
+
+        :param is_first: whether this is the first attempt, which restarts the watch.
         :returns: whether to try again later.
         """
         if self.stopping:
@@ -472,8 +473,7 @@
         self.source_selector.record_failure(self.now())
         if is_first:
             self.store_driver.restart_watch("a peer has a newer version")
-        else:
-            self.peer_exchange.fetch_updates()
+        self.peer_exchange.fetch_updates()
         self.loop.call_soon(self.step)
         return True
 
