A version that a reader knows from a peer is published once it is read

Callers saw: nothing that could be told apart; followers of such a reader keep an older version until the next one is accepted.

If the node that had read it first was no reader any more, nobody published it.

Fix: the configuration of the version in force is handed to the publisher too.

--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -242,6 +242,9 @@
         )
         if version.number <= self.version_number:
             bound_log.info("version is not newer; ignored")
+            if is_configuration and version.number == self.version_number:
+                # The first copy may have come from a peer.
+                self.publisher.handle_version(version.number, document, self.now())
             return
         candidate = Candidate(version, document, revision, is_configuration)
         if not self.is_deferring:
