An unreadable published version is replaced by the next one

Callers saw: followers would keep their version for as long as the key holds bytes that cannot be read.

Cause: the revision of an unreadable value was not noted, so the conditional write over it was refused each time.

Fix: its revision is recorded with version number 0.

--- a/src/daisylink/registry/_readers.py
+++ b/src/daisylink/registry/_readers.py
@@ -128,6 +128,8 @@
         """Record which compressed version the store holds, whoever wrote it.
 
         After the store has come back from an older copy, that may be an older one.
+
+        :param number: version number, 0 for a value that cannot be read.
         """
         if revision < self.revision:
             return
--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -205,10 +205,8 @@
             self.publisher.record_deleted(item.revision)
             return
         compressed = self._read_compressed_version(item)
-        if compressed is not None:
-            self.publisher.record_published(
-                compressed.number, item.revision, self.now()
-            )
+        number = compressed.number if compressed is not None else 0
+        self.publisher.record_published(number, item.revision, self.now())
 
     def _read_compressed_version(self, item: Item) -> CompressedVersion | None:
         """Decode a compressed version, and install it if its number is higher."""
--- a/tests/test_late_versions.py
+++ b/tests/test_late_versions.py
@@ -205,6 +205,22 @@
 
         self.run_machines(scenario, count=3)
 
+    def test_an_unreadable_published_version_is_replaced(self):
+        """Its revision was not noted, so every write over it was refused."""
+
+        async def scenario(store, *machines):
+            await self.select_reader(machines)
+            await self.wait_for(lambda: COMPRESSED_VERSION_KEY in store.items)
+            store.put(COMPRESSED_VERSION_KEY, b"unreadable")
+            store.put(platform.CONFIG_KEY, make_version(14))
+            await self.wait_for(
+                lambda: all(
+                    m.sidecar.fleet_state.version_number == 14 for m in machines
+                )
+            )
+
+        self.run_machines(scenario, count=3)
+
 
 class RefusedPublishTests(SidecarTestCase):
     def test_a_publish_that_the_store_refused_is_not_sent_again_unchanged(self):
