Logs and metrics show what a backend server says of itself in its responses

A limit on its rate, and that it leaves: read in platform/ alone, logged and counted when it changes, not acted on yet.

--- a/src/daisylink/platform/_headers.py
+++ b/src/daisylink/platform/_headers.py
@@ -1,6 +1,48 @@
 """Header names of the platform's callers and backend servers."""
 
-from daisylink.request import HeaderNames
+import math
+import re
+from collections.abc import Iterable
+
+from daisylink.request import NO_NOTICE, HeaderNames, ServerNotice
+
+LIMIT_HEADER = b"server-limit"
+LEAVING_HEADER = b"server-leaving"
+IS_LEAVING = b"1"
+NUMBER_PATTERN = re.compile(rb"[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]{1,3})?")
+# Longer ones are no rates that a server can mean.
+MAX_NUMBER_BYTES = 32
+
+
+def read_notice(headers: Iterable[tuple[bytes, bytes]]) -> ServerNotice:
+    """Return what a backend server says of itself in a response.
+
+    Of several limits the lowest counts; one that is no number counts for none.
+
+    :param headers: pairs of lower-case name and value.
+    """
+    limits: list[float | None] = []
+    is_leaving = False
+    for name, value in headers:
+        if name == LIMIT_HEADER:
+            limits.append(_parse_limit(value))
+        elif name == LEAVING_HEADER:
+            is_leaving = is_leaving or value.strip() == IS_LEAVING
+    if not limits and not is_leaving:
+        return NO_NOTICE
+    known = [limit for limit in limits if limit is not None]
+    is_malformed = len(known) < len(limits)
+    return ServerNotice(min(known, default=None), is_leaving, is_malformed)
+
+
+def _parse_limit(value: bytes) -> float | None:
+    """Return a rate in requests a second, None if the value is none."""
+    text = value.strip()
+    if len(text) > MAX_NUMBER_BYTES or not NUMBER_PATTERN.fullmatch(text):
+        return None
+    limit = float(text)
+    return limit if math.isfinite(limit) else None
+
 
 HEADER_NAMES = HeaderNames(
     deadline=b"x-daisylink-deadline-ms",
@@ -10,4 +52,5 @@
     origin=b"x-daisylink-caller-service",
     proof=b"x-daisylink-response-seal",
     callers_read_status_only=True,
+    read_notice=read_notice,
 )
--- a/src/daisylink/request/__init__.py
+++ b/src/daisylink/request/__init__.py
@@ -43,7 +43,12 @@
     encode_hop_metadata,
     parse_head,
 )
-from daisylink.request._header_names import DEFAULT_HEADER_NAMES, HeaderNames
+from daisylink.request._header_names import (
+    DEFAULT_HEADER_NAMES,
+    NO_NOTICE,
+    HeaderNames,
+    ServerNotice,
+)
 from daisylink.request._outcome import (
     CODE_HEADER,
     OUTCOME_HEADER,
@@ -63,6 +68,7 @@
     "DEPTH_HEADER",
     "HOP_HEADER",
     "LOAD_HEADER",
+    "NO_NOTICE",
     "OUTCOME_HEADER",
     "OWN_PREFIX",
     "RETRY_HEADER",
@@ -94,6 +100,7 @@
     "ResponseHead",
     "RetryBudget",
     "RunResult",
+    "ServerNotice",
     "Try",
     "build_hop_head",
     "compute_fingerprint",
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from http import HTTPStatus
 from typing import Any
 
 from daisylink.errors import ResultCode
@@ -492,6 +493,7 @@
         """Return the refusal that a response stands for, None to pass it on."""
         if self.local_run is not None:
             header_names = self.gateway.header_names
+            self._read_own_notice(head)
             if is_shed(head, header_names):
                 return make_refusal(ResultCode.REQUEST_SHED_BY_SERVER)
             if not has_server_proof(head, header_names):
@@ -503,6 +505,16 @@
         self.response.replayed = is_replay(head)
         return read_refusal(head)
 
+    def _read_own_notice(self, head: ResponseHead) -> None:
+        """Record what the local backend server says of itself.
+
+        A server that was not meant says nothing of the one that was.
+        """
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        notice = self.gateway.header_names.read_notice(head.headers)
+        self.gateway.record_own_notice(self.server_instance, notice)
+
     def handle_response_body(self, data: bytes) -> None:
         """Handle a piece of the response body."""
         if self.hop_refusal is None:
--- a/src/daisylink/request/_header_names.py
+++ b/src/daisylink/request/_header_names.py
@@ -4,9 +4,32 @@
 gateway. Headers between nodes do not depend on it.
 """
 
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 
+class ServerNotice(NamedTuple):
+    """What a backend server says of itself in a response.
+
+    :param limit: requests a second that it takes from all nodes together, None if it
+        states none.
+    :param is_leaving: whether it is about to end.
+    :param is_malformed: whether it states a limit that cannot be believed.
+    """
+
+    limit: float | None = None
+    is_leaving: bool = False
+    is_malformed: bool = False
+
+
+NO_NOTICE = ServerNotice()
+
+
+def read_no_notice(_headers: Iterable[tuple[bytes, bytes]]) -> ServerNotice:
+    """Return that a response says nothing of its backend server."""
+    return NO_NOTICE
+
+
 class HeaderNames(NamedTuple):
     """Header names in lower case; an empty name means that the header is not used.
 
@@ -20,6 +43,8 @@
     :param callers_read_status_only: whether callers read the status only. 503 then
         guarantees that the request was not run, 504 guarantees nothing, and
         ``Retry-After`` may have a fraction.
+    :param read_notice: reads what a backend server says of itself from the headers of
+        its response, pairs of lower-case name and value.
     """
 
     deadline: bytes
@@ -30,6 +55,9 @@
     origin: bytes = b""
     proof: bytes = b""
     callers_read_status_only: bool = False
+    read_notice: Callable[[Iterable[tuple[bytes, bytes]]], ServerNotice] = (
+        read_no_notice
+    )
 
     @property
     def consumed(self) -> frozenset[bytes]:
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -18,6 +18,7 @@
     RequestPlan,
     RetryBudget,
     RunResult,
+    ServerNotice,
 )
 from daisylink.serving._admission import Admission, AdmissionLimits
 from daisylink.serving._burn import HISTORY_INTERVAL, BurnTracker
@@ -25,6 +26,7 @@
 from daisylink.serving._load_balancer import LoadBalancer
 from daisylink.serving._local_server import LocalServer
 from daisylink.serving._metrics import Metrics
+from daisylink.serving._own_server_notice import OwnServerNotice
 from daisylink.serving._quarantine import Quarantine
 from daisylink.serving._records import MemberRecord, ServerState
 from daisylink.serving._request_log import log_request_end
@@ -87,6 +89,7 @@
         self.local_server = local_server
         self.metrics = metrics
         self.quarantine = quarantine
+        self.own_notice = OwnServerNotice(metrics)
         self.burn_tracker = BurnTracker()
         self.lost_requests: list[Fingerprint] = []
         self.probes: set[asyncio.Task] = set()
@@ -216,6 +219,13 @@
         for exchange in self.admission.close(code):
             exchange.refuse_attempt(code)
 
+    def record_own_notice(self, instance: str, notice: ServerNotice) -> None:
+        """Record what the local backend server says of itself in a response.
+
+        :param instance: name of the start that responded.
+        """
+        self.own_notice.handle(instance, notice)
+
     def record_server_unreachable(self) -> None:
         """Record that the local backend server refused a connection."""
         self.local_server.record_unreachable()
--- a/src/daisylink/serving/_metrics.py
+++ b/src/daisylink/serving/_metrics.py
@@ -66,6 +66,11 @@
         self.announcements = meter.create_counter(
             "daisylink.announcements", "1", "Announcements of the backend server."
         )
+        self.server_notices = meter.create_counter(
+            "daisylink.server.notices",
+            "1",
+            "What the backend server said of itself in responses, when it changed.",
+        )
 
     def add_gauge(self, name: str, read: Callable[[], float], description: str) -> None:
         """Register a gauge whose value is read at collection.
@@ -100,6 +105,13 @@
         """
         self.announcements.add(1, {"result": result})
 
+    def record_server_notice(self, kind: str) -> None:
+        """Count a changed notice of the local backend server.
+
+        :param kind: ``limit``, ``leaving`` or ``malformed``.
+        """
+        self.server_notices.add(1, {"kind": kind})
+
     def read_latency(self) -> dict[str, dict[float, int]]:
         """Return latency histograms by service: counts by upper bound in seconds."""
         found: dict[str, dict[float, int]] = {}
--- a/src/daisylink/sidecar/_gauges.py
+++ b/src/daisylink/sidecar/_gauges.py
@@ -49,6 +49,12 @@
         lambda: era_tracker.unstated,
         "Responses of the store without an era, or with one that is no number.",
     )
+    own_notice = sidecar.gateway.own_notice
+    metrics.add_gauge(
+        "daisylink.server.limit",
+        lambda: -1 if own_notice.limit is None else own_notice.limit,
+        "Requests a second that the own backend server takes, -1 without a limit.",
+    )
     metrics.add_gauge(
         "daisylink.slots.in_use",
         lambda: admission.in_use,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,6 +20,8 @@
 # Names of the platform that only the adapter may contain.
 PLATFORM_NAMES = (
     "x-daisylink",
+    "server-limit",
+    "server-leaving",
     "op/config",
     "kv-",
     "instances.",
