--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -244,6 +244,7 @@
     :param crash_path: path of the requests that crash it.
     :param make_raw_response: makes the bytes sent instead of the response, from the
         request's id.
+    :param flood: bytes that follow those again and again until the caller closes.
     """
 
     def __init__(self, instance):
@@ -251,6 +252,8 @@
         self.instance = instance
         self.crash_path = None
         self.make_raw_response = None
+        self.flood = b""
+        self.flood_bytes = 0
         self.service_seconds = 0.0
         self.runs = []
         self.seen_headers = []
@@ -268,9 +271,17 @@
         await asyncio.sleep(self.service_seconds)
         if self.make_raw_response is not None:
             writer.write(self.make_raw_response(name))
+            await self._flood(writer)
             return
         writer.write(encode_response(name, f"answer to {name}".encode()))
 
+    async def _flood(self, writer):
+        while self.flood and not writer.is_closing():
+            writer.write(self.flood)
+            self.flood_bytes += len(self.flood)
+            await writer.drain()
+            await asyncio.sleep(0.001)
+
 
 def encode_response(name, body, extra=""):
     head = (
