Requests to a backend server that names a limit take turns at its rate

Cause: nothing read the limit; the header was passed on like any other.

Fix: the node beside a server is the only one that speaks to it, so it alone holds the whole limit, with nothing to divide. Whatever reaches the server takes a turn: first attempts, repeats, calls, requests that the server refuses. A request that waits for its turn stands in the queue of before, by kind and priority; one whose turn would come too late is refused at once as not run (5023), with the time after which it would be served. The reported load includes the wait for a turn, so that entry nodes choose other servers. An answer that names no limit ends it, and so does another start of the server.

--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -82,6 +82,7 @@
     REQUEST_KEY_RUNNING = 5020
     REQUEST_KEY_DONE = 5021
     REQUEST_QUARANTINED = 5022
+    REQUEST_RATE_LIMITED = 5023
 
     NODE_NOT_READY = 6001
     NODE_BUSY = 6002
@@ -264,6 +265,10 @@
         "This very request was in flight when two backend servers crashed.",
         "Look at the request; it is refused until the stated time.",
     ),
+    ResultCode.REQUEST_RATE_LIMITED: CodeInfo(
+        "The backend server limits its rate, and no turn comes in time.",
+        "Come back after the stated time.",
+    ),
     ResultCode.NODE_NOT_READY: CodeInfo(
         "The node has not caught up with its peers.", "Wait."
     ),
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -103,6 +103,7 @@
         self.is_connecting = False
         self.local_run: LocalRun | None = None
         self.server_instance = ""
+        self.server_record: Any = None
         self.started = False
         self.refusal: Refusal | None = None
         self.pending_output: list[bytes] = []
@@ -304,7 +305,8 @@
     def send_to_local_server(self) -> None:
         """Send the request to the local backend server."""
         self.send_continue()
-        self.server_instance = self.gateway.own_record.instance
+        self.server_record = self.gateway.own_record
+        self.server_instance = self.server_record.instance
         self._connect(self.gateway.server_address)
 
     def _connect(self, address: str) -> None:
@@ -513,7 +515,7 @@
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             return
         notice = self.gateway.header_names.read_notice(head.headers)
-        self.gateway.record_own_notice(self.server_instance, notice)
+        self.gateway.record_own_notice(self.server_record, notice)
 
     def handle_response_body(self, data: bytes) -> None:
         """Handle a piece of the response body."""
--- a/src/daisylink/serving/__init__.py
+++ b/src/daisylink/serving/__init__.py
@@ -8,11 +8,15 @@
     Departure,
     LocalServer,
     LocalServerSettings,
-    ServerStart,
 )
 from daisylink.serving._metrics import Metrics
 from daisylink.serving._quarantine import Quarantine, QuarantineSettings, Strike
-from daisylink.serving._records import MemberRecord, MemberState, ServerState
+from daisylink.serving._records import (
+    MemberRecord,
+    MemberState,
+    ServerStart,
+    ServerState,
+)
 
 __all__ = [
     "Announcement",
--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -1,8 +1,9 @@
-"""Admission control of the local backend server: slots, a short queue and draining.
+"""Admission control of the local backend server: slots, its rate, a short queue.
 
 It is designed for seconds of overload. A request is queued only if its response is
 expected within its objective. A request that would be late waits behind all others in a
-short queue of its own. The rest is refused at once.
+short queue of its own. The rest is refused at once. To a server that limits its rate, a
+request goes with a free slot and a turn.
 """
 
 from collections import deque
@@ -10,6 +11,7 @@
 
 from daisylink.errors import ResultCode
 from daisylink.request import Admitted, Decision, Queued, Refused
+from daisylink.serving._pacer import Pacer
 from daisylink.serving._waiting_queue import QueuedRequest, WaitingQueue
 from daisylink.version import Priority
 
@@ -53,6 +55,7 @@
         self.service_time = 0.0
         self.service_times: dict[str, float] = {}
         self.closed: ResultCode | None = ResultCode.REQUEST_NO_SERVER
+        self.pacer = Pacer()
 
     @property
     def capacity(self) -> int:
@@ -74,6 +77,13 @@
         """Return whether new requests are admitted."""
         return self.closed is None
 
+    @property
+    def wake_at(self) -> float:
+        """Return when :meth:`admit_waiting` is due, in monotonic seconds."""
+        if not self.queued or self.in_use >= self.capacity:
+            return float("inf")
+        return self.pacer.turn_at
+
     def open(self, limits: AdmissionLimits) -> None:
         """Admit new requests within the limits."""
         self.limits = limits
@@ -110,13 +120,13 @@
         """
         if self.closed is not None:
             return Refused(self.closed)
-        if self.in_use < self.capacity:
-            self.in_use += 1
+        if self._can_start(now) and not self.queued:
+            self._start(now)
             return Admitted()
         seconds = self.get_service_time(kind)
         seconds = seconds or self._assume_service(slo_deadline - now)
         waiting = QueuedRequest(ticket, kind, priority, deadline, slo_deadline, seconds)
-        wait = self._expected_wait(waiting)
+        wait = self._expected_wait(waiting, now)
         if now + wait + seconds >= deadline:
             return self._refuse(waiting, wait, now)
         if waiting.is_late(now + wait):
@@ -139,15 +149,27 @@
         """
         self._update_service_times(seconds, kind)
         self.in_use -= 1
+        return self.admit_waiting(now)
+
+    def admit_waiting(self, now: float) -> list[Any]:
+        """Admit the queued requests that can start now.
+
+        :param now: seconds of the monotonic clock.
+        :returns: their tickets.
+        """
         admitted = []
-        while self.in_use < self.capacity:
+        while self._can_start(now):
             waiting = self._pop_next(now)
             if waiting is None:
                 break
-            self.in_use += 1
+            self._start(now)
             admitted.append(waiting.ticket)
         return admitted
 
+    def expect_turn(self, now: float) -> float:
+        """Return the seconds that a new request would wait for the server's rate."""
+        return self.pacer.expect_wait(now, self.queued)
+
     def pop_expired(self) -> list[Any]:
         """Return and clear the tickets that were dropped from the queues.
 
@@ -170,6 +192,13 @@
         """Return the usual service time of a kind in seconds, 0 if none is known."""
         return self.service_times.get(kind, 0.0)
 
+    def _can_start(self, now: float) -> bool:
+        return self.in_use < self.capacity and self.pacer.has_turn(now)
+
+    def _start(self, now: float) -> None:
+        self.in_use += 1
+        self.pacer.take(now)
+
     def _update_service_times(self, seconds: float, kind: str) -> None:
         self.service_time += SERVICE_TIME_WEIGHT * (seconds - self.service_time)
         previous = self.service_times.get(kind, seconds)
@@ -199,7 +228,8 @@
         """Queue a late request behind all others if it is likely to be served there."""
         ahead = sum(item.seconds for item in self.late) / self.slots
         queued = sum(item.seconds for item in self.queue.requests) / self.slots
-        ends = now + self._expect_slot(waiting) + queued + ahead + waiting.seconds
+        slot_wait = self._expect_slot(waiting) + queued + ahead
+        ends = now + max(slot_wait, self.expect_turn(now)) + waiting.seconds
         if ends >= waiting.deadline or not self._has_room_for_late():
             return self._refuse(waiting, wait, now)
         self.late.append(waiting)
@@ -234,13 +264,16 @@
             return 0.0
         return max(0.0, seconds_left) * UNKNOWN_TIME_SHARE
 
-    def _expected_wait(self, waiting: QueuedRequest) -> float:
-        """Return the expected seconds until a slot is free and those ahead have run."""
-        ahead = self.queue.sum_seconds_ahead(waiting)
-        return self._expect_slot(waiting) + ahead / self.slots
+    def _expected_wait(self, waiting: QueuedRequest, now: float) -> float:
+        """Return the expected seconds until those ahead have run and it is the turn."""
+        ahead = self.queue.list_seconds_ahead(waiting)
+        slot_wait = self._expect_slot(waiting) + sum(ahead) / self.slots
+        return max(slot_wait, self.pacer.expect_wait(now, len(ahead)))
 
     def _expect_slot(self, waiting: QueuedRequest) -> float:
-        """Return the expected seconds until one of the running requests ends."""
+        """Return the expected seconds until a slot is free."""
+        if self.in_use < self.capacity:
+            return 0.0
         return (self.service_time or waiting.seconds) / (self.slots + 1)
 
     def _refuse(self, waiting: QueuedRequest, wait: float, now: float) -> Refused:
@@ -248,4 +281,6 @@
         room = min(waiting.slo_deadline, waiting.deadline) - now
         retry = max(0.0, wait + waiting.seconds - room)
         retry_ms = max(MIN_RETRY_MS, round(retry * MS_PER_SECOND))
+        if self.in_use < self.capacity:
+            return Refused(ResultCode.REQUEST_RATE_LIMITED, retry_ms)
         return Refused(ResultCode.REQUEST_OVERLOADED, retry_ms)
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -30,6 +30,7 @@
 from daisylink.serving._quarantine import Quarantine
 from daisylink.serving._records import MemberRecord, ServerState
 from daisylink.serving._request_log import log_request_end
+from daisylink.serving._response_times import DEFAULT_SERVICE_SECONDS
 from daisylink.serving._splitter import Splitter
 from daisylink.version import CallerLimits, RouteEntry, RouteTarget, Version
 
@@ -106,6 +107,7 @@
         )
         self.version: Version | None = None
         self.callers: set[CallerConnection] = set()
+        self.turn_timer: asyncio.TimerHandle | None = None
         self.stopping = False
         self.is_serving = True
         self.sweep_timer = loop.call_later(SWEEP_INTERVAL_SECONDS, self._sweep)
@@ -194,6 +196,7 @@
             plan.slo_deadline,
             plan.route,
         )
+        self._schedule_turn()
         return decision
 
     def free_slot(self, acquired_at: float, kind: str) -> None:
@@ -203,14 +206,34 @@
         :param kind: kind of the request that held it.
         """
         now = self.now()
-        for exchange in self.admission.release(now - acquired_at, now, kind):
+        self._run_admitted(self.admission.release(now - acquired_at, now, kind))
+
+    def _run_admitted(self, admitted: list[Exchange]) -> None:
+        for exchange in admitted:
             exchange.run_locally()
         for exchange in self.admission.pop_expired():
             exchange.refuse_attempt(ResultCode.REQUEST_OVERLOADED)
+        self._schedule_turn()
+
+    def _schedule_turn(self) -> None:
+        """Wake up for the next turn at a backend server that limits its rate."""
+        wake_at = self.admission.wake_at
+        if self.turn_timer is not None:
+            self.turn_timer.cancel()
+            self.turn_timer = None
+        if wake_at < float("inf"):
+            seconds = max(0.0, wake_at - self.now())
+            self.turn_timer = self.loop.call_later(seconds, self._give_turns)
+
+    def _give_turns(self) -> None:
+        self.turn_timer = None
+        self._run_admitted(self.admission.admit_waiting(self.now()))
 
     def update_admission(self) -> None:
         """Open or close admission according to the node's own record."""
         own_record = self.own_record
+        if self.own_notice.expect(own_record.server_start):
+            self._apply_own_notice()
         if own_record.server is ServerState.SERVING and self.is_serving:
             self.admission.open(self._find_limits(own_record))
             return
@@ -219,12 +242,19 @@
         for exchange in self.admission.close(code):
             exchange.refuse_attempt(code)
 
-    def record_own_notice(self, instance: str, notice: ServerNotice) -> None:
+    def record_own_notice(self, record: MemberRecord, notice: ServerNotice) -> None:
         """Record what the local backend server says of itself in a response.
 
-        :param instance: name of the start that responded.
+        :param record: this node's record when the request was sent.
         """
-        self.own_notice.handle(instance, notice)
+        if record.server_start != self.own_record.server_start:
+            return
+        if self.own_notice.handle(record.server_start, notice):
+            self._apply_own_notice()
+
+    def _apply_own_notice(self) -> None:
+        self.admission.pacer.set_rate(self.own_notice.limit, self.now())
+        self._schedule_turn()
 
     def record_server_unreachable(self) -> None:
         """Record that the local backend server refused a connection."""
@@ -350,6 +380,8 @@
     def close(self) -> None:
         """Close every connection."""
         self.sweep_timer.cancel()
+        if self.turn_timer is not None:
+            self.turn_timer.cancel()
         self.in_flight_tracker.close()
         for caller in list(self.callers):
             caller.close()
@@ -372,7 +404,13 @@
         admission = self.admission
         if not admission.is_open:
             return 1.0
-        return (admission.in_use + admission.queued) / max(1, admission.capacity)
+        load = (admission.in_use + admission.queued) / max(1, admission.capacity)
+        turn_wait = admission.expect_turn(self.now())
+        if not turn_wait:
+            return load
+        # The load at which a request would wait as long for a slot.
+        seconds = admission.service_time or DEFAULT_SERVICE_SECONDS
+        return max(load, 1 + turn_wait / seconds)
 
     def _find_limits(self, own_record: MemberRecord) -> AdmissionLimits:
         pools: dict[str, Any] = self.version.route_table.pools if self.version else {}
--- a/src/daisylink/serving/_local_server.py
+++ b/src/daisylink/serving/_local_server.py
@@ -15,7 +15,7 @@
 from msgspec.structs import replace
 
 from daisylink.errors import NodeError, ResultCode
-from daisylink.serving._records import MemberRecord, ServerState
+from daisylink.serving._records import MemberRecord, ServerStart, ServerState
 
 # Servers at one address follow each other seconds apart, so that announcements of older
 # ones are no longer under way.
@@ -63,17 +63,6 @@
     cold_left: timedelta = timedelta(0)
 
 
-class ServerStart(NamedTuple):
-    """One start of a backend server.
-
-    :param instance: name of the start, as in its announcements.
-    :param born: start time on the server's own clock, in milliseconds.
-    """
-
-    instance: str
-    born: int
-
-
 class Departure(NamedTuple):
     """Message of a backend server that leaves; it may serve for some seconds more.
 
@@ -247,13 +236,16 @@
             state = ServerState.STARTING
         announcement = self.announcement
         if announcement is None:
-            return replace(own_record, pool="", server=state, slots=0, instance="")
+            return replace(
+                own_record, pool="", server=state, slots=0, instance="", born=0
+            )
         return replace(
             own_record,
             pool=announcement.pool,
             server=state,
             slots=announcement.slots,
             instance=announcement.instance,
+            born=announcement.born,
         )
 
     def _check_proof(self, announcement: Announcement) -> None:
--- a/src/daisylink/serving/_own_server_notice.py
+++ b/src/daisylink/serving/_own_server_notice.py
@@ -3,6 +3,9 @@
 from daisylink.logs import get_logger
 from daisylink.request import NO_NOTICE, ServerNotice
 from daisylink.serving._metrics import Metrics
+from daisylink.serving._records import ServerStart
+
+NO_START = ServerStart("", 0)
 
 log = get_logger("server")
 
@@ -15,7 +18,7 @@
 
     def __init__(self, metrics: Metrics):
         self.metrics = metrics
-        self.instance = ""
+        self.start = NO_START
         self.last = NO_NOTICE
 
     @property
@@ -23,39 +26,49 @@
         """Return the server's limit in requests a second, None without one."""
         return self.last.limit
 
-    def handle(self, instance: str, notice: ServerNotice) -> bool:
+    def expect(self, start: ServerStart) -> bool:
+        """Note which start runs now; return whether it is another one than before.
+
+        What an earlier one has said does not bind it. One whose announcement has
+        lapsed may return.
+        """
+        if start in (self.start, NO_START):
+            return False
+        self.start = start
+        self.last = NO_NOTICE
+        return True
+
+    def handle(self, start: ServerStart, notice: ServerNotice) -> bool:
         """Handle the notice of a response; return whether it says something new.
 
-        A limit that cannot be believed says nothing: the last one stays.
+        A limit that cannot be read says nothing: the last one stays.
 
-        :param instance: name of the server's start.
+        :param start: the start of the server that responded.
         """
-        if instance != self.instance:
-            self.forget()
-            self.instance = instance
+        self.expect(start)
         if notice == self.last:
             return False
         if notice.is_malformed:
-            self.metrics.record_server_notice("malformed")
-            log.bind(instance=instance).warning("server's limit cannot be read")
-            if notice.limit is None:
-                notice = notice._replace(limit=self.last.limit)
-            notice = notice._replace(is_malformed=False)
+            notice = self._mend(notice)
         previous, self.last = self.last, notice
         if notice.limit != previous.limit:
             self._log_limit(notice.limit, previous.limit)
         if notice.is_leaving and not previous.is_leaving:
             self.metrics.record_server_notice("leaving")
-            log.bind(instance=instance).info("server says that it leaves")
+            log.bind(instance=start.instance).info("server says that it leaves")
         return notice != previous
 
-    def forget(self) -> None:
-        """Forget the last notice: the server has ended, or another one has started."""
-        self.last = NO_NOTICE
+    def _mend(self, notice: ServerNotice) -> ServerNotice:
+        self.metrics.record_server_notice("malformed")
+        log.bind(instance=self.start.instance).warning("server's limit cannot be read")
+        limit = self.last.limit if notice.limit is None else notice.limit
+        return notice._replace(limit=limit, is_malformed=False)
 
     def _log_limit(self, limit: float | None, previous: float | None) -> None:
         self.metrics.record_server_notice("limit")
-        bound_log = log.bind(instance=self.instance, limit=limit, previous=previous)
+        bound_log = log.bind(
+            instance=self.start.instance, limit=limit, previous=previous
+        )
         if limit is None:
             bound_log.info("server names no limit any more")
         else:
--- a/src/daisylink/serving/_records.py
+++ b/src/daisylink/serving/_records.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from enum import IntEnum
+from typing import NamedTuple
 
 import msgspec
 
@@ -28,6 +29,17 @@
     DRAINING = 3
 
 
+class ServerStart(NamedTuple):
+    """One start of a backend server.
+
+    :param instance: name of the start, as in its announcements.
+    :param born: start time on the server's own clock, in milliseconds.
+    """
+
+    instance: str
+    born: int
+
+
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
     """Membership record of one node.
 
@@ -46,6 +58,7 @@
     :param era: era of the store in which the record was written, 0 if unknown.
     :param is_settled: false for some seconds after the node has noticed that the store
         came back from an older copy.
+    :param born: start time of the backend server on its own clock, in milliseconds.
     """
 
     node: str
@@ -62,6 +75,12 @@
     strikes: tuple[Strike, ...] = ()
     era: int = 0
     is_settled: bool = True
+    born: int = 0
+
+    @property
+    def server_start(self) -> ServerStart:
+        """Return the start of the backend server, with an empty name without one."""
+        return ServerStart(self.instance, self.born)
 
     @property
     def is_alive(self) -> bool:
--- a/src/daisylink/serving/_waiting_queue.py
+++ b/src/daisylink/serving/_waiting_queue.py
@@ -108,15 +108,15 @@
         self.groups.clear()
         return tickets
 
-    def sum_seconds_ahead(self, request: QueuedRequest) -> float:
-        """Return the expected service times of all that go before a new request."""
+    def list_seconds_ahead(self, request: QueuedRequest) -> list[float]:
+        """Return the expected service time of each that goes before a new request."""
         rank = self._rank(_Group(request.priority, request.kind))
-        return sum(
+        return [
             item.seconds
             for group, waiting in self.groups.items()
             if self._rank(group) <= rank
             for item in waiting
-        )
+        ]
 
     def _rank(self, group: _Group) -> tuple[float, int]:
         """Return the position of a kind; lower ranks go first."""
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -3,7 +3,11 @@
 import asyncio
 import unittest
 
+from daisylink.errors import ResultCode
 from daisylink.platform import HEADER_NAMES
+from daisylink.request import Admitted, Queued, Refused
+from daisylink.serving._admission import Admission, AdmissionLimits
+from daisylink.version import Priority
 from tests.platform_standin import encode_response
 from tests.sidecar_case import SidecarTestCase
 
@@ -190,6 +194,50 @@
         self.run_machines(scenario)
 
 
+class PacedAdmissionTests(unittest.TestCase):
+    def setUp(self):
+        self.admission = Admission()
+        self.admission.open(AdmissionLimits(8, 9, 20))
+        self.admission.pacer.set_rate(2.0, 0.0)
+
+    def admit(self, ticket, now, priority=Priority.NORMAL, deadline=60.0):
+        return self.admission.try_admit(ticket, priority, deadline, now)
+
+    def test_turns_go_to_urgent_requests_first(self):
+        for ticket, priority in (("bulk", Priority.BULK), ("urgent", Priority.URGENT)):
+            self.assertIsInstance(self.admit(ticket, 0.0, priority), Queued)
+        admitted = [self.admission.admit_waiting(0.5), self.admission.admit_waiting(1)]
+        self.assertEqual(admitted, [["urgent"], ["bulk"]])
+
+    def test_a_request_whose_turn_comes_after_its_deadline_is_refused(self):
+        for number in range(4):
+            self.assertIsInstance(self.admit(number, 0.0), Queued)
+        decision = self.admit("late", 0.0, deadline=1.0)
+        self.assertIsInstance(decision, Refused)
+        self.assertEqual(decision.code, ResultCode.REQUEST_RATE_LIMITED)
+        self.assertGreater(decision.retry_ms, 1000)
+
+    def test_requests_that_wait_for_a_turn_start_when_the_limit_ends(self):
+        for number in range(4):
+            self.admit(number, 0.0)
+        self.admission.pacer.set_rate(None, 0.1)
+        self.assertLess(self.admission.wake_at, 0.1)
+        self.assertEqual(self.admission.admit_waiting(0.1), [0, 1, 2, 3])
+
+    def test_a_new_request_does_not_overtake_those_that_wait_for_a_turn(self):
+        self.admit("first", 0.0)
+        self.assertIsInstance(self.admit("second", 5.0), Queued)
+        self.assertEqual(self.admission.admit_waiting(5.0), ["first"])
+
+    def test_turns_that_nobody_took_are_not_saved_up(self):
+        started = [
+            number
+            for number in range(100)
+            if isinstance(self.admit(number, 60.0 + number / 1000), Admitted)
+        ]
+        self.assertEqual(len(started), 1)
+
+
 class LeavingServerTests(NamingServerTestCase):
     def test_a_server_that_says_it_leaves_gets_nothing_though_it_says_it_is_ready(self):
         async def scenario(_store, *machines):
