A node that starts again learns its server's limit from those that were told

Cause: after a restart of the node beside the server its process knows no limit until the server's first answer, and passes a burst by then. The other machines that had passed on the limit are still bound.

Fix: each node remembers what the servers of the others have named in answers that it passed on, and sends it along with a request. A process that has no answer of the server yet holds the lowest that it is told. So just the requests that count bring the limit with them, and neither the store nor a lease is needed. A limit of another start of the server is ignored, and so is a header that cannot be read.

--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -98,6 +98,7 @@
         self.slot_wait = SlotWait(self)
         self.tried: set[str] = set()
         self.target = ""
+        self.target_record: Any = None
         self.attempt = 0
         self.hop: Any = None
         self.is_connecting = False
@@ -131,6 +132,8 @@
         if self.is_relay:
             plan = plan_relayed(self.head, now)
             self.gateway.record_peer_version(self.head.hop_metadata.version)
+            if self.head.told_limit is not None:
+                self.gateway.record_told_limit(self.head.told_limit)
         else:
             version = self.gateway.version
             plan = plan_request(self.head, version, now, self.gateway.pick_target)
@@ -265,6 +268,7 @@
             self._perform(self.attempts.handle(NoServer(), gateway.now()))
             return
         self.target = record.node
+        self.target_record = record
         self.choice = gateway.balancer.describe(record.node, gateway.now())
         gateway.in_flight_tracker.begin(self, record)
         if record.node == own_record.node:
@@ -361,7 +365,8 @@
         if self.local_run is not None:
             return make_server_head(self.head, self.plan, self.gateway)
         expect = self.head.expects_continue and not self.has_sent_continue
-        return make_relay_head(self.head, self.plan, self.gateway, expect)
+        told_limit = self.gateway.find_told_limit(self.target_record)
+        return make_relay_head(self.head, self.plan, self.gateway, expect, told_limit)
 
     def refuse_attempt(self, code: ResultCode, retry_ms: int = 0) -> None:
         """End an attempt that certainly was not run, then retry or give up.
@@ -505,7 +510,11 @@
         if load is not None:
             self.gateway.record_load(self.target, load, self.plan.route)
         self.response.replayed = is_replay(head)
-        return read_refusal(head)
+        refusal = read_refusal(head)
+        if refusal is None:
+            notice = self.gateway.header_names.read_notice(head.headers)
+            self.gateway.record_peer_notice(self.target_record, notice)
+        return refusal
 
     def _read_own_notice(self, head: ResponseHead) -> None:
         """Record what the local backend server says of itself.
--- a/src/daisylink/request/_head.py
+++ b/src/daisylink/request/_head.py
@@ -1,5 +1,6 @@
 """Parses request heads and builds the heads that are sent to the next hop."""
 
+import math
 from typing import NamedTuple
 
 from daisylink.errors import RequestError, ResultCode
@@ -9,8 +10,10 @@
 DEPTH_HEADER = b"daisylink-depth"
 HOP_HEADER = b"daisylink-hop"
 LOAD_HEADER = b"daisylink-load"
+LIMIT_HEADER = b"daisylink-limit"
 OWN_PREFIX = b"daisylink-"
 MAX_NUMBER_DIGITS = 9
+LIMIT_FIELDS = 3
 EMPTY_FIELD = "-"
 # Nodes of the first release send only the first four fields.
 OLD_HOP_FIELDS = 4
@@ -47,6 +50,8 @@
     :param depth: number of services that the request's call chain has passed through.
     :param hop_metadata: metadata of a relayed request, None from a caller.
     :param request_id: id of the request, empty without one.
+    :param told_limit: limit of the chosen backend server, None if the entry node knows
+        of none.
     """
 
     method: bytes
@@ -59,6 +64,7 @@
     depth: int
     hop_metadata: "HopMetadata | None"
     request_id: bytes = b""
+    told_limit: "ToldLimit | None" = None
 
     @property
     def path(self) -> str:
@@ -66,6 +72,19 @@
         return self.target.partition(b"?")[0].decode("latin-1")
 
 
+class ToldLimit(NamedTuple):
+    """A limit that the entry node knows from a backend server's own responses.
+
+    :param rate: requests a second that the server takes from all nodes together.
+    :param instance: name of the server's start.
+    :param born: start time on the server's own clock, in milliseconds.
+    """
+
+    rate: float
+    instance: str
+    born: int
+
+
 class HopMetadata(NamedTuple):
     """Metadata that an entry node sends with a relayed request.
 
@@ -105,7 +124,7 @@
     :raises RequestError: if ``Host`` is missing or repeated, a relayed request has no
         hop header, or a header value is malformed.
     """
-    host = length = deadline = hop = None
+    host = length = deadline = hop = told_limit = None
     request_id = b""
     consumed = header_names.consumed
     depth = 0
@@ -138,6 +157,8 @@
             depth = _parse_number(value)
         elif name == HOP_HEADER and is_relay:
             hop = decode_hop_metadata(value)
+        elif name == LIMIT_HEADER and is_relay:
+            told_limit = decode_told_limit(value)
     if host is None:
         raise RequestError("missing Host header")
     if is_relay and hop is None:
@@ -156,6 +177,7 @@
         depth,
         hop,
         request_id,
+        told_limit,
     )
 
 
@@ -222,6 +244,28 @@
         raise RequestError("malformed hop header") from error
 
 
+def encode_told_limit(told: ToldLimit) -> bytes:
+    """Return the value of the limit header."""
+    return f"{told.rate!r} {told.instance or EMPTY_FIELD} {told.born}".encode()
+
+
+def decode_told_limit(value: bytes) -> ToldLimit | None:
+    """Decode the value of the limit header, None if it is malformed.
+
+    A request is worth more than what comes along with it.
+    """
+    fields = value.decode("latin-1").split(" ")
+    if len(fields) != LIMIT_FIELDS:
+        return None
+    try:
+        rate, born = float(fields[0]), int(fields[2])
+    except ValueError:
+        return None
+    if not math.isfinite(rate) or rate < 0:
+        return None
+    return ToldLimit(rate, fields[1], born)
+
+
 def find_connection_headers(headers: list[Header]) -> frozenset[bytes]:
     """Return the names of hop-by-hop headers, with those that ``Connection`` lists."""
     dropped = CONNECTION_HEADERS
--- a/src/daisylink/request/_next_hop_head.py
+++ b/src/daisylink/request/_next_hop_head.py
@@ -5,11 +5,14 @@
 from daisylink.request._head import (
     DEPTH_HEADER,
     HOP_HEADER,
+    LIMIT_HEADER,
     Header,
     HopMetadata,
     RequestHead,
+    ToldLimit,
     build_hop_head,
     encode_hop_metadata,
+    encode_told_limit,
 )
 from daisylink.request._plan import RequestPlan
 
@@ -19,10 +22,15 @@
 
 
 def make_relay_head(
-    head: RequestHead, plan: RequestPlan, gateway: Any, expect: bool
+    head: RequestHead,
+    plan: RequestPlan,
+    gateway: Any,
+    expect: bool,
+    told_limit: ToldLimit | None,
 ) -> bytes:
     """Return the head for the node of the chosen backend server.
 
+    :param told_limit: limit of that server as this node knows it.
     :param expect: whether to send ``Expect: 100-continue``.
     """
     now = gateway.now()
@@ -38,6 +46,8 @@
         plan.route,
     )
     extra = [(HOP_HEADER, encode_hop_metadata(hop)), (DEPTH_HEADER, b"%d" % head.depth)]
+    if told_limit is not None:
+        extra.append((LIMIT_HEADER, encode_told_limit(told_limit)))
     return build_hop_head(head, extra, expect)
 
 
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -19,6 +19,7 @@
     RetryBudget,
     RunResult,
     ServerNotice,
+    ToldLimit,
 )
 from daisylink.serving._admission import Admission, AdmissionLimits
 from daisylink.serving._burn import HISTORY_INTERVAL, BurnTracker
@@ -27,8 +28,9 @@
 from daisylink.serving._local_server import LocalServer
 from daisylink.serving._metrics import Metrics
 from daisylink.serving._own_server_notice import OwnServerNotice
+from daisylink.serving._peer_notices import PeerNotices
 from daisylink.serving._quarantine import Quarantine
-from daisylink.serving._records import MemberRecord, ServerState
+from daisylink.serving._records import MemberRecord, ServerStart, ServerState
 from daisylink.serving._request_log import log_request_end
 from daisylink.serving._response_times import DEFAULT_SERVICE_SECONDS
 from daisylink.serving._splitter import Splitter
@@ -91,6 +93,7 @@
         self.metrics = metrics
         self.quarantine = quarantine
         self.own_notice = OwnServerNotice(metrics)
+        self.peer_notices = PeerNotices()
         self.burn_tracker = BurnTracker()
         self.lost_requests: list[Fingerprint] = []
         self.probes: set[asyncio.Task] = set()
@@ -252,6 +255,26 @@
         if self.own_notice.handle(record.server_start, notice):
             self._apply_own_notice()
 
+    def record_told_limit(self, told: ToldLimit) -> None:
+        """Record what another node knows of the local backend server's limit."""
+        start = ServerStart(told.instance, told.born)
+        if start != self.own_record.server_start:
+            return
+        if self.own_notice.handle_told_limit(told.rate):
+            self._apply_own_notice()
+
+    def record_peer_notice(self, record: MemberRecord, notice: ServerNotice) -> None:
+        """Record what another node's backend server says of itself in a response.
+
+        :param record: record of the node when the request was sent to it.
+        """
+        self.peer_notices.record(record, notice)
+
+    def find_told_limit(self, record: MemberRecord) -> ToldLimit | None:
+        """Return the limit of a node's server that its responses told this node."""
+        limit = self.peer_notices.get_limit(record)
+        return None if limit is None else ToldLimit(limit, *record.server_start)
+
     def _apply_own_notice(self) -> None:
         self.admission.pacer.set_rate(self.own_notice.limit, self.now())
         self._schedule_turn()
--- a/src/daisylink/serving/_own_server_notice.py
+++ b/src/daisylink/serving/_own_server_notice.py
@@ -20,6 +20,8 @@
         self.metrics = metrics
         self.start = NO_START
         self.last = NO_NOTICE
+        # Whether the present start has responded to this process.
+        self.is_first_hand = False
 
     @property
     def limit(self) -> float | None:
@@ -36,6 +38,7 @@
             return False
         self.start = start
         self.last = NO_NOTICE
+        self.is_first_hand = False
         return True
 
     def handle(self, start: ServerStart, notice: ServerNotice) -> bool:
@@ -46,6 +49,7 @@
         :param start: the start of the server that responded.
         """
         self.expect(start)
+        self.is_first_hand = True
         if notice == self.last:
             return False
         if notice.is_malformed:
@@ -58,6 +62,20 @@
             log.bind(instance=start.instance).info("server says that it leaves")
         return notice != previous
 
+    def handle_told_limit(self, limit: float) -> bool:
+        """Handle a limit that another node knows; return whether it is new here.
+
+        It counts until the server itself responds: a process that has just started
+        would pass a burst before that. Of several the lowest counts.
+        """
+        if self.is_first_hand:
+            return False
+        if self.limit is not None and self.limit <= limit:
+            return False
+        previous, self.last = self.last, ServerNotice(limit)
+        self._log_limit(limit, previous.limit)
+        return True
+
     def _mend(self, notice: ServerNotice) -> ServerNotice:
         self.metrics.record_server_notice("malformed")
         log.bind(instance=self.start.instance).warning("server's limit cannot be read")
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -5,7 +5,8 @@
 
 from daisylink.errors import ResultCode
 from daisylink.platform import HEADER_NAMES
-from daisylink.request import Admitted, Queued, Refused
+from daisylink.request import Admitted, Queued, Refused, ToldLimit
+from daisylink.request._head import decode_told_limit, encode_told_limit
 from daisylink.serving._admission import Admission, AdmissionLimits
 from daisylink.version import Priority
 from tests.platform_standin import encode_response
@@ -306,6 +307,13 @@
         notice = self.read(b"9", b"nan")
         self.assertEqual((notice.limit, notice.is_malformed), (9.0, True))
 
+    def test_a_limit_from_another_node_that_cannot_be_read_is_none(self):
+        for value in (b"", b"x i-1 1", b"-1 i-1 1", b"nan i-1 1", b"1 i-1", b"1 i 1e9"):
+            self.assertIsNone(decode_told_limit(value), value)
+        self.assertIsNone(decode_told_limit(b"1 i-1 " + b"9" * 5000))
+        told = ToldLimit(0.4, "i-1", 1_700_000_000_000)
+        self.assertEqual(decode_told_limit(encode_told_limit(told)), told)
+
     def test_leaving_is_said_by_1_alone(self):
         for value, is_leaving in ((b"1", True), (b"0", False), (b"yes", False)):
             notice = HEADER_NAMES.read_notice([(b"server-leaving", value)])
