A server that says in an answer that it leaves gets no new requests

Cause: only messages of the server to its node were heeded. A server whose heartbeats still say that it is ready got requests for as long as it sent them.

Fix: the node beside the server treats such an answer as a leave: the start is noted as departed, in the store too, so that late heartbeats do not bring it back. Each node that has passed on such an answer chooses that start never again, whatever the other node or the store know, so that a restart or a store that is away changes nothing for it. The record of a node names the birth of its server, because a server may return under its id.

--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -28,7 +28,6 @@
 from daisylink.serving._local_server import LocalServer
 from daisylink.serving._metrics import Metrics
 from daisylink.serving._own_server_notice import OwnServerNotice
-from daisylink.serving._peer_notices import PeerNotices
 from daisylink.serving._quarantine import Quarantine
 from daisylink.serving._records import MemberRecord, ServerStart, ServerState
 from daisylink.serving._request_log import log_request_end
@@ -93,7 +92,7 @@
         self.metrics = metrics
         self.quarantine = quarantine
         self.own_notice = OwnServerNotice(metrics)
-        self.peer_notices = PeerNotices()
+        self.peer_notices = balancer.peer_notices
         self.burn_tracker = BurnTracker()
         self.lost_requests: list[Fingerprint] = []
         self.probes: set[asyncio.Task] = set()
@@ -252,8 +251,12 @@
         """
         if record.server_start != self.own_record.server_start:
             return
-        if self.own_notice.handle(record.server_start, notice):
-            self._apply_own_notice()
+        if not self.own_notice.handle(record.server_start, notice):
+            return
+        self._apply_own_notice()
+        if notice.is_leaving:
+            self.local_server.handle_leaving_response(record.server_start)
+            self.loop.call_soon(self.on_local_server_changed)
 
     def record_told_limit(self, told: ToldLimit) -> None:
         """Record what another node knows of the local backend server's limit."""
@@ -268,7 +271,8 @@
 
         :param record: record of the node when the request was sent to it.
         """
-        self.peer_notices.record(record, notice)
+        if self.peer_notices.record(record, notice):
+            self.balancer.invalidate_candidates()
 
     def find_told_limit(self, record: MemberRecord) -> ToldLimit | None:
         """Return the limit of a node's server that its responses told this node."""
--- a/src/daisylink/serving/_load_balancer.py
+++ b/src/daisylink/serving/_load_balancer.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection
 from typing import NamedTuple, Protocol
 
+from daisylink.serving._peer_notices import PeerNotices
 from daisylink.serving._reachability import ReachabilityMonitor
 from daisylink.serving._records import MemberRecord
 from daisylink.serving._response_times import ResponseTimes
@@ -76,6 +77,7 @@
         self.health: dict[str, NodeHealth] = {}
         self.last_response_at: dict[str, float] = {}
         self.reachability = ReachabilityMonitor()
+        self.peer_notices = PeerNotices()
         self.cache: dict[str, Candidates] = {}
 
     def invalidate_candidates(self) -> None:
@@ -155,7 +157,11 @@
 
     def _find_candidates(self, pool: str) -> Candidates:
         zone = self.directory.own_record.zone
-        serving = self.directory.serving(pool).values()
+        serving = [
+            record
+            for record in self.directory.serving(pool).values()
+            if not self.peer_notices.is_leaving(record)
+        ]
         candidates = Candidates(
             tuple(record for record in serving if record.zone == zone),
             tuple(record for record in serving if record.zone != zone),
--- a/src/daisylink/serving/_local_server.py
+++ b/src/daisylink/serving/_local_server.py
@@ -199,6 +199,15 @@
             self.drain()
         return self._record_departed(ServerStart(departure.instance, born or left_ms))
 
+    def handle_leaving_response(self, start: ServerStart) -> None:
+        """Handle a response in which a start of the server says that it leaves."""
+        announcement = self.announcement
+        if announcement is None:
+            return
+        if start == (announcement.instance, announcement.born):
+            self._record_departed(start)
+            self.drain()
+
     def restore_departures(self, starts: Iterable[ServerStart]) -> None:
         """Add the departures that a former process has acknowledged."""
         for start in starts:
