Bytes without end that are no answer end the connection

Callers saw: a request whose server sent such bytes was held until its deadline, and ended as 'unknown' though the server had said that it had not run it; the bytes were read all the while.

Cause: a head, interim responses, a stray response and the body of a refused answer were read for as long as they came; a refusal was acted on at the end of its body.

Fix: 256 KiB of bytes that belong to no response that is passed on break the connection; a refusal is acted on 20 ms after its head if its body has not ended by then. Bytes after a whole answer, and bytes that are no HTTP, ended the connection before.

--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -22,6 +22,9 @@
 IDLE_TIMEOUT_FRACTION = 0.6
 MAX_IDLE_PER_ADDRESS = 32
 WRITE_BUFFER_HIGH_BYTES = 256 * 1024
+# Bytes before the head of a response is complete, or of a stray response: a server in
+# trouble may send them without end.
+MAX_USELESS_BYTES = 256 * 1024
 
 log = get_logger("hop")
 
@@ -46,6 +49,7 @@
         self.is_ended = False
         self.is_stray = False
         self.is_broken = False
+        self.useless_bytes = 0
         self.idle_limit_seconds = MAX_IDLE_SECONDS
         self.is_reusable = False
         self.ends_at_close = False
@@ -95,6 +99,11 @@
                 return
         if self.exchange is not exchange:
             return
+        if self._has_too_many_useless_bytes(len(data)):
+            log.bind(address=self.address).warning("bytes without end are no response")
+            self.is_broken = True
+            self.transport.abort()
+            return
         exchange.flush_response()
         if self.is_ended:
             self.exchange = None
@@ -103,6 +112,13 @@
             if not reusable:
                 self.transport.close()
 
+    def _has_too_many_useless_bytes(self, size: int) -> bool:
+        """Count received bytes unless they belong to a response that is passed on."""
+        if (self.status and not self.is_stray) or self.is_ended:
+            return False
+        self.useless_bytes += size
+        return self.useless_bytes > MAX_USELESS_BYTES
+
     def pause_writing(self) -> None:
         """Pause reading the request while the write buffer to the next hop is full."""
         self.is_write_paused = True
@@ -196,6 +212,7 @@
         self.status = 0
         self.is_ended = False
         self.ends_at_close = False
+        self.useless_bytes = 0
 
     def buffer(self, data: bytes) -> None:
         """Buffer bytes until :meth:`flush`."""
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -57,6 +57,8 @@
 # How long ago a connection to another node must have carried a response if the next
 # request on it cannot be retried after a loss.
 PROVEN_IDLE_SECONDS = 0.5
+# Time for the rest of a refusal, so that its connection can be used again.
+REFUSAL_BODY_SECONDS = 0.02
 FINAL_CODES = frozenset(
     {
         ResultCode.REQUEST_KEY_RUNNING,
@@ -466,6 +468,9 @@
         """Handle the head of the next hop's response."""
         self.hop_refusal = self._find_refusal(head)
         if self.hop_refusal is not None:
+            self.gateway.loop.call_later(
+                REFUSAL_BODY_SECONDS, self._end_refused_attempt, self.attempt
+            )
             return
         if self.is_http_1_0 and head.length is None and not head.bodiless:
             self.keep_alive = False
@@ -556,6 +561,11 @@
         self.gateway.record_answered(self)
         self._finish(RunResult.ANSWERED)
 
+    def _end_refused_attempt(self, attempt: int) -> None:
+        """End an attempt whose refusal has a body that does not end."""
+        if not self.done and attempt == self.attempt and self.hop is not None:
+            self._handle_refusal(self.hop_refusal)
+
     def _handle_refusal(self, refusal: Refusal) -> None:
         if refusal.code in FINAL_CODES:
             self.send_refusal(refusal)
