A leaving server whose announcement had lapsed stays out too

Found by reading: an answer with which the server leaves was ignored when the node knew of no running server, so a late heartbeat brought it back. The start is noted as departed in any case. The test failed before. A second test guards that what a limited server does not take goes to the others: it passed before, too.

--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -249,14 +249,13 @@
 
         :param record: this node's record when the request was sent.
         """
-        if record.server_start != self.own_record.server_start:
-            return
-        if not self.own_notice.handle(record.server_start, notice):
-            return
-        self._apply_own_notice()
-        if notice.is_leaving:
-            self.local_server.handle_leaving_response(record.server_start)
+        start = record.server_start
+        if notice.is_leaving and self.local_server.handle_leaving_response(start):
             self.loop.call_soon(self.on_local_server_changed)
+        if start != self.own_record.server_start:
+            return
+        if self.own_notice.handle(start, notice):
+            self._apply_own_notice()
 
     def record_told_limit(self, told: ToldLimit) -> None:
         """Record what another node knows of the local backend server's limit."""
--- a/src/daisylink/serving/_local_server.py
+++ b/src/daisylink/serving/_local_server.py
@@ -199,14 +199,18 @@
             self.drain()
         return self._record_departed(ServerStart(departure.instance, born or left_ms))
 
-    def handle_leaving_response(self, start: ServerStart) -> None:
-        """Handle a response in which a start of the server says that it leaves."""
+    def handle_leaving_response(self, start: ServerStart) -> bool:
+        """Handle a response in which a start of the server says that it leaves.
+
+        :returns: whether that was not known before.
+        """
+        if start.born <= self.departed.get(start.instance, -1):
+            return False
+        self._record_departed(start)
         announcement = self.announcement
-        if announcement is None:
-            return
-        if start == (announcement.instance, announcement.born):
-            self._record_departed(start)
+        if announcement is not None and self._has_departed(announcement):
             self.drain()
+        return True
 
     def restore_departures(self, starts: Iterable[ServerStart]) -> None:
         """Add the departures that a former process has acknowledged."""
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -5,7 +5,7 @@
 
 from daisylink.errors import ResultCode
 from daisylink.platform import HEADER_NAMES
-from daisylink.request import Admitted, Queued, Refused, ToldLimit
+from daisylink.request import Admitted, Queued, Refused, ServerNotice, ToldLimit
 from daisylink.request._head import decode_told_limit, encode_told_limit
 from daisylink.serving._admission import Admission, AdmissionLimits
 from daisylink.version import Priority
@@ -102,6 +102,14 @@
     def test_a_server_gets_no_more_than_it_named_from_all_machines_together(self):
         self.check_limit("8.8", count=3, per_second=120)
 
+    def test_what_the_server_does_not_take_goes_to_the_others(self):
+        async def scenario(_store, *machines):
+            NamingServer(machines[0], "Server-Limit: 3\r\n")
+            statuses = await self.send_steadily(machines, 4.0, 60)
+            self.assertLess(statuses.count(503), 0.02 * len(statuses))
+
+        self.run_machines(scenario, count=3)
+
     def test_an_only_server_gets_no_more_than_it_named(self):
         self.check_limit("5", count=1)
 
@@ -256,6 +264,20 @@
 
         self.run_machines(scenario, count=2)
 
+    def test_a_server_that_said_it_leaves_is_not_announced_again(self):
+        """Its announcement had lapsed when the answer came."""
+
+        async def scenario(_store, machine):
+            sidecar = machine.sidecar
+            record = sidecar.members.own_record
+            sidecar.local_server.remove()
+            sidecar.update_server()
+            sidecar.gateway.record_own_notice(record, ServerNotice(is_leaving=True))
+            await machine.send_heartbeat()
+            self.assertFalse(machine.admission.is_open)
+
+        self.run_machines(scenario)
+
     def test_a_node_that_starts_again_sends_nothing_to_a_server_that_leaves(self):
         """The store is away, so only the machines that were told know it."""
 
