Notices of servers, and slots and turns, in modules of their own

The rule that a new era keeps the reader ranks until the fleet has settled stood twice: a new era is a lapse of all records, so the guard in the sidecar is gone and its mutant now breaks the lapse.

--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -135,7 +135,7 @@
             plan = plan_relayed(self.head, now)
             self.gateway.record_peer_version(self.head.hop_metadata.version)
             if self.head.told_limit is not None:
-                self.gateway.record_told_limit(self.head.told_limit)
+                self.gateway.notices.record_told_limit(self.head.told_limit)
         else:
             version = self.gateway.version
             plan = plan_request(self.head, version, now, self.gateway.pick_target)
@@ -367,7 +367,7 @@
         if self.local_run is not None:
             return make_server_head(self.head, self.plan, self.gateway)
         expect = self.head.expects_continue and not self.has_sent_continue
-        told_limit = self.gateway.find_told_limit(self.target_record)
+        told_limit = self.gateway.notices.find_told_limit(self.target_record)
         return make_relay_head(self.head, self.plan, self.gateway, expect, told_limit)
 
     def refuse_attempt(self, code: ResultCode, retry_ms: int = 0) -> None:
@@ -518,7 +518,7 @@
         refusal = read_refusal(head)
         if refusal is None:
             notice = self.gateway.header_names.read_notice(head.headers)
-            self.gateway.record_peer_notice(self.target_record, notice)
+            self.gateway.notices.record_peer(self.target_record, notice)
         return refusal
 
     def _read_own_notice(self, head: ResponseHead) -> None:
@@ -529,7 +529,7 @@
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             return
         notice = self.gateway.header_names.read_notice(head.headers)
-        self.gateway.record_own_notice(self.server_record, notice)
+        self.gateway.notices.record_own(self.server_record, notice)
 
     def handle_response_body(self, data: bytes) -> None:
         """Handle a piece of the response body."""
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -111,7 +111,7 @@
         if self.suspect is not None:
             self.gateway.end_suspect(self.suspect, is_answered)
             self.suspect = None
-        self.gateway.free_slot(self.acquired_at, self.exchange.plan.route)
+        self.gateway.slots.free_slot(self.acquired_at, self.exchange.plan.route)
 
     def _check_quarantine(self) -> bool:
         """Return whether quarantine lets the request run now.
--- a/src/daisylink/request/_slot_wait.py
+++ b/src/daisylink/request/_slot_wait.py
@@ -23,7 +23,7 @@
     def start(self) -> None:
         """Run the request if a slot is free; otherwise wait, or refuse the attempt."""
         exchange = self.exchange
-        match exchange.gateway.try_admit(exchange, exchange.plan):
+        match exchange.gateway.slots.try_admit(exchange, exchange.plan):
             case Admitted():
                 exchange.run_locally()
             case Queued(displaced, expires):
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -10,7 +10,6 @@
 from daisylink.errors import ResultCode
 from daisylink.request import (
     DEFAULT_HEADER_NAMES,
-    Decision,
     Exchange,
     Fingerprint,
     HeaderNames,
@@ -18,8 +17,6 @@
     RequestPlan,
     RetryBudget,
     RunResult,
-    ServerNotice,
-    ToldLimit,
 )
 from daisylink.serving._admission import Admission, AdmissionLimits
 from daisylink.serving._burn import HISTORY_INTERVAL, BurnTracker
@@ -27,11 +24,12 @@
 from daisylink.serving._load_balancer import LoadBalancer
 from daisylink.serving._local_server import LocalServer
 from daisylink.serving._metrics import Metrics
-from daisylink.serving._own_server_notice import OwnServerNotice
 from daisylink.serving._quarantine import Quarantine
-from daisylink.serving._records import MemberRecord, ServerStart, ServerState
+from daisylink.serving._records import MemberRecord, ServerState
 from daisylink.serving._request_log import log_request_end
 from daisylink.serving._response_times import DEFAULT_SERVICE_SECONDS
+from daisylink.serving._server_notices import ServerNotices
+from daisylink.serving._slot_dispatcher import SlotDispatcher
 from daisylink.serving._splitter import Splitter
 from daisylink.version import CallerLimits, RouteEntry, RouteTarget, Version
 
@@ -91,12 +89,18 @@
         self.local_server = local_server
         self.metrics = metrics
         self.quarantine = quarantine
-        self.own_notice = OwnServerNotice(metrics)
-        self.peer_notices = balancer.peer_notices
         self.burn_tracker = BurnTracker()
         self.lost_requests: list[Fingerprint] = []
         self.probes: set[asyncio.Task] = set()
         self.admission = Admission()
+        self.slots = SlotDispatcher(self.admission, loop, self.now)
+        self.notices = ServerNotices(
+            balancer,
+            local_server,
+            metrics,
+            self.slots.set_rate,
+            lambda: loop.call_soon(self.on_local_server_changed),
+        )
         self.header_names = header_names
         self.claims_keys = claims_keys
         self.fixed_origin = origin
@@ -109,7 +113,6 @@
         )
         self.version: Version | None = None
         self.callers: set[CallerConnection] = set()
-        self.turn_timer: asyncio.TimerHandle | None = None
         self.stopping = False
         self.is_serving = True
         self.sweep_timer = loop.call_later(SWEEP_INTERVAL_SECONDS, self._sweep)
@@ -188,54 +191,10 @@
             plan.pool, tried, plan.slots, now, plan.route, slo_seconds
         )
 
-    def try_admit(self, exchange: Exchange, plan: RequestPlan) -> Decision:
-        """Admit, queue or refuse a request for the local backend server."""
-        decision = self.admission.try_admit(
-            exchange,
-            plan.priority,
-            plan.deadline,
-            self.now(),
-            plan.slo_deadline,
-            plan.route,
-        )
-        self._schedule_turn()
-        return decision
-
-    def free_slot(self, acquired_at: float, kind: str) -> None:
-        """Release a slot and run the queued requests that get it.
-
-        :param acquired_at: when it was acquired, in seconds of the monotonic clock.
-        :param kind: kind of the request that held it.
-        """
-        now = self.now()
-        self._run_admitted(self.admission.release(now - acquired_at, now, kind))
-
-    def _run_admitted(self, admitted: list[Exchange]) -> None:
-        for exchange in admitted:
-            exchange.run_locally()
-        for exchange in self.admission.pop_expired():
-            exchange.refuse_attempt(ResultCode.REQUEST_OVERLOADED)
-        self._schedule_turn()
-
-    def _schedule_turn(self) -> None:
-        """Wake up for the next turn at a backend server that limits its rate."""
-        wake_at = self.admission.wake_at
-        if self.turn_timer is not None:
-            self.turn_timer.cancel()
-            self.turn_timer = None
-        if wake_at < float("inf"):
-            seconds = max(0.0, wake_at - self.now())
-            self.turn_timer = self.loop.call_later(seconds, self._give_turns)
-
-    def _give_turns(self) -> None:
-        self.turn_timer = None
-        self._run_admitted(self.admission.admit_waiting(self.now()))
-
     def update_admission(self) -> None:
         """Open or close admission according to the node's own record."""
         own_record = self.own_record
-        if self.own_notice.expect(own_record.server_start):
-            self._apply_own_notice()
+        self.notices.update_own_start()
         if own_record.server is ServerState.SERVING and self.is_serving:
             self.admission.open(self._find_limits(own_record))
             return
@@ -244,44 +203,6 @@
         for exchange in self.admission.close(code):
             exchange.refuse_attempt(code)
 
-    def record_own_notice(self, record: MemberRecord, notice: ServerNotice) -> None:
-        """Record what the local backend server says of itself in a response.
-
-        :param record: this node's record when the request was sent.
-        """
-        start = record.server_start
-        if notice.is_leaving and self.local_server.handle_leaving_response(start):
-            self.loop.call_soon(self.on_local_server_changed)
-        if start != self.own_record.server_start:
-            return
-        if self.own_notice.handle(start, notice):
-            self._apply_own_notice()
-
-    def record_told_limit(self, told: ToldLimit) -> None:
-        """Record what another node knows of the local backend server's limit."""
-        start = ServerStart(told.instance, told.born)
-        if start != self.own_record.server_start:
-            return
-        if self.own_notice.handle_told_limit(told.rate):
-            self._apply_own_notice()
-
-    def record_peer_notice(self, record: MemberRecord, notice: ServerNotice) -> None:
-        """Record what another node's backend server says of itself in a response.
-
-        :param record: record of the node when the request was sent to it.
-        """
-        if self.peer_notices.record(record, notice):
-            self.balancer.invalidate_candidates()
-
-    def find_told_limit(self, record: MemberRecord) -> ToldLimit | None:
-        """Return the limit of a node's server that its responses told this node."""
-        limit = self.peer_notices.get_limit(record)
-        return None if limit is None else ToldLimit(limit, *record.server_start)
-
-    def _apply_own_notice(self) -> None:
-        self.admission.pacer.set_rate(self.own_notice.limit, self.now())
-        self._schedule_turn()
-
     def record_server_unreachable(self) -> None:
         """Record that the local backend server refused a connection."""
         self.local_server.record_unreachable()
@@ -406,8 +327,7 @@
     def close(self) -> None:
         """Close every connection."""
         self.sweep_timer.cancel()
-        if self.turn_timer is not None:
-            self.turn_timer.cancel()
+        self.slots.close()
         self.in_flight_tracker.close()
         for caller in list(self.callers):
             caller.close()
--- a/src/daisylink/sidecar/_gauges.py
+++ b/src/daisylink/sidecar/_gauges.py
@@ -49,7 +49,7 @@
         lambda: era_tracker.unstated,
         "Responses of the store without an era, or with one that is no number.",
     )
-    own_notice = sidecar.gateway.own_notice
+    own_notice = sidecar.gateway.notices.own
     metrics.add_gauge(
         "daisylink.server.limit",
         lambda: -1 if own_notice.limit is None else own_notice.limit,
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -502,7 +502,7 @@
 
     def _update_rank(self) -> None:
         """Select the readers again, once for all changes of a batch."""
-        if not self.role.is_outdated or self.era_recovery.is_settling:
+        if not self.role.is_outdated:
             return
         previous = self.role.rank
         self.role.update_rank()
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -198,7 +198,7 @@
                 naming.extra = f"Server-Limit: {value}\r\n"
                 statuses = await self.send_steadily([machine], 0.5, 20)
                 self.assertEqual(set(statuses), {200}, value)
-            self.assertIsNone(machine.sidecar.gateway.own_notice.limit)
+            self.assertIsNone(machine.sidecar.gateway.notices.own.limit)
 
         self.run_machines(scenario)
 
@@ -272,7 +272,7 @@
             record = sidecar.members.own_record
             sidecar.local_server.remove()
             sidecar.update_server()
-            sidecar.gateway.record_own_notice(record, ServerNotice(is_leaving=True))
+            sidecar.gateway.notices.record_own(record, ServerNotice(is_leaving=True))
             await machine.send_heartbeat()
             self.assertFalse(machine.admission.is_open)
 
