--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -247,9 +247,9 @@
     ),
     Mutant(
         "a success needs no proof",
-        "request/_exchange.py",
-        "            if not has_server_proof(head, header_names):\n",
-        "            if False:\n",
+        "request/_response_reader.py",
+        "    if not has_server_proof(head, header_names):\n",
+        "    if False:\n",
         "tests.test_server_answers",
     ),
     Mutant(
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from http import HTTPStatus
 from typing import Any
 
 from daisylink.errors import ResultCode
@@ -44,13 +43,9 @@
 from daisylink.request._response import (
     ForwardedResponse,
     ResponseHead,
-    has_server_proof,
     is_own_response,
-    is_replay,
-    is_shed,
-    read_load,
-    read_refusal,
 )
+from daisylink.request._response_reader import find_refusal
 from daisylink.request._slot_wait import SlotWait
 
 MS_PER_SECOND = 1000
@@ -466,7 +461,7 @@
 
     def handle_response_head(self, head: ResponseHead) -> None:
         """Handle the head of the next hop's response."""
-        self.hop_refusal = self._find_refusal(head)
+        self.hop_refusal = find_refusal(self, head)
         if self.hop_refusal is not None:
             self.gateway.loop.call_later(
                 REFUSAL_BODY_SECONDS, self._end_refused_attempt, self.attempt
@@ -501,36 +496,6 @@
         kind = self.plan.route if self.plan is not None else ""
         return LOAD_HEADER + b": " + self.gateway.format_load(kind)
 
-    def _find_refusal(self, head: ResponseHead) -> Refusal | None:
-        """Return the refusal that a response stands for, None to pass it on."""
-        if self.local_run is not None:
-            header_names = self.gateway.header_names
-            self._read_own_notice(head)
-            if is_shed(head, header_names):
-                return make_refusal(ResultCode.REQUEST_SHED_BY_SERVER)
-            if not has_server_proof(head, header_names):
-                return make_refusal(ResultCode.REQUEST_ANSWER_LOST)
-            return None
-        load = read_load(head)
-        if load is not None:
-            self.gateway.record_load(self.target, load, self.plan.route)
-        self.response.replayed = is_replay(head)
-        refusal = read_refusal(head)
-        if refusal is None:
-            notice = self.gateway.header_names.read_notice(head.headers)
-            self.gateway.notices.record_peer(self.target_record, notice)
-        return refusal
-
-    def _read_own_notice(self, head: ResponseHead) -> None:
-        """Record what the local backend server says of itself.
-
-        A server that was not meant says nothing of the one that was.
-        """
-        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
-            return
-        notice = self.gateway.header_names.read_notice(head.headers)
-        self.gateway.notices.record_own(self.server_record, notice)
-
     def handle_response_body(self, data: bytes) -> None:
         """Handle a piece of the response body."""
         if self.hop_refusal is None:
--- /dev/null
+++ b/src/daisylink/request/_response_reader.py
@@ -0,0 +1,55 @@
+"""Reads what the head of the next hop's response says beside the response itself."""
+
+from http import HTTPStatus
+from typing import Any
+
+from daisylink.errors import ResultCode
+from daisylink.request._outcome import Refusal, make_refusal
+from daisylink.request._response import (
+    ResponseHead,
+    has_server_proof,
+    is_replay,
+    is_shed,
+    read_load,
+    read_refusal,
+)
+
+
+def find_refusal(exchange: Any, head: ResponseHead) -> Refusal | None:
+    """Return the refusal that a response stands for, None to pass it on.
+
+    Also records the load that another node reports, and what the backend server says of
+    itself.
+
+    :param exchange: the :class:`~daisylink.request.Exchange` that gets the response.
+    """
+    if exchange.local_run is not None:
+        return _find_server_refusal(exchange, head)
+    return _find_node_refusal(exchange, head)
+
+
+def _find_server_refusal(exchange: Any, head: ResponseHead) -> Refusal | None:
+    gateway = exchange.gateway
+    header_names = gateway.header_names
+    # A server that was not meant says nothing of the one that was.
+    if head.status != HTTPStatus.MISDIRECTED_REQUEST:
+        notice = header_names.read_notice(head.headers)
+        gateway.notices.record_own(exchange.server_record, notice)
+    if is_shed(head, header_names):
+        return make_refusal(ResultCode.REQUEST_SHED_BY_SERVER)
+    if not has_server_proof(head, header_names):
+        return make_refusal(ResultCode.REQUEST_ANSWER_LOST)
+    return None
+
+
+def _find_node_refusal(exchange: Any, head: ResponseHead) -> Refusal | None:
+    gateway = exchange.gateway
+    load = read_load(head)
+    if load is not None:
+        gateway.record_load(exchange.target, load, exchange.plan.route)
+    exchange.response.replayed = is_replay(head)
+    refusal = read_refusal(head)
+    if refusal is None:
+        notice = gateway.header_names.read_notice(head.headers)
+        gateway.notices.record_peer(exchange.target_record, notice)
+    return refusal
