Changes that are too many for one response are listed

The bound is 16 MiB now, and a watch that passes it counts as one whose history is gone: the keys are listed, each once. The test failed before.

--- a/src/daisylink/http_client.py
+++ b/src/daisylink/http_client.py
@@ -12,8 +12,8 @@
 from daisylink.errors import CallError
 
 MAX_IDLE_CONNECTIONS = 4
-# More than all versions that the store keeps of a large configuration.
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Several pages of the store's largest listing; a process has 200 MB on small machines.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 class HttpResponse(NamedTuple):
@@ -43,6 +43,11 @@
         self.received_at = float("-inf")
         self.timeout: asyncio.Timeout | None = None
 
+    @property
+    def is_too_large(self) -> bool:
+        """Return whether more has arrived than a response may have."""
+        return self.received_bytes > MAX_RESPONSE_BYTES
+
     def record(self, size: int, now: float) -> None:
         """Record bytes that arrived, and extend the timeout."""
         self.received_bytes += size
@@ -89,11 +94,11 @@
             self.transport.abort()
             return
         self.received_bytes += len(data)
+        if self.transfer is not None:
+            self.transfer.record(len(data), self.loop.time())
         if self.received_bytes > MAX_RESPONSE_BYTES:
             self.transport.abort()
             return
-        if self.transfer is not None:
-            self.transfer.record(len(data), self.loop.time())
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
--- a/src/daisylink/platform/_store.py
+++ b/src/daisylink/platform/_store.py
@@ -129,12 +129,21 @@
             "wait_ms": round(seconds * 1000),
         }
         target = f"/-/kv-watch?{urlencode(query)}"
-        response = await self._call(
-            "GET",
-            target,
-            seconds=seconds + READ_TIMEOUT_SECONDS,
-            transfer=self._begin_transfer(),
-        )
+        transfer = self._begin_transfer()
+        try:
+            response = await self._call(
+                "GET",
+                target,
+                seconds=seconds + READ_TIMEOUT_SECONDS,
+                transfer=transfer,
+            )
+        except PlatformError as error:
+            if transfer.is_too_large:
+                raise PlatformError(
+                    "too many changes for one response",
+                    ResultCode.PLATFORM_HISTORY_GONE,
+                ) from error
+            raise
         _check_era(revision, response.era)
         events = _decode(response, _Events)
         items = [_convert(item, response.era) for item in events.events]
--- a/src/daisylink/registry/_store.py
+++ b/src/daisylink/registry/_store.py
@@ -87,7 +87,7 @@
         """Return the changes after a revision, waiting up to ``wait`` for any.
 
         :raises PlatformError: ``PLATFORM_HISTORY_GONE`` if the store no longer
-            has them, or is in a later era.
+            has them, is in a later era, or if they are too many for one response.
         """
 
     async def write(self, key: str, value: bytes, lease_id: int) -> StoreRevision:
--- a/tests/test_late_versions.py
+++ b/tests/test_late_versions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+import unittest.mock
 
 from daisylink import platform
 from daisylink.http_server import WebRequest
@@ -119,6 +120,22 @@
 
         self.run_machines(scenario)
 
+    def test_changes_that_are_too_many_for_one_response_are_listed(self):
+        """The watch would be cut off at the same place again and again."""
+
+        async def scenario(store, machine):
+            sidecar = machine.sidecar
+            sidecar.watch_cache.pending = "stuck"
+            sidecar.store_driver.watch_task.cancel()
+            for number in range(13, 60):
+                store.put(platform.CONFIG_KEY, make_version(number))
+            with unittest.mock.patch("daisylink.http_client.MAX_RESPONSE_BYTES", 9_000):
+                sidecar.watch_cache.restart_watch()
+                sidecar.step()
+                await self.wait_for(lambda: sidecar.fleet_state.version_number == 59)
+
+        self.run_machines(scenario)
+
     def test_a_listing_that_takes_longer_than_its_timeout_is_not_begun_anew(self):
         async def scenario(store, machine):
             store.bytes_per_second = NARROW_BYTES_PER_SECOND
