Logs and metrics tell how old a node's view of the store is

The hypotheses of the incident differ in what a node could have known: from whom it got a version, when the store last confirmed what it knows, whether a restart of its watch was left out. None of it was logged.

- `version read` names the source (store or reader) and the age of its keys; a reader states that age in its answers (a new last field, which other releases ignore or leave out).
- `peers have had a newer version for a while`, with the age of the own keys.
- Gauge daisylink_store_view_age.

--- a/src/daisylink/registry/_watch_cache.py
+++ b/src/daisylink/registry/_watch_cache.py
@@ -21,6 +21,9 @@
     StoreRevision,
 )
 
+# Age of keys that were never confirmed.
+MAX_AGE_SECONDS = 3600.0
+
 
 class WatchCacheSettings(NamedTuple):
     """Delays and timeouts of a :class:`WatchCache`.
@@ -100,6 +103,9 @@
         self.first_revision = NO_REVISION
         self.is_listed = False
         self.read_at = 0.0
+        # When the store last answered with all changes until then, to this node or to
+        # the reader that it asked.
+        self.confirmed_at = float("-inf")
         self.pending: ReadCall | None = None
 
     @property
@@ -148,6 +154,10 @@
             self.values.pop(key, None)
         return True
 
+    def count_age(self, now: float) -> float:
+        """Return for how many seconds the store has not confirmed these keys."""
+        return min(now - self.confirmed_at, MAX_AGE_SECONDS)
+
     def delay_first_list(self, seconds: float, now: float) -> None:
         """List the keys only after a while, when the other nodes' are there too.
 
@@ -165,9 +175,12 @@
         self.read_at = 0.0
         self.backoff.retry_at = 0.0
 
-    def handle_listing(self, listing: Listing) -> None:
-        """Apply a listing; cached keys that it lacks count as deleted."""
-        self._record_reply()
+    def handle_listing(self, listing: Listing, now: float, age: float = 0.0) -> None:
+        """Apply a listing; cached keys that it lacks count as deleted.
+
+        :param age: seconds since the store answered, if another node did the listing.
+        """
+        self._record_reply(now - age)
         self.is_listed = True
         if listing.revision.era != self.first_revision.era or not self.has_listed:
             self.first_revision = listing.revision
@@ -180,14 +193,19 @@
         self.on_listing()
 
     def handle_changes(
-        self, changes: Changes, now: float, is_from_store: bool = True
+        self,
+        changes: Changes,
+        now: float,
+        is_from_store: bool = True,
+        age: float = 0.0,
     ) -> None:
         """Apply the changes that a watch returned.
 
         :param is_from_store: whether they come from the store, whose calls are priced,
             rather than from a reader.
+        :param age: seconds since the store answered the reader.
         """
-        self._record_reply()
+        self._record_reply(now - age)
         self.revision = max(self.revision, changes.revision)
         delay = self._batch_delay() if is_from_store else self.settings.min_batch_delay
         self.read_at = now + delay.total_seconds()
@@ -232,8 +250,9 @@
             if changed > revision and key.startswith(prefix)
         ]
 
-    def _record_reply(self) -> None:
+    def _record_reply(self, confirmed_at: float) -> None:
         self.pending = None
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
         self.backoff.record_success()
 
     def handle_updates(self, items: list[Item]) -> None:
--- a/src/daisylink/sidecar/_change_feed.py
+++ b/src/daisylink/sidecar/_change_feed.py
@@ -4,6 +4,8 @@
 import zlib
 from collections.abc import Callable
 from http import HTTPStatus
+from math import ceil
+from typing import NamedTuple
 
 import msgspec
 
@@ -24,6 +26,8 @@
 # reader is noticed well within the time allowed for applying a configuration.
 WAIT_SECONDS = 1.0
 RESPONSE_SECONDS = 0.5
+MS_PER_SECOND = 1000
+AGE_STEP_MS = 50
 # Digits of the largest 64-bit number.
 MAX_COUNT_DIGITS = 19
 # Fits a whole uncompressed configuration and the members of a large fleet.
@@ -58,12 +62,14 @@
     :param is_whole: whether these are all keys, because the sender cannot know which
         ones were deleted since the requested revision.
     :param version: number of the version in force at the sender, 0 for none.
+    :param age_ms: milliseconds since the store confirmed these keys to the sender.
     """
 
     revision: StoreRevision
     items: list[tuple[str, bytes | None, StoreRevision]]
     is_whole: bool = False
     version: int = 0
+    age_ms: int = 0
 
     @classmethod
     def from_bytes(cls, data: bytes) -> "KeyUpdates":
@@ -91,18 +97,24 @@
 
     :param prefix: prefix of the keys that are served.
     :param can_serve: returns whether this node watches the store and it responds.
+    :param now: returns the monotonic time in seconds.
     """
 
     def __init__(
-        self, watch_cache: WatchCache, prefix: str, can_serve: Callable[[], bool]
+        self,
+        watch_cache: WatchCache,
+        prefix: str,
+        can_serve: Callable[[], bool],
+        now: Callable[[], float],
     ):
         self.watch_cache = watch_cache
         self.prefix = prefix
         self.can_serve = can_serve
+        self.now = now
         self.loop = asyncio.get_running_loop()
         self.waiting: list[tuple[StoreRevision, asyncio.Future[WebResponse]]] = []
         self.notified_revision = NO_REVISION
-        self.last_key: tuple[StoreRevision, StoreRevision, int] | None = None
+        self.last_key: tuple[StoreRevision, StoreRevision, int, int] | None = None
         self.last_response = WebResponse()
 
     def handle_request(
@@ -139,13 +151,20 @@
 
     def _make_response(self, after: StoreRevision) -> WebResponse:
         """Return the response to a long poll; most waiting nodes get the same one."""
-        key = (after, self.watch_cache.revision, self.watch_cache.change_count)
+        watch_cache = self.watch_cache
+        age_ms = self._count_age_ms()
+        key = (after, watch_cache.revision, watch_cache.change_count, age_ms)
         if key != self.last_key:
             self.last_key = key
-            self.last_response = self._encode_changes(after)
+            self.last_response = self._encode_changes(after, age_ms)
         return self.last_response
 
-    def _encode_changes(self, after: StoreRevision) -> WebResponse:
+    def _count_age_ms(self) -> int:
+        """Return the age of the keys in steps, so that responses can be shared."""
+        age = max(0.0, self.watch_cache.count_age(self.now()))
+        return ceil(age * MS_PER_SECOND / AGE_STEP_MS) * AGE_STEP_MS
+
+    def _encode_changes(self, after: StoreRevision, age_ms: int) -> WebResponse:
         watch_cache = self.watch_cache
         is_whole = after < watch_cache.first_revision
         start = NO_REVISION if is_whole else after
@@ -153,11 +172,24 @@
         if is_whole:
             items = [item for item in items if item.value is not None]
         updates = KeyUpdates(
-            watch_cache.revision, [tuple(item) for item in items], is_whole
+            watch_cache.revision,
+            [tuple(item) for item in items],
+            is_whole,
+            age_ms=age_ms,
         )
         return WebResponse(body=updates.to_bytes())
 
 
+class ReaderAnswer(NamedTuple):
+    """What a reader answered.
+
+    :param age: seconds since the store confirmed it to the reader.
+    """
+
+    updates: Changes | Listing
+    age: float
+
+
 class ChangeFeedClient:
     """Gets changes from one reader at a time."""
 
@@ -165,7 +197,7 @@
         self.client: HttpClient | None = None
         self.transfer: Transfer | None = None
 
-    async def watch(self, reader: str, after: StoreRevision) -> Changes | Listing:
+    async def watch(self, reader: str, after: StoreRevision) -> ReaderAnswer:
         """Return the changes after a revision, or all keys.
 
         :raises CallError: if the reader does not respond or serves no changes.
@@ -182,9 +214,9 @@
         if response.status != HTTPStatus.OK:
             raise CallError(f"status {response.status}", was_sent=True)
         updates = KeyUpdates.from_bytes(response.body)
-        if updates.is_whole:
-            return Listing(updates.list_items(), updates.revision)
-        return Changes(updates.list_items(), updates.revision)
+        age = updates.age_ms / MS_PER_SECOND
+        form = Listing if updates.is_whole else Changes
+        return ReaderAnswer(form(updates.list_items(), updates.revision), age)
 
     def close(self) -> None:
         """Close the connection."""
--- a/src/daisylink/sidecar/_gauges.py
+++ b/src/daisylink/sidecar/_gauges.py
@@ -33,6 +33,11 @@
         lambda: int(sidecar.role.is_reader),
         "Whether this node reads the configuration itself.",
     )
+    metrics.add_gauge(
+        "daisylink.store.view.age",
+        lambda: sidecar.watch_cache.count_age(sidecar.now()),
+        "Seconds since the store last confirmed what this node knows of it.",
+    )
     era_tracker = sidecar.era_tracker
     metrics.add_gauge(
         "daisylink.store.era",
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -89,6 +89,7 @@
 STOP_MARGIN_SECONDS = 1.0
 # Time until the next step after one that failed, so that it does not run all the time.
 FAILED_STEP_SECONDS = 0.1
+MS_PER_SECOND = 1000
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 log = get_logger("sidecar")
@@ -204,6 +205,7 @@
         )
         self.store_driver = StoreDriver(
             platform_adapter.store,
+            platform_adapter.config_key,
             self.registration,
             self.watch_cache,
             self.publisher,
@@ -218,7 +220,7 @@
             self.step,
         )
         self.change_feed = ChangeFeed(
-            self.watch_cache, FLEET_PREFIX, lambda: self.can_serve_feed
+            self.watch_cache, FLEET_PREFIX, lambda: self.can_serve_feed, self.now
         )
         self.peer_exchange = PeerExchange(
             self.watch_cache,
@@ -488,6 +490,11 @@
         if self.stopping:
             return False
         self.source_selector.avoid_readers(self.now())
+        log.bind(
+            version=self.peer_versions.missed_number,
+            in_force=self.fleet_state.version_number,
+            age_ms=round(self.watch_cache.count_age(self.now()) * MS_PER_SECOND),
+        ).info("peers have had a newer version for a while")
         if is_first:
             self.store_driver.restart_watch("a peer has a newer version")
         self.peer_exchange.fetch_updates()
--- a/src/daisylink/sidecar/_store_driver.py
+++ b/src/daisylink/sidecar/_store_driver.py
@@ -8,6 +8,7 @@
 from daisylink.http_client import Transfer
 from daisylink.logs import get_logger
 from daisylink.registry import (
+    Changes,
     DeleteDepartures,
     DepartureLog,
     DepartureSweeper,
@@ -41,6 +42,8 @@
 # large configuration takes long, and would never arrive if it were begun anew.
 RECEIVING_SECONDS = 1.0
 MS_PER_SECOND = 1000
+# Source of a version in the logs; another one is the name of a reader.
+STORE = "store"
 # What an error that no call should raise counts as.
 UNEXPECTED = ResultCode.PLATFORM_UNAVAILABLE
 
@@ -50,6 +53,7 @@
 class StoreDriver:
     """Makes store calls, one at a time for each decision object.
 
+    :param config_key: store key of the configuration.
     :param node: name of this node.
     :param now: returns the monotonic time in seconds.
     :param spawn: starts a task.
@@ -59,6 +63,7 @@
     def __init__(
         self,
         store: LeaseStore,
+        config_key: str,
         registration: Registration,
         watch_cache: WatchCache,
         publisher: Publisher,
@@ -71,6 +76,7 @@
         on_call_done: Callable[[], None],
     ):
         self.store = store
+        self.config_key = config_key
         self.registration = registration
         self.watch_cache = watch_cache
         self.publisher = publisher
@@ -117,6 +123,9 @@
         transfer = self._get_pending_transfer()
         if not is_urgent:
             if now - self.watch_restarted_at < REWATCH_INTERVAL_SECONDS:
+                log.bind(
+                    reason=reason, ms=_count_ms(now - self.watch_restarted_at)
+                ).info("watch not restarted: it was restarted a moment ago")
                 return
             if transfer and now - transfer.received_at < RECEIVING_SECONDS:
                 log.bind(reason=reason, received_bytes=transfer.received_bytes).info(
@@ -198,7 +207,8 @@
                 case ListKeys(prefix):
                     self.read_source = self.store
                     listing = await self.store.list(prefix)
-                    self.watch_cache.handle_listing(listing)
+                    self._log_versions(listing, STORE)
+                    self.watch_cache.handle_listing(listing, self.now())
                 case WatchKeys():
                     await self._watch(call)
         except PlatformError as error:
@@ -217,20 +227,41 @@
         self.read_source = self.store if reader is None else self.change_feed_client
         if reader is None:
             changes = await self.store.watch(call.prefix, call.revision, call.wait)
+            self._log_versions(changes, STORE)
             self.watch_cache.handle_changes(changes, self.now())
             return
         try:
-            updates = await self.change_feed_client.watch(reader, call.revision)
+            answer = await self.change_feed_client.watch(reader, call.revision)
         except CallError as error:
             log.bind(reader=reader).info("reader does not answer: {}", error)
             self.source_selector.record_failure(reader, self.now())
             self.watch_cache.restart_watch()
             return
+        updates, age = answer
         self.store.era_tracker.learn(updates.revision.era)
+        self._log_versions(updates, reader, age)
         if isinstance(updates, Listing):
-            self.watch_cache.handle_listing(updates)
+            self.watch_cache.handle_listing(updates, self.now(), age)
         else:
-            self.watch_cache.handle_changes(updates, self.now(), is_from_store=False)
+            self.watch_cache.handle_changes(
+                updates, self.now(), is_from_store=False, age=age
+            )
+
+    def _log_versions(
+        self, updates: Listing | Changes, source: str, age: float = 0.0
+    ) -> None:
+        """Log where a version was read from; the next lines tell what came of it.
+
+        :param age: seconds since the store confirmed the updates to the source.
+        """
+        for item in updates.items:
+            if item.key in (self.config_key, COMPRESSED_VERSION_KEY):
+                log.bind(
+                    key=item.key,
+                    revision=item.revision,
+                    source=source,
+                    age_ms=_count_ms(age),
+                ).info("version read")
 
     async def _write_departures(self, call: WriteDepartures) -> None:
         had_failed = self.departure_log.backoff.failures > 0
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -213,14 +213,14 @@
             Item("op", b"", at(9)),
         ]
         self.watch_cache.tick(0.0)
-        self.watch_cache.handle_listing(Listing(own, at(10)))
+        self.watch_cache.handle_listing(Listing(own, at(10)), 0.0)
         self.watch_cache.tick(0.0)
         self.watch_cache.handle_changes(
             Changes([Item("own/a", None, at(12))], at(12)), 0.0
         )
 
     def poll_feed(self, after):
-        change_feed = ChangeFeed(self.watch_cache, "own/", lambda: True)
+        change_feed = ChangeFeed(self.watch_cache, "own/", lambda: True, lambda: 0.0)
         request = WebRequest(
             "GET", "/v1/changes", {"after": format_revision(at(after))}, b""
         )
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -131,7 +131,7 @@
 
     def list(self, items, revision, now=0.0):
         self.assertEqual(self.watch_cache.tick(now), ListKeys())
-        self.watch_cache.handle_listing(Listing(items, at(revision)))
+        self.watch_cache.handle_listing(Listing(items, at(revision)), now)
 
     def test_the_watch_begins_where_the_listing_ended(self):
         self.list([Item("a", b"1", at(3))], 5)
@@ -164,7 +164,7 @@
         keys = [Item(f"n{number}", b"", at(1)) for number in range(members)]
         self.watch_cache.set_prefix("n", is_reader)
         self.watch_cache.tick(0.0)
-        self.watch_cache.handle_listing(Listing(keys, at(1)))
+        self.watch_cache.handle_listing(Listing(keys, at(1)), 0.0)
         watches = 0
         for step in range(200):
             if self.watch_cache.tick(step / 20) is not None:
