--- /dev/null
+++ b/tests/test_late_readers.py
@@ -0,0 +1,161 @@
+"""Every node has a version in time, whatever some readers hear and answer."""
+
+import asyncio
+import unittest
+
+from daisylink import platform
+from daisylink.registry import (
+    Publisher,
+    PublisherSettings,
+    ReaderSettings,
+)
+from daisylink.sidecar._fleet_state import FLEET_PREFIX
+from tests.sidecar_case import SidecarTestCase
+from tests.test_platform import make_configuration
+
+# The users' bound for fleets of this kind, from the store's acknowledgement on.
+APPLY_SECONDS = 2.5
+THREE_READERS = ReaderSettings(max_small_fleet=1, max_readers_per_zone=3, min_readers=3)
+FLEET_SIZE = 9
+
+
+def make_version(number):
+    return make_configuration().replace(b"r12", b"r%d" % number)
+
+
+class LateReaderTestCase(SidecarTestCase):
+    async def select_three_readers(self, machines):
+        for machine in machines:
+            machine.sidecar.role.settings = THREE_READERS
+            machine.sidecar._handle_members_change()
+            machine.sidecar.step()
+        readers = [m for m in machines if m.sidecar.role.is_reader]
+        readers.sort(key=lambda machine: machine.sidecar.role.rank)
+        others = [machine for machine in machines if machine not in readers]
+        await self.wait_for(
+            lambda: all(m.sidecar.watch_cache.prefix == FLEET_PREFIX for m in others)
+        )
+        await asyncio.sleep(1.5)
+        return readers, others
+
+    async def change_version(self, store, machines):
+        """Write a version; it must be in force on the machines in time."""
+        store.put(platform.CONFIG_KEY, make_version(14))
+        await self.wait_for(
+            lambda: all(m.sidecar.fleet_state.version_number == 14 for m in machines),
+            APPLY_SECONDS,
+        )
+
+
+def silence_watch(machine):
+    """Put the machine's watch on a connection that went silent; new ones work."""
+    driver = machine.sidecar.store_driver
+    real_watch = driver.store.watch
+
+    async def watch(_prefix, _revision, _wait):
+        driver.store.watch = real_watch
+        await asyncio.get_running_loop().create_future()
+
+    driver.store.watch = watch
+    driver.restart_watch("test", is_urgent=True)
+    machine.sidecar.step()
+
+
+def freeze(machine):
+    """Let the machine neither read, publish nor answer the nodes that ask it."""
+    sidecar = machine.sidecar
+    sidecar.change_feed.handle_request = lambda _: (
+        asyncio.get_running_loop().create_future()
+    )
+    if sidecar.store_driver.watch_task is not None:
+        sidecar.store_driver.watch_task.cancel()
+    sidecar.step = lambda: None
+    sidecar.timer.cancel()
+
+
+class LateReaderTests(LateReaderTestCase):
+    def test_followers_of_readers_whose_watch_hears_nothing_are_not_late(self):
+        """Such readers answered "no changes" for 9.4 s beside a calm store."""
+        for count in range(4):
+            with self.subTest(count):
+
+                async def scenario(store, *machines, count=count):
+                    readers, others = await self.select_three_readers(machines)
+                    for machine in readers[:count]:
+                        silence_watch(machine)
+                    await asyncio.sleep(0.1)
+                    await self.change_version(store, others)
+
+                self.run_machines(scenario, FLEET_SIZE)
+
+    def test_followers_of_frozen_readers_are_not_late(self):
+        """Two in a row took 3 s; without any reader nobody published."""
+        for count in range(4):
+            with self.subTest(count):
+
+                async def scenario(store, *machines, count=count):
+                    readers, others = await self.select_three_readers(machines)
+                    for machine in readers[:count]:
+                        freeze(machine)
+                    await asyncio.sleep(0.05)
+                    await self.change_version(store, others)
+
+                self.run_machines(scenario, FLEET_SIZE)
+
+    def test_followers_of_a_reader_that_loses_the_store_are_not_late(self):
+        """Its failing lease told it, but polls that were waiting went on."""
+
+        async def scenario(store, *machines):
+            readers, others = await self.select_three_readers(machines)
+            for machine in readers[:2]:
+                cut_off_store(machine)
+            await asyncio.sleep(0.1)
+            await self.change_version(store, others)
+
+        self.run_machines(scenario, FLEET_SIZE)
+
+    def test_a_node_of_a_small_fleet_whose_watch_hears_nothing_is_not_late(self):
+        """Nobody but its own watch tells it, unless a request comes by."""
+
+        async def scenario(store, *machines):
+            silence_watch(machines[0])
+            await asyncio.sleep(0.1)
+            await self.change_version(store, machines)
+
+        self.run_machines(scenario, 2)
+
+    def test_a_restart_that_comes_too_soon_after_another_is_not_forgotten(self):
+        """The one when the store answers again was dropped; the watch stayed dead."""
+
+        async def scenario(store, machine):
+            sidecar = machine.sidecar
+            silence_watch(machine)
+            await asyncio.sleep(0.05)
+            before = sidecar.watch_cache.pending
+            sidecar.store_driver.restart_watch("store answers again")
+            await self.wait_for(
+                lambda: sidecar.watch_cache.pending not in (before, None), 2.2
+            )
+
+        self.run_machines(scenario)
+
+
+def cut_off_store(machine):
+    """Let all calls of the machine to the store go unanswered."""
+    store = machine.sidecar.store_driver.store
+
+    async def call(*_, **__):
+        await asyncio.get_running_loop().create_future()
+
+    for name in ("list", "watch", "write", "compare_and_swap", "renew_lease"):
+        setattr(store, name, call)
+    machine.sidecar.store_driver.restart_watch("test", is_urgent=True)
+    machine.sidecar.step()
+
+
+class PublishOrderTests(unittest.TestCase):
+    def test_a_version_is_published_in_time_though_all_but_the_last_reader_end(self):
+        """Each of eighteen readers waited 0.4 s longer than the one before it."""
+        publisher = Publisher(PublisherSettings())
+        publisher.handle_version(5, b"five", 10.0)
+        self.assertLessEqual(publisher.wake_at(17), 10.0 + 0.6 * APPLY_SECONDS)
