A reader whose watch hears nothing holds its followers no longer

Callers got 404 for routes of a version that the store had had for seconds. A watch waited 6 s at the store and was given up 3.5 s later. On a connection that had gone silent it heard nothing for 9.4 s, while the lease was renewed on another one: the reader counted as healthy and answered its followers' polls with "no changes".

No news is now good news only for a stated time.

A failing lease alone no longer turns followers away, as the keys may be fresh. Watches that return nothing are begun anew without a delay.

Two tests kept a watch stuck by hand; they now also stop its end for being overdue. The check that a reader serves until a peer's number tells it better is a test of its own, with keys that are confirmed, as strict as before.

--- a/src/daisylink/platform/_settings.py
+++ b/src/daisylink/platform/_settings.py
@@ -15,6 +15,8 @@
 # Must match the metrics port in deploy/system.toml.
 METRICS_PORT = 9464
 
+# A shorter one leaves less than a round trip to each step.
+MIN_APPLY_WITHIN = timedelta(milliseconds=500)
 Bounds = dict[str, str | float | bool]
 
 
@@ -112,6 +114,9 @@
 def _convert(file: _File, bounds: Bounds) -> SidecarSettings:
     listen = file.listen
     defaults = SidecarSettings._field_defaults
+    apply_within = _parse_bound(bounds, "config_apply", defaults["apply_within"])
+    if apply_within < MIN_APPLY_WITHIN:
+        raise ValueError(f"config_apply: must be at least {MIN_APPLY_WITHIN}")
     return SidecarSettings(
         node=file.node,
         zone=file.zone,
@@ -129,6 +134,7 @@
         is_first_start=file.first_start,
         min_lease_ttl=parse_duration(file.platform.ttl_min),
         store_writes_per_s=max(1.0, file.platform.writes_per_s),
+        apply_within=apply_within,
         grace=_parse_bound(bounds, "grace", defaults["grace"]),
         retry_ratio=float(bounds.get("retry_ratio", defaults["retry_ratio"])),
         retry_window=_parse_bound(bounds, "retry_window", defaults["retry_window"]),
--- a/src/daisylink/registry/__init__.py
+++ b/src/daisylink/registry/__init__.py
@@ -7,6 +7,7 @@
 version is published in compressed form for the nodes that are not readers.
 """
 
+from daisylink.registry._apply_budget import ApplyBudget
 from daisylink.registry._backoff import BackoffSettings
 from daisylink.registry._departure_sweeper import (
     DeleteDepartures,
@@ -53,6 +54,7 @@
 
 __all__ = [
     "NO_REVISION",
+    "ApplyBudget",
     "BackoffSettings",
     "Changes",
     "DeleteDepartures",
--- a/src/daisylink/registry/_watch_cache.py
+++ b/src/daisylink/registry/_watch_cache.py
@@ -3,6 +3,10 @@
 The keys of a prefix are listed first, then watched from the listing's revision. When
 the store no longer has the history since that revision, they are listed again, so that
 no change is missed. One call is pending at a time.
+
+No news is good news only if the store says so: a watch waits for a short time, and one
+that is not answered soon after is overdue, as its connection may have gone silent. The
+next call then does not wait at all, so that its source is known to answer.
 """
 
 import random
@@ -12,6 +16,7 @@
 from typing import NamedTuple
 
 from daisylink.errors import ResultCode
+from daisylink.registry._apply_budget import ApplyBudget
 from daisylink.registry._backoff import Backoff, BackoffSettings
 from daisylink.registry._store import (
     NO_REVISION,
@@ -28,26 +33,45 @@
 class WatchCacheSettings(NamedTuple):
     """Delays and timeouts of a :class:`WatchCache`.
 
-    :param batch_delay_per_key: delay between a response and the next watch, for each
+    :param batch_delay_per_key: delay between changes and the next watch, for each
         key in the cache; changes in the meantime are returned together. Because it
         grows with the number of keys, a fleet of any size makes about eighty calls a
         second while its members change.
     :param min_batch_delay: shortest such delay.
-    :param max_batch_delay: longest such delay, half the time allowed for applying a
-        configuration.
+    :param max_batch_delay: longest such delay.
     :param max_reader_batch_delay: longest such delay of a reader, because other nodes
         wait for its changes.
-    :param watch_timeout: how long a watch waits at the store. An unresponsive
-        connection is noticed sooner, by a lease renewal or by a peer's newer version.
+    :param watch_timeout: how long a watch waits at the store for a change.
+    :param response_timeout: how long the store may take beyond that; doubles with each
+        failure in a row, as it may be slow.
+    :param max_response_timeout: longest such time.
+    :param list_timeout_ratio: how much longer the first bytes of a listing may take.
+    :param max_age: how long keys that the store has not confirmed are passed on; a
+        response of which nothing arrives for so long is overdue.
     """
 
-    watch_timeout: timedelta = timedelta(seconds=6)
+    watch_timeout: timedelta = timedelta(seconds=1)
+    response_timeout: timedelta = timedelta(milliseconds=500)
+    max_response_timeout: timedelta = timedelta(seconds=3.5)
+    list_timeout_ratio: float = 2.0
+    max_age: timedelta = timedelta(seconds=2)
     batch_delay_per_key: timedelta = timedelta(milliseconds=12)
     min_batch_delay: timedelta = timedelta(milliseconds=40)
     max_batch_delay: timedelta = timedelta(seconds=1)
     max_reader_batch_delay: timedelta = timedelta(milliseconds=300)
     backoff: BackoffSettings = BackoffSettings()
 
+    @classmethod
+    def from_budget(cls, budget: ApplyBudget) -> "WatchCacheSettings":
+        """Return the settings that keep the operator's bound."""
+        return cls(
+            watch_timeout=budget.watch_wait,
+            response_timeout=budget.store_response,
+            max_age=budget.max_view_age,
+            max_batch_delay=budget.follower_batch,
+            max_reader_batch_delay=budget.reader_batch,
+        )
+
 
 @dataclass(frozen=True)
 class ListKeys:
@@ -60,7 +84,8 @@
 class WatchKeys:
     """A call that waits for changes of a prefix after a revision.
 
-    :param wait: how long the store waits for a change.
+    :param wait: how long the store, or a reader, waits for a change; zero if it is to
+        answer at once.
     """
 
     revision: StoreRevision
@@ -107,6 +132,9 @@
         # the reader that it asked.
         self.confirmed_at = float("-inf")
         self.pending: ReadCall | None = None
+        self.started_at = 0.0
+        # Whether it is open if the next call will be answered at all.
+        self.is_unproven = False
 
     @property
     def wake_at(self) -> float:
@@ -124,14 +152,34 @@
         """Return the call to make now, if any."""
         if now < self.wake_at:
             return None
+        self.started_at = now
         if self.is_listed:
-            self.pending = WatchKeys(
-                self.revision, self.settings.watch_timeout, self.prefix
-            )
+            wait = timedelta() if self.is_unproven else self.settings.watch_timeout
+            self.pending = WatchKeys(self.revision, wait, self.prefix)
         else:
             self.pending = ListKeys(self.prefix)
         return self.pending
 
+    def overdue_at(self, received_at: float) -> float:
+        """Return when the pending call of the store counts as unresponsive.
+
+        :param received_at: when bytes of its response last arrived, in monotonic
+            seconds.
+        """
+        if self.pending is None:
+            return float("inf")
+        settings = self.settings
+        allowed = min(
+            settings.response_timeout * 2**self.backoff.failures,
+            settings.max_response_timeout,
+        )
+        if isinstance(self.pending, WatchKeys):
+            allowed += self.pending.wait
+        else:
+            allowed *= settings.list_timeout_ratio
+        stalled_at = received_at + settings.max_age.total_seconds()
+        return max(self.started_at + allowed.total_seconds(), stalled_at)
+
     def set_prefix(self, prefix: str, is_reader: bool = False) -> bool:
         """Set the prefix of the cached keys; return whether it changed.
 
@@ -154,6 +202,11 @@
             self.values.pop(key, None)
         return True
 
+    @property
+    def stale_at(self) -> float:
+        """Return until when the keys are passed on unless the store confirms them."""
+        return self.confirmed_at + self.settings.max_age.total_seconds()
+
     def count_age(self, now: float) -> float:
         """Return for how many seconds the store has not confirmed these keys."""
         return min(now - self.confirmed_at, MAX_AGE_SECONDS)
@@ -172,9 +225,16 @@
         cancel it.
         """
         self.pending = None
+        self.is_unproven = True
         self.read_at = 0.0
         self.backoff.retry_at = 0.0
 
+    def handle_overdue(self, now: float) -> None:
+        """Handle a pending call that was cancelled because no answer came in time."""
+        self.handle_failure(ResultCode.PLATFORM_ANSWER_LOST, now)
+        self.read_at = now
+        self.backoff.retry_at = now
+
     def handle_listing(self, listing: Listing, now: float, age: float = 0.0) -> None:
         """Apply a listing; cached keys that it lacks count as deleted.
 
@@ -205,10 +265,13 @@
             rather than from a reader.
         :param age: seconds since the store answered the reader.
         """
+        call = self.pending
         self._record_reply(now - age)
         self.revision = max(self.revision, changes.revision)
         delay = self._batch_delay() if is_from_store else self.settings.min_batch_delay
-        self.read_at = now + delay.total_seconds()
+        has_waited = now - self.started_at >= call.wait.total_seconds()
+        if call.wait and not (has_waited and not changes.items):
+            self.read_at = now + delay.total_seconds()
         newest = {item.key: item for item in changes.items}
         for item in newest.values():
             self._apply(item)
@@ -216,6 +279,7 @@
     def handle_failure(self, code: ResultCode, now: float) -> None:
         """Handle the failure of the pending call."""
         self.pending = None
+        self.is_unproven = True
         if code is ResultCode.PLATFORM_HISTORY_GONE:
             self.is_listed = False
             return
@@ -252,6 +316,7 @@
 
     def _record_reply(self, confirmed_at: float) -> None:
         self.pending = None
+        self.is_unproven = False
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         self.backoff.record_success()
 
--- a/src/daisylink/settings.py
+++ b/src/daisylink/settings.py
@@ -107,6 +107,8 @@
     :param store_writes_per_s: writes per second that the store takes from all nodes.
     :param link_mbps: bandwidth of the machine's link in Mbit/s.
     :param is_first_start: whether all nodes start now for the first time.
+    :param apply_within: time from the store's acknowledgement of a configuration until
+        all nodes use it.
     :param grace: time between the request to stop and the end of the process.
     :param retry_ratio: retries of the whole fleet, as a share of first attempts.
     :param retry_window: period over which retries are counted.
@@ -129,6 +131,7 @@
     store_writes_per_s: float = 400.0
     link_mbps: float = 0.0
     is_first_start: bool = False
+    apply_within: timedelta = timedelta(seconds=2.5)
     grace: timedelta = timedelta(seconds=6)
     retry_ratio: float = 0.2
     retry_window: timedelta = timedelta(seconds=10)
--- a/src/daisylink/sidecar/_change_feed.py
+++ b/src/daisylink/sidecar/_change_feed.py
@@ -12,6 +12,7 @@
 from daisylink.errors import CallError
 from daisylink.http_client import HttpClient, Transfer
 from daisylink.http_server import WebRequest, WebResponse
+from daisylink.logs import get_logger
 from daisylink.registry import (
     NO_REVISION,
     Changes,
@@ -33,6 +34,8 @@
 # Fits a whole uncompressed configuration and the members of a large fleet.
 MAX_UPDATES_BYTES = 32 * 1024 * 1024
 
+log = get_logger("feed")
+
 
 def format_revision(revision: StoreRevision) -> str:
     """Return a revision as a query parameter."""
@@ -96,7 +99,7 @@
     """Serves key changes to other nodes by long polling.
 
     :param prefix: prefix of the keys that are served.
-    :param can_serve: returns whether this node watches the store and it responds.
+    :param can_serve: returns whether this node's keys are complete and confirmed.
     :param now: returns the monotonic time in seconds.
     """
 
@@ -117,6 +120,11 @@
         self.last_key: tuple[StoreRevision, StoreRevision, int, int] | None = None
         self.last_response = WebResponse()
 
+    @property
+    def wake_at(self) -> float:
+        """Return when :meth:`notify_waiters` is due, in monotonic seconds."""
+        return self.watch_cache.stale_at if self.waiting else float("inf")
+
     def handle_request(
         self, request: WebRequest
     ) -> WebResponse | asyncio.Future[WebResponse]:
@@ -132,8 +140,16 @@
         return response
 
     def notify_waiters(self) -> None:
-        """Respond to the long polls for which there are changes."""
-        if not self.waiting or self.watch_cache.revision == self.notified_revision:
+        """Respond to the long polls for which there are changes.
+
+        None waits at a node whose keys the store has not confirmed for too long.
+        """
+        if not self.waiting:
+            return
+        if not self.can_serve():
+            self._turn_away()
+            return
+        if self.watch_cache.revision == self.notified_revision:
             return
         self.notified_revision = self.watch_cache.revision
         latest = self.watch_cache.latest_revision(self.prefix)
@@ -142,6 +158,16 @@
                 response.set_result(self._make_response(after))
         self.waiting = [item for item in self.waiting if not item[1].done()]
 
+    def _turn_away(self) -> None:
+        """Send the waiting nodes to another reader or to the store."""
+        log.bind(waiting=len(self.waiting), age_ms=self._count_age_ms()).info(
+            "keys are served no longer"
+        )
+        for _, response in self.waiting:
+            if not response.done():
+                response.set_result(WebResponse(HTTPStatus.SERVICE_UNAVAILABLE))
+        self.waiting.clear()
+
     def _end_wait(
         self, after: StoreRevision, response: asyncio.Future[WebResponse]
     ) -> None:
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -16,6 +16,7 @@
 from daisylink.http_server import WebRequest, WebResponse
 from daisylink.logs import get_logger
 from daisylink.registry import (
+    ApplyBudget,
     BackoffSettings,
     DepartureLog,
     DepartureSweeper,
@@ -180,7 +181,7 @@
         ttl = max(settings.min_lease_ttl, RegistrationSettings().ttl)
         self.registration = Registration(RegistrationSettings(ttl=ttl), rng)
         self.watch_cache = WatchCache(
-            WatchCacheSettings(),
+            WatchCacheSettings.from_budget(ApplyBudget(settings.apply_within)),
             self.fleet_state.handle_item,
             self._handle_listing,
             self.fleet_state.handle_older_item,
@@ -384,6 +385,7 @@
             self.registration.mark_unwritten()
         self._update_rank()
         self._update_prefix(now)
+        self.store_driver.end_overdue_read(now)
         self.store_driver.tick(now, self.role.publish_rank)
         needs_peers = self.is_store_unavailable or self.fleet_state.is_deferring
         self.peer_exchange.tick(now, needs_peers)
@@ -398,6 +400,8 @@
         wake_at = min(
             self.registration.wake_at,
             self.watch_cache.wake_at,
+            self.store_driver.overdue_at,
+            self.change_feed.wake_at,
             self.members.wake_at,
             self.local_server.wake_at,
             self.departure_log.wake_at,
@@ -413,8 +417,7 @@
         """Return whether other nodes may get key changes from this one."""
         if self.peer_versions.is_behind or self.stopping:
             return False
-        is_watching = self.role.is_reader and self.watch_cache.has_listed
-        return is_watching and not self.is_store_unavailable
+        return self.role.is_reader and self.now() < self.watch_cache.stale_at
 
     def _update_prefix(self, now: float) -> None:
         """Watch all keys on a reader, otherwise only those that the fleet writes."""
--- a/src/daisylink/sidecar/_store_driver.py
+++ b/src/daisylink/sidecar/_store_driver.py
@@ -133,16 +133,36 @@
                 )
                 return
         self.watch_restarted_at = now
+        self._cancel_read(reason)
+        self.watch_cache.restart_watch()
+
+    @property
+    def overdue_at(self) -> float:
+        """Return when the pending read of the store is due to be given up."""
+        if self.read_source is not self.store:
+            return float("inf")
+        transfer = self._get_pending_transfer()
+        received_at = transfer.received_at if transfer else float("-inf")
+        return self.watch_cache.overdue_at(received_at)
+
+    def end_overdue_read(self, now: float) -> None:
+        """Give up a read of the store that nothing has come of in time."""
+        if now < self.overdue_at:
+            return
+        self._cancel_read("no answer in time")
+        self.watch_cache.handle_overdue(now)
+
+    def _cancel_read(self, reason: str) -> None:
+        transfer = self._get_pending_transfer()
         log.bind(
             reason=reason,
             revision=self.watch_cache.revision,
             call=type(self.watch_cache.pending).__name__,
-            ms=_count_ms(now - transfer.started_at) if transfer else 0,
+            ms=_count_ms(self.now() - transfer.started_at) if transfer else 0,
             received_bytes=transfer.received_bytes if transfer else 0,
         ).info("watch restarted")
         if self.watch_task is not None:
             self.watch_task.cancel()
-        self.watch_cache.restart_watch()
 
     def end_outdated_watch(self) -> None:
         """Cancel a watch of the store that was begun in an earlier era.
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -118,6 +118,7 @@
             reader, others = await self.select_reader(machines)
             reader.sidecar.watch_cache.pending = "slow"
             reader.sidecar.store_driver.watch_task.cancel()
+            reader.sidecar.store_driver.end_overdue_read = lambda _: None
             await asyncio.sleep(0.1)
             newer = make_configuration().replace(b"r12", b"r14")
             store.put(
@@ -130,9 +131,21 @@
                 lambda: all(m.sidecar.fleet_state.version_number == 14 for m in others),
                 2.5,
             )
+            await self.wait_for(lambda: not reader.sidecar.can_serve_feed, 1.5)
+
+        self.run_machines(scenario, count=3)
+
+    def test_a_reader_that_lacks_a_version_of_its_peers_serves_no_keys(self):
+        """The store confirms its keys, but what it was sent has not arrived."""
+
+        async def scenario(store, *machines):
+            reader, _ = await self.select_reader(machines)
             self.assertTrue(reader.sidecar.can_serve_feed)
             reader.sidecar._handle_peer_version(14)
             await self.wait_for(lambda: not reader.sidecar.can_serve_feed, 1.5)
+            self.assertLess(
+                reader.sidecar.watch_cache.count_age(reader.sidecar.now()), 2
+            )
 
         self.run_machines(scenario, count=3)
 
--- a/tests/test_late_versions.py
+++ b/tests/test_late_versions.py
@@ -302,6 +302,7 @@
             await asyncio.sleep(0.5)
             sidecar.watch_cache.pending = "stuck"
             sidecar.store_driver.watch_task.cancel()
+            sidecar.store_driver.end_overdue_read = lambda _: None
             other = CompressedVersion.from_document(13, make_version(13))
             store.put(COMPRESSED_VERSION_KEY, other.to_bytes())
             sidecar.publisher.handle_version(14, make_version(14), sidecar.now())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -237,6 +237,15 @@
         message = decode_announcement(make_call("leave", {"born": 3}))
         self.assertEqual(message, Departure("i-1", 3))
 
+    def test_the_operators_bound_is_read_and_a_bound_too_short_is_refused(self):
+        def decode(bound):
+            bounds = {**SETTINGS["bounds"], "config_apply": bound}
+            return decode_settings(msgspec.json.encode({**SETTINGS, "bounds": bounds}))
+
+        self.assertEqual(decode("3000ms").apply_within, timedelta(seconds=3))
+        with self.assertRaises(SettingError):
+            decode("0ms")
+
     def test_an_invalid_announcement_is_refused(self):
         """Fields are missing or of another type, or the state is unknown."""
         for name, value in (
