Two silent readers in a row make no follower late

A follower whose first reader was silent asked the next one and only then the store; each of them took its whole wait and timeout, 1.5 s, so that two in a row took 3 s of the 2.5 s allowed. Since a zone of a large fleet has two readers, asked first, that is one rack. The chain was safe with one reader and nobody added it up for two.

A source that has not answered yet, the second reader or the store, is asked without waiting, so that its silence costs the response time alone. The way is written down in ApplyBudget.longest_ways, and a test holds each against the bound. The next reader is still asked before the store, so what that saved in calls stays.

--- a/src/daisylink/sidecar/_change_feed.py
+++ b/src/daisylink/sidecar/_change_feed.py
@@ -3,6 +3,7 @@
 import asyncio
 import zlib
 from collections.abc import Callable
+from datetime import timedelta
 from http import HTTPStatus
 from math import ceil
 from typing import NamedTuple
@@ -15,6 +16,7 @@
 from daisylink.logs import get_logger
 from daisylink.registry import (
     NO_REVISION,
+    ApplyBudget,
     Changes,
     Item,
     Listing,
@@ -23,10 +25,8 @@
 )
 
 CHANGES_PATH = "/v1/changes"
-# Long polls to a reader cost no store call, so they can be short: an unresponsive
-# reader is noticed well within the time allowed for applying a configuration.
-WAIT_SECONDS = 1.0
-RESPONSE_SECONDS = 0.5
+# Longest wait of a poll, also of one that states none.
+MAX_WAIT_SECONDS = 1.0
 MS_PER_SECOND = 1000
 AGE_STEP_MS = 50
 # Digits of the largest 64-bit number.
@@ -57,6 +57,14 @@
     return int(text) if is_count else None
 
 
+def _parse_wait(request: WebRequest) -> float:
+    """Return for how many seconds a poll waits."""
+    wait_ms = parse_count(request.query.get("wait_ms", ""))
+    if wait_ms is None:
+        return MAX_WAIT_SECONDS
+    return min(wait_ms / MS_PER_SECOND, MAX_WAIT_SECONDS)
+
+
 class KeyUpdates(msgspec.Struct, array_like=True):
     """Changed keys that one node sends to another, compressed in transit.
 
@@ -134,9 +142,12 @@
             return WebResponse(HTTPStatus.SERVICE_UNAVAILABLE)
         if self.watch_cache.latest_revision(self.prefix) > after:
             return self._make_response(after)
+        wait = _parse_wait(request)
+        if not wait:
+            return self._make_response(after)
         response = self.loop.create_future()
         self.waiting.append((after, response))
-        self.loop.call_later(WAIT_SECONDS, self._end_wait, after, response)
+        self.loop.call_later(wait, self._end_wait, after, response)
         return response
 
     def notify_waiters(self) -> None:
@@ -217,25 +228,41 @@
 
 
 class ChangeFeedClient:
-    """Gets changes from one reader at a time."""
+    """Gets changes from one reader at a time.
+
+    Polls of a reader cost no store call, so they can be short: an unresponsive reader
+    is noticed well within the bound for applying a configuration.
+
+    :param budget: how long a poll waits, and how much later the reader may answer.
+    """
 
-    def __init__(self):
+    def __init__(self, budget: ApplyBudget):
+        self.wait = budget.poll_wait
+        self.response_seconds = budget.poll_response.total_seconds()
         self.client: HttpClient | None = None
         self.transfer: Transfer | None = None
 
-    async def watch(self, reader: str, after: StoreRevision) -> ReaderAnswer:
+    async def watch(
+        self, reader: str, after: StoreRevision, wait: timedelta
+    ) -> ReaderAnswer:
         """Return the changes after a revision, or all keys.
 
+        :param wait: longest time that the reader waits for a change.
         :raises CallError: if the reader does not respond or serves no changes.
         """
         if self.client is None or self.client.address != reader:
             self.close()
             self.client = HttpClient(reader)
-        target = f"{CHANGES_PATH}?after={format_revision(after)}"
+        wait_seconds = min(wait, self.wait).total_seconds()
+        wait_ms = round(wait_seconds * MS_PER_SECOND)
+        target = f"{CHANGES_PATH}?after={format_revision(after)}&wait_ms={wait_ms}"
         now = asyncio.get_running_loop().time()
-        self.transfer = Transfer(now, RESPONSE_SECONDS)
+        self.transfer = Transfer(now, self.response_seconds)
         response = await self.client.call(
-            "GET", target, WAIT_SECONDS + RESPONSE_SECONDS, transfer=self.transfer
+            "GET",
+            target,
+            wait_seconds + self.response_seconds,
+            transfer=self.transfer,
         )
         if response.status != HTTPStatus.OK:
             raise CallError(f"status {response.status}", was_sent=True)
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -180,8 +180,9 @@
         )
         ttl = max(settings.min_lease_ttl, RegistrationSettings().ttl)
         self.registration = Registration(RegistrationSettings(ttl=ttl), rng)
+        budget = ApplyBudget(settings.apply_within)
         self.watch_cache = WatchCache(
-            WatchCacheSettings.from_budget(ApplyBudget(settings.apply_within)),
+            WatchCacheSettings.from_budget(budget),
             self.fleet_state.handle_item,
             self._handle_listing,
             self.fleet_state.handle_older_item,
@@ -207,6 +208,7 @@
         self.store_driver = StoreDriver(
             platform_adapter.store,
             platform_adapter.config_key,
+            budget,
             self.registration,
             self.watch_cache,
             self.publisher,
--- a/src/daisylink/sidecar/_store_driver.py
+++ b/src/daisylink/sidecar/_store_driver.py
@@ -8,6 +8,7 @@
 from daisylink.http_client import Transfer
 from daisylink.logs import get_logger
 from daisylink.registry import (
+    ApplyBudget,
     Changes,
     DeleteDepartures,
     DepartureLog,
@@ -54,6 +55,7 @@
     """Makes store calls, one at a time for each decision object.
 
     :param config_key: store key of the configuration.
+    :param budget: how long readers may take.
     :param node: name of this node.
     :param now: returns the monotonic time in seconds.
     :param spawn: starts a task.
@@ -64,6 +66,7 @@
         self,
         store: LeaseStore,
         config_key: str,
+        budget: ApplyBudget,
         registration: Registration,
         watch_cache: WatchCache,
         publisher: Publisher,
@@ -81,7 +84,7 @@
         self.watch_cache = watch_cache
         self.publisher = publisher
         self.source_selector = source_selector
-        self.change_feed_client = ChangeFeedClient()
+        self.change_feed_client = ChangeFeedClient(budget)
         self.departure_log = departure_log
         self.departure_sweeper = departure_sweeper
         self.node = node
@@ -251,7 +254,9 @@
             self.watch_cache.handle_changes(changes, self.now())
             return
         try:
-            answer = await self.change_feed_client.watch(reader, call.revision)
+            answer = await self.change_feed_client.watch(
+                reader, call.revision, call.wait
+            )
         except CallError as error:
             log.bind(reader=reader).info("reader does not answer: {}", error)
             self.source_selector.record_failure(reader, self.now())
--- a/tests/test_late_readers.py
+++ b/tests/test_late_readers.py
@@ -1,15 +1,24 @@
 """Every node has a version in time, whatever some readers hear and answer."""
 
 import asyncio
+import random
 import unittest
+from datetime import timedelta
 
 from daisylink import platform
 from daisylink.registry import (
+    ApplyBudget,
+    Changes,
+    Listing,
     Publisher,
     PublisherSettings,
     ReaderSettings,
+    WatchCache,
+    WatchCacheSettings,
 )
+from daisylink.registry._apply_budget import TRANSFER
 from daisylink.sidecar._fleet_state import FLEET_PREFIX
+from tests.revisions import at
 from tests.sidecar_case import SidecarTestCase
 from tests.test_platform import make_configuration
 
@@ -159,3 +168,31 @@
         publisher = Publisher(PublisherSettings())
         publisher.handle_version(5, b"five", 10.0)
         self.assertLessEqual(publisher.wake_at(17), 10.0 + 0.6 * APPLY_SECONDS)
+
+
+class ApplyBudgetTests(unittest.TestCase):
+    def test_the_steps_of_no_way_add_up_to_more_than_the_bound(self):
+        """Two silent readers in a row, each within its own timeout, took 3 s."""
+        for seconds in (2.0, 2.5, 16.0):
+            bound = timedelta(seconds=seconds)
+            budget = ApplyBudget(bound)
+            for way, taken in budget.longest_ways.items():
+                with self.subTest(way, bound=bound):
+                    self.assertLessEqual(taken, bound * (1 - TRANSFER))
+
+    def test_a_call_to_a_source_that_has_not_answered_yet_does_not_wait(self):
+        """The wait of the second silent reader came on top of the first one's."""
+        watch_cache = WatchCache(
+            WatchCacheSettings(),
+            lambda _: None,
+            lambda: None,
+            lambda _: None,
+            random.Random(1),
+        )
+        watch_cache.tick(0.0)
+        watch_cache.handle_listing(Listing([], at(5)), 0.0)
+        self.assertEqual(watch_cache.tick(0.0).wait, timedelta(seconds=1))
+        watch_cache.restart_watch()
+        self.assertEqual(watch_cache.tick(1.0).wait, timedelta())
+        watch_cache.handle_changes(Changes([], at(5)), 1.0)
+        self.assertEqual(watch_cache.tick(1.0).wait, timedelta(seconds=1))
