A restart of the watch that comes too soon is postponed, not dropped

When the store answers again, a node starts its watch anew, as the pending one may be on a dead connection. If it had restarted the watch in the last 2 s, on the store that was still silent, the restart was left out and nothing brought it back: the node, and with a reader all its followers, heard nothing until the watch's own end, while the lease was renewed. The same held while bytes arrived that then stopped.

The restart is postponed until it is allowed, and falls away if the call is answered by then. The log line tells for how long.

--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -387,7 +387,6 @@
             self.registration.mark_unwritten()
         self._update_rank()
         self._update_prefix(now)
-        self.store_driver.end_overdue_read(now)
         self.store_driver.tick(now, self.role.publish_rank)
         needs_peers = self.is_store_unavailable or self.fleet_state.is_deferring
         self.peer_exchange.tick(now, needs_peers)
@@ -402,7 +401,7 @@
         wake_at = min(
             self.registration.wake_at,
             self.watch_cache.wake_at,
-            self.store_driver.overdue_at,
+            self.store_driver.wake_at,
             self.change_feed.wake_at,
             self.members.wake_at,
             self.local_server.wake_at,
--- a/src/daisylink/sidecar/_store_driver.py
+++ b/src/daisylink/sidecar/_store_driver.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, NamedTuple
 
 from daisylink.errors import CallError, PlatformError, ResultCode
 from daisylink.http_client import Transfer
@@ -51,6 +51,16 @@
 log = get_logger("store")
 
 
+class PostponedRestart(NamedTuple):
+    """A restart of the watch that came too soon after another, or while it receives.
+
+    :param at: when it is due, in monotonic seconds.
+    """
+
+    at: float
+    reason: str
+
+
 class StoreDriver:
     """Makes store calls, one at a time for each decision object.
 
@@ -95,12 +105,17 @@
         # Where the pending read comes from: the store or a reader.
         self.read_source: LeaseStore | ChangeFeedClient = store
         self.watch_restarted_at = float("-inf")
+        self.postponed: PostponedRestart | None = None
 
     def tick(self, now: float, rank: int | None) -> None:
-        """Start the calls that are due.
+        """Start the calls that are due, and give up those that are overdue.
 
         :param rank: rank among the readers, None if this node is not a reader.
         """
+        if self.postponed is not None and now >= self.postponed.at:
+            restart, self.postponed = self.postponed, None
+            self.restart_watch(restart.reason)
+        self.end_overdue_read(now)
         publish = self.publisher.tick(rank, now)
         if publish is not None:
             self.spawn(self._publish(publish))
@@ -119,26 +134,43 @@
     def restart_watch(self, reason: str, is_urgent: bool = False) -> None:
         """Cancel the pending call, which may be unresponsive, and start a new one.
 
+        A restart that comes too soon is postponed, and not needed any more if the call
+        is answered by then.
+
         :param is_urgent: whether the pending call watches keys that are no longer
             wanted, so that it is cancelled whatever it has received.
         """
         now = self.now()
         transfer = self._get_pending_transfer()
         if not is_urgent:
-            if now - self.watch_restarted_at < REWATCH_INTERVAL_SECONDS:
-                log.bind(
-                    reason=reason, ms=_count_ms(now - self.watch_restarted_at)
-                ).info("watch not restarted: it was restarted a moment ago")
-                return
-            if transfer and now - transfer.received_at < RECEIVING_SECONDS:
-                log.bind(reason=reason, received_bytes=transfer.received_bytes).info(
-                    "watch not restarted: it receives bytes"
-                )
+            allowed_at = self.watch_restarted_at + REWATCH_INTERVAL_SECONDS
+            if transfer:
+                allowed_at = max(allowed_at, transfer.received_at + RECEIVING_SECONDS)
+            if now < allowed_at:
+                self._postpone_restart(PostponedRestart(allowed_at, reason))
                 return
         self.watch_restarted_at = now
         self._cancel_read(reason)
         self.watch_cache.restart_watch()
 
+    def _postpone_restart(self, restart: PostponedRestart) -> None:
+        if self.postponed is not None:
+            return
+        self.postponed = restart
+        transfer = self._get_pending_transfer()
+        log.bind(
+            reason=restart.reason,
+            ms=_count_ms(restart.at - self.now()),
+            received_bytes=transfer.received_bytes if transfer else 0,
+        ).info("restart of the watch postponed")
+
+    @property
+    def wake_at(self) -> float:
+        """Return when :meth:`tick` is due for the pending read."""
+        if self.postponed is None:
+            return self.overdue_at
+        return min(self.postponed.at, self.overdue_at)
+
     @property
     def overdue_at(self) -> float:
         """Return when the pending read of the store is due to be given up."""
@@ -164,6 +196,7 @@
             ms=_count_ms(self.now() - transfer.started_at) if transfer else 0,
             received_bytes=transfer.received_bytes if transfer else 0,
         ).info("watch restarted")
+        self.postponed = None
         if self.watch_task is not None:
             self.watch_task.cancel()
 
@@ -241,6 +274,7 @@
             self._handle_unexpected(call)
             self.watch_cache.handle_failure(UNEXPECTED, self.now())
         else:
+            self.postponed = None
             if had_failed:
                 log.bind(call=type(call).__name__).info("store answers again")
         self.on_call_done()
--- a/tests/test_late_readers.py
+++ b/tests/test_late_readers.py
@@ -138,6 +138,7 @@
 
         async def scenario(store, machine):
             sidecar = machine.sidecar
+            sidecar.store_driver.end_overdue_read = lambda _: None
             silence_watch(machine)
             await asyncio.sleep(0.05)
             before = sidecar.watch_cache.pending
