The last reader publishes within the bound though all before it end

Each reader waits 0.4 s longer to publish than the one ranked before it. With six readers the last one published 2 s after it had read a version, with eighteen 6.8 s after: if those before it were killed or frozen, nobody had the version within 2.5 s.

The wait ends at 0.48 of the bound (1.2 s): if the first three do not publish, the others do so together, and the store's condition accepts one.

--- a/src/daisylink/registry/_readers.py
+++ b/src/daisylink/registry/_readers.py
@@ -13,6 +13,7 @@
 from math import ceil
 from typing import NamedTuple
 
+from daisylink.registry._apply_budget import ApplyBudget
 from daisylink.registry._store import NO_REVISION, StoreRevision
 from daisylink.serving._records import MemberRecord, compute_ring_position
 
@@ -103,19 +104,28 @@
 
     :param rank_delay: how much longer each reader waits than the one ranked before it,
         enough for the earlier reader's write to arrive with the next watch.
+    :param max_rank_delay: longest such wait; if the first readers have ended, the rest
+        publish at once, and the store accepts one of them.
     :param min_interval: minimum time between two published versions. At 20 KB each they
         take a quarter of a link of 2.5 Mbit/s. Versions in between are skipped.
     """
 
     rank_delay: timedelta = timedelta(milliseconds=400)
+    max_rank_delay: timedelta = timedelta(milliseconds=1200)
     min_interval: timedelta = timedelta(milliseconds=300)
 
+    @classmethod
+    def from_budget(cls, budget: ApplyBudget) -> "PublisherSettings":
+        """Return the settings that keep the operator's bound."""
+        return cls(budget.rank_delay, budget.max_rank_delay)
+
 
 class Publisher:
     """Decides when this node publishes a version that it has read."""
 
     def __init__(self, settings: PublisherSettings):
         self.rank_delay_seconds = settings.rank_delay.total_seconds()
+        self.max_rank_delay_seconds = settings.max_rank_delay.total_seconds()
         self.min_interval_seconds = settings.min_interval.total_seconds()
         self.read_number = 0
         self.document = b""
@@ -168,7 +178,8 @@
             return float("inf")
         if self.revision == self.refused_revision:
             return float("inf")
-        due = self.read_at + rank * self.rank_delay_seconds
+        rank_delay = rank * self.rank_delay_seconds
+        due = self.read_at + min(rank_delay, self.max_rank_delay_seconds)
         return max(due, self.published_at + self.min_interval_seconds)
 
     def tick(self, rank: int | None, now: float) -> Publish | None:
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -160,7 +160,8 @@
         self.gateway.on_server_crashed = self._handle_crash
         self.gateway.on_suspect_answered = self._handle_suspect_answered
         self.gateway.record_peer_version = self._handle_peer_version
-        self.publisher = Publisher(PublisherSettings())
+        budget = ApplyBudget(settings.apply_within)
+        self.publisher = Publisher(PublisherSettings.from_budget(budget))
         self.era_tracker = platform_adapter.store.era_tracker
         self.era_tracker.on_rise = self._handle_era
         self.fleet_state = FleetState(
@@ -180,7 +181,6 @@
         )
         ttl = max(settings.min_lease_ttl, RegistrationSettings().ttl)
         self.registration = Registration(RegistrationSettings(ttl=ttl), rng)
-        budget = ApplyBudget(settings.apply_within)
         self.watch_cache = WatchCache(
             WatchCacheSettings.from_budget(budget),
             self.fleet_state.handle_item,
