A few nodes read the configuration while no reader answers

If all readers end or freeze at once, nobody reads the configuration until their leases have run out, 3 s and more: the others watch only what readers publish.

The four nodes ranked after the readers, from as many zones as there are, read and publish the configuration while they have found no reader that answers and ask the store. All others go on as before, so no more than four links carry whole configurations.

--- a/src/daisylink/registry/__init__.py
+++ b/src/daisylink/registry/__init__.py
@@ -23,6 +23,7 @@
     PublisherSettings,
     ReaderSettings,
     rank_readers,
+    rank_standbys,
 )
 from daisylink.registry._registration import (
     EndLease,
@@ -90,4 +91,5 @@
     "WriteDepartures",
     "WriteRecord",
     "rank_readers",
+    "rank_standbys",
 ]
--- a/src/daisylink/registry/_readers.py
+++ b/src/daisylink/registry/_readers.py
@@ -4,10 +4,13 @@
 second, links of 2.5 Mbit/s could not carry them. So only some nodes, the readers, read
 the configuration; one of them writes it back to the store in compressed form, and the
 other nodes read that. A small fleet is better off without the second write.
+
+If all readers end at once, nobody would read the configuration until their leases have
+run out, so a few other nodes, the standbys, then take their place.
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from math import ceil
@@ -31,6 +34,8 @@
     :param min_readers: readers of the fleet even if their links are narrow. One would
         be enough, but a reader shares its link with the nodes that ask it.
     :param narrow_link_ratio: a link is narrow below this share of the widest one.
+    :param max_standbys: nodes that read the configuration while they find no reader
+        that answers.
     """
 
     max_small_fleet: int = 16
@@ -39,6 +44,7 @@
     min_readers_per_zone: int = 2
     min_readers: int = 4
     narrow_link_ratio: float = 0.25
+    max_standbys: int = 4
 
 
 def rank_readers(
@@ -70,6 +76,28 @@
     return readers
 
 
+def rank_standbys(
+    records: Mapping[str, MemberRecord],
+    readers: Collection[str],
+    settings: ReaderSettings,
+) -> list[str]:
+    """Return the nodes that take the readers' place if none answers, in order.
+
+    They come from as many zones as there are.
+
+    :param records: records of the running nodes, by node.
+    """
+    max_per_zone = ceil(settings.max_standbys / len({r.zone for r in records.values()}))
+    zones: Counter[str] = Counter()
+    standbys: list[str] = []
+    for record in _sort(records.values()):
+        if record.node in readers or zones[record.zone] >= max_per_zone:
+            continue
+        zones[record.zone] += 1
+        standbys.append(record.node)
+    return standbys[: settings.max_standbys]
+
+
 def _count_readers_per_zone(
     records: Mapping[str, MemberRecord], settings: ReaderSettings
 ) -> int:
--- a/src/daisylink/registry/_role.py
+++ b/src/daisylink/registry/_role.py
@@ -1,7 +1,7 @@
 """Whether a node reads the configuration itself, and which keys it watches."""
 
 from daisylink.registry._members import MemberTable
-from daisylink.registry._readers import ReaderSettings, rank_readers
+from daisylink.registry._readers import ReaderSettings, rank_readers, rank_standbys
 from daisylink.registry._source_selector import SourceSelector
 
 # A node that is no longer a reader watches all keys for this long, in case it is
@@ -15,7 +15,7 @@
 
 
 class ReaderRole:
-    """Whether this node is a reader, and its rank among the readers.
+    """Whether this node is a reader or takes a reader's place, and its rank.
 
     :param members: the known members.
     :param source_selector: receives the readers that this node may ask.
@@ -34,6 +34,9 @@
         self.source_selector = source_selector
         self.fleet_prefix = fleet_prefix
         self.rank: int | None = 0
+        # Rank among the nodes that take the readers' place, and whether it does so.
+        self.standby_rank: int | None = None
+        self.is_acting = False
         self.last_reader_at = float("-inf")
         self.is_fleet_listed = False
         self.reads_version_at = float("inf")
@@ -42,9 +45,14 @@
 
     @property
     def is_reader(self) -> bool:
-        """Return whether this node reads the configuration itself."""
+        """Return whether this node is one of the readers, which the others ask."""
         return self.rank is not None
 
+    @property
+    def reads_configuration(self) -> bool:
+        """Return whether this node reads the configuration itself."""
+        return self.is_reader or self.is_acting
+
     @property
     def publish_rank(self) -> int | None:
         """Return the rank for publishing, None if this node does not publish.
@@ -53,7 +61,11 @@
         """
         if len(self.members.records) <= self.settings.max_small_fleet:
             return None
-        return self.rank
+        return self.rank if self.is_reader else self._acting_rank
+
+    @property
+    def _acting_rank(self) -> int | None:
+        return self.standby_rank if self.is_acting else None
 
     def update_rank(self) -> None:
         """Select the readers from the nodes whose records are in the store.
@@ -67,6 +79,8 @@
         self.is_outdated = False
         node = members.own_record.node
         self.rank = readers.index(node) if node in readers else None
+        standbys = rank_standbys(records, readers, self.settings)
+        self.standby_rank = standbys.index(node) if node in standbys else None
         candidates = [] if self.is_reader else [records[name] for name in readers]
         self.source_selector.set_readers(candidates)
 
@@ -85,7 +99,9 @@
             return self.fleet_prefix
         self.reads_version_at = min(self.reads_version_at, now + VERSION_WAIT_SECONDS)
         is_due = not has_version and now >= self.reads_version_at
-        if self.is_reader or is_due:
+        is_standby = self.standby_rank is not None
+        self.is_acting = is_standby and self.source_selector.uses_store(now)
+        if self.reads_configuration or is_due:
             self.last_reader_at = now
         if now - self.last_reader_at < LINGER_SECONDS:
             return ALL_KEYS_PREFIX
--- a/src/daisylink/registry/_source_selector.py
+++ b/src/daisylink/registry/_source_selector.py
@@ -60,6 +60,10 @@
                 return reader
         return None
 
+    def uses_store(self, now: float) -> bool:
+        """Return whether the store is asked because no reader that was asked served."""
+        return bool(self.readers) and now < self.use_store_until
+
     def record_failure(self, reader: str, now: float) -> None:
         """Record that a reader failed; the next one is asked, or the store.
 
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -424,9 +424,13 @@
         """Watch all keys on a reader, otherwise only those that the fleet writes."""
         was_listed = self.role.is_fleet_listed
         prefix = self.role.choose_prefix(self.fleet_state.version is not None, now)
-        is_changed = self.watch_cache.set_prefix(prefix, is_reader=self.role.is_reader)
+        is_changed = self.watch_cache.set_prefix(
+            prefix, is_reader=self.role.reads_configuration
+        )
         if is_changed and was_listed:
-            log.bind(prefix=prefix, rank=self.role.rank).info("key prefix changed")
+            log.bind(
+                prefix=prefix, rank=self.role.rank, standby=self.role.is_acting
+            ).info("key prefix changed")
             self.store_driver.restart_watch("key prefix changed", is_urgent=True)
 
     def _handle_listing(self) -> None:
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -10,6 +10,7 @@
     SourceSelector,
     SourceSelectorSettings,
     rank_readers,
+    rank_standbys,
 )
 from daisylink.serving import MemberRecord
 from daisylink.sidecar._compressed_version import CompressedVersion
@@ -70,6 +71,16 @@
         readers = rank_readers(records, ReaderSettings())
         self.assertEqual(set(readers), {"n2", "n3", "n5", "n6", "n7"})
 
+    def test_few_nodes_take_the_place_of_readers_that_do_not_answer(self):
+        """If every follower did, whole configurations would fill their links."""
+        for count in (20, 86, 300):
+            records = make_records(count)
+            readers = rank_readers(records, ReaderSettings())
+            standbys = rank_standbys(records, readers, ReaderSettings())
+            self.assertEqual(len(standbys), 4)
+            self.assertEqual(len({records[node].zone for node in standbys}), 4)
+            self.assertFalse(set(standbys) & set(readers))
+
     def test_another_node_reads_when_a_reader_has_ended(self):
         records = make_records(86)
         before = rank_readers(records, ReaderSettings())
