A version that a peer's request names is fetched from that peer

The relay's connection tells the host of the node that sent the number, and that node is asked; a random one only if no member has this address. The host of the latest request that named the version counts, so that a peer that has gone is not asked again and again.

test_a_missing_version_is_fetched_from_the_peer_that_has_it asks with 20 seeds in a fleet of 85 (the code before has no host to ask; at random one of 84).

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -37,6 +37,8 @@
         self.gateway = gateway
         self.is_relay = is_relay
         self.transport: asyncio.Transport | None = None
+        # IP address of the node at the other end.
+        self.peer_host = ""
         self.parser = httptools.HttpRequestParser(self)
         self.current: Exchange | None = None
         self.pipelined: deque[Exchange] = deque()
@@ -57,6 +59,8 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport and register the connection."""
         self.transport = transport
+        if self.is_relay:
+            self.peer_host = (transport.get_extra_info("peername") or ("",))[0]
         self.gateway.callers.add(self)
 
     def connection_lost(self, _error: Exception | None) -> None:
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -85,7 +85,8 @@
         now = self.gateway.now()
         if self.is_relay:
             plan = plan_relayed(self.head, now)
-            self.gateway.record_peer_version(self.head.hop_metadata.version)
+            version_number = self.head.hop_metadata.version
+            self.gateway.record_peer_version(version_number, self.caller.peer_host)
             if self.head.told_limit is not None:
                 self.gateway.notices.record_told_limit(self.head.told_limit)
         else:
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -175,8 +175,11 @@
         """Choose the target of the next request of a route."""
         return self.splitter.pick(entry)
 
-    def record_peer_version(self, number: int) -> None:
-        """Record the version in force at another node; replaced by the node."""
+    def record_peer_version(self, number: int, host: str) -> None:
+        """Record the version in force at another node; replaced by the node.
+
+        :param host: IP address of that node.
+        """
 
     def place(self, plan: RequestPlan, search: SlotSearch) -> Placement | None:
         """Choose the node for a request's next attempt, None if none is left."""
--- a/src/daisylink/sidecar/_peer_exchange.py
+++ b/src/daisylink/sidecar/_peer_exchange.py
@@ -122,10 +122,13 @@
         value = self.fleet_state.compress_version()
         return [(COMPRESSED_VERSION_KEY, value, NO_REVISION)]
 
-    def fetch_updates(self) -> None:
-        """Fetch the keys that this node lacks from a random peer.
+    def fetch_updates(self, host: str = "") -> None:
+        """Fetch the keys that this node lacks from a peer.
 
         No other peer is asked while one's answer arrives.
+
+        :param host: IP address of a peer that is known to have them; a random peer may
+            lack them too.
         """
         asked = self.transfers
         if len(asked) >= MAX_FETCHES or any(t.received_bytes for t in asked.values()):
@@ -138,7 +141,8 @@
         ]
         if not peers:
             return
-        peer = self.rng.choice(peers)
+        known = [peer for peer in peers if peer.rpartition(":")[0] == host]
+        peer = self.rng.choice(known or peers)
         asked[peer] = Transfer(self.now(), STALL_SECONDS)
         self.spawn(self._fetch(peer, asked[peer]))
 
--- a/src/daisylink/sidecar/_peer_versions.py
+++ b/src/daisylink/sidecar/_peer_versions.py
@@ -26,6 +26,8 @@
         self.get_own_number = get_own_number
         self.get_version = get_version
         self.newest_number = 0
+        # IP address of the peer that last had it.
+        self.newest_host = ""
         self.missed_number = 0
 
     @property
@@ -33,9 +35,15 @@
         """Return whether a version is missing that peers have had for a while."""
         return self.missed_number > self.get_own_number()
 
-    def handle_number(self, number: int) -> None:
-        """Schedule a check for a version that a peer has and this node lacks."""
-        if number <= max(self.get_own_number(), self.newest_number):
+    def handle_number(self, number: int, host: str) -> None:
+        """Schedule a check for a version that a peer has and this node lacks.
+
+        :param host: IP address of the peer.
+        """
+        if number <= self.get_own_number() or number < self.newest_number:
+            return
+        self.newest_host = host
+        if number == self.newest_number:
             return
         self.newest_number = number
         self.loop.call_later(GRACE_SECONDS, self._check, number, True)
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -484,8 +484,8 @@
 
     # Peers
 
-    def _handle_peer_version(self, number: int) -> None:
-        self.peer_versions.handle_number(number)
+    def _handle_peer_version(self, number: int, host: str = "") -> None:
+        self.peer_versions.handle_number(number, host)
 
     def _get_missed_version(self, is_first: bool) -> bool:
         """Get a version that peers have had for a while and this node lacks.
@@ -498,14 +498,16 @@
         if self.stopping:
             return False
         self.source_selector.avoid_readers(self.now())
+        host = self.peer_versions.newest_host
         log.bind(
             version=self.peer_versions.missed_number,
+            host=host,
             in_force=self.fleet_state.version_number,
             age_ms=round(self.watch_cache.count_age(self.now()) * MS_PER_SECOND),
         ).info("peers have had a newer version for a while")
         if is_first:
             self.store_driver.restart_watch("a peer has a newer version")
-        self.peer_exchange.fetch_updates()
+        self.peer_exchange.fetch_updates(host)
         self.loop.call_soon(self.step)
         return True
 
--- a/tests/test_late_readers.py
+++ b/tests/test_late_readers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+import unittest.mock
 from datetime import timedelta
 
 from daisylink import platform
@@ -10,6 +11,8 @@
     ApplyBudget,
     Changes,
     Listing,
+    MemberSettings,
+    MemberTable,
     Publisher,
     PublisherSettings,
     ReaderSettings,
@@ -17,7 +20,10 @@
     WatchCacheSettings,
 )
 from daisylink.registry._apply_budget import TRANSFER
+from daisylink.serving import MemberRecord
 from daisylink.sidecar._fleet_state import FLEET_PREFIX
+from daisylink.sidecar._peer_exchange import PeerExchange
+from daisylink.sidecar._peer_versions import PeerVersions
 from tests.revisions import at
 from tests.sidecar_case import SidecarTestCase
 from tests.test_platform import make_configuration
@@ -197,3 +203,32 @@
         self.assertEqual(watch_cache.tick(1.0).wait, timedelta())
         watch_cache.handle_changes(Changes([], at(5)), 1.0)
         self.assertEqual(watch_cache.tick(1.0).wait, timedelta(seconds=1))
+
+
+class KnowingPeerTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_missing_version_is_fetched_from_the_peer_that_has_it(self):
+        """A random peer was asked, which followed the same late reader."""
+        asked = []
+        for seed in range(20):
+            own = MemberRecord("10.0.0.1:70", "z", 0)
+            members = MemberTable(MemberSettings(), own, lambda _: 0.0)
+            for number in range(2, 86):
+                members.put(MemberRecord(f"10.0.0.{number}:70", "z", 0))
+            peer_exchange = PeerExchange(
+                unittest.mock.Mock(),
+                members,
+                unittest.mock.Mock(),
+                unittest.mock.Mock(),
+                unittest.mock.Mock(),
+                random.Random(seed),
+                lambda: 0.0,
+                lambda work: work.close(),
+                lambda: None,
+            )
+            peer_versions = PeerVersions(
+                asyncio.get_running_loop(), lambda: 12, lambda _: False
+            )
+            peer_versions.handle_number(14, "10.0.0.33")
+            peer_exchange.fetch_updates(peer_versions.newest_host)
+            asked += peer_exchange.transfers
+        self.assertEqual(set(asked), {"10.0.0.33:70"})
