A record's write that was given up and lands later does not stay

A node's record is written without a condition under its lease. If a write's answer is lost and the store does it seconds later, it lands after the next one: the fleet believes the older record (a server that drains is chosen again, one that serves is not) until the node's next change. The node saw its own record change and looked only whether it was missing.

The store's revision of the last acknowledged write is kept; a newer revision with another value, or a deletion, has the record written again. An event from before that write, which a watch may tell late, no longer leads to a write.

test_a_write_that_was_given_up_and_lands_later_does_not_stay failed before (the older record stood after 2.5 s) and passes. Tests of Registration now give a write's result as the store does, a revision.

--- a/src/daisylink/registry/_registration.py
+++ b/src/daisylink/registry/_registration.py
@@ -11,7 +11,7 @@
 
 from daisylink.errors import ResultCode
 from daisylink.registry._backoff import Backoff, BackoffSettings
-from daisylink.registry._store import Lease
+from daisylink.registry._store import NO_REVISION, Item, Lease, StoreRevision
 
 RENEWALS_PER_TTL = 3
 
@@ -70,6 +70,7 @@
         self.backoff = Backoff(settings.backoff, rng)
         self.desired_record: bytes | None = None
         self.written_record: bytes | None = None
+        self.written_revision = NO_REVISION
         self.lease_id = 0
         self.granted_ttl = settings.ttl
         self.renew_at = float("inf")
@@ -107,6 +108,21 @@
         """Note that the store lacks the record, so that it is written again."""
         self.written_record = None
 
+    def handle_stored_record(self, item: Item) -> bool:
+        """Handle what the store holds as the record, while no call is pending.
+
+        A write that was given up may land after a later one. The watch may also be
+        behind and tell of a revision before the last write.
+
+        :returns: whether the record is to be written again.
+        """
+        if self.written_record is None or item.value == self.written_record:
+            return False
+        if item.revision <= self.written_revision:
+            return False
+        self.mark_unwritten()
+        return True
+
     def begin_era(self, now: float, spread: timedelta) -> None:
         """Take a new lease and write the record again: the store may have lost both.
 
@@ -126,11 +142,13 @@
         self.pending = self._next_call(now)
         return self.pending
 
-    def handle_result(self, result: Lease | bool | None, now: float) -> None:
+    def handle_result(
+        self, result: Lease | bool | StoreRevision | None, now: float
+    ) -> None:
         """Handle the result of the pending call.
 
-        :param result: the granted lease, whether a renewed lease was still held, or
-            None for a write or the end of the lease.
+        :param result: the granted lease, whether a renewed lease was still held, the
+            revision of a write, or None for the end of the lease.
         """
         call, self.pending = self.pending, None
         self.backoff.record_success()
@@ -146,6 +164,7 @@
                 self._forget_lease()
             case WriteRecord(_, value):
                 self.written_record = value
+                self.written_revision = result
             case EndLease():
                 self.is_done = True
 
--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -108,7 +108,8 @@
         self.compressed_document = b""
         self.compressed_version: Item | None = None
         self.accepts_compressed_versions = False
-        self.is_own_record_missing = False
+        # What the store holds as this node's record, if that has changed.
+        self.stored_own_record: Item | None = None
         self.has_listed = False
         # Whether the store may be behind the fleet, so that peers are asked for the
         # first version, and the newest version read until then.
@@ -314,7 +315,7 @@
             self.listeners.on_members()
 
     def _handle_own_record(self, item: Item) -> None:
-        self.is_own_record_missing = item.value is None
+        self.stored_own_record = item
         if item.value is not None and not self.has_listed:
             self._decode_record(item)
 
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -382,9 +382,7 @@
         self.fleet_state.tick(now)
         self._continue_recovery(now)
         self.gateway.quarantine.purge(now)
-        if self.fleet_state.is_own_record_missing and self.registration.pending is None:
-            self.fleet_state.is_own_record_missing = False
-            self.registration.mark_unwritten()
+        self._check_own_record()
         self._update_rank()
         self._update_prefix(now)
         self.store_driver.tick(now, self.role.publish_rank)
@@ -395,6 +393,17 @@
         if now >= self.local_server.wake_at:
             self.loop.call_soon(self.update_server)
 
+    def _check_own_record(self) -> None:
+        """Write this node's record again if the store holds something else."""
+        stored = self.fleet_state.stored_own_record
+        if stored is None or self.registration.pending is not None:
+            return
+        self.fleet_state.stored_own_record = None
+        if self.registration.handle_stored_record(stored):
+            log.bind(revision=stored.revision, is_missing=stored.value is None).info(
+                "own record is not as written"
+            )
+
     def _set_timer(self, now: float, min_delay: float = 0.001) -> None:
         if self.timer is not None:
             self.timer.cancel()
--- a/tests/test_late_readers.py
+++ b/tests/test_late_readers.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 import unittest.mock
+from base64 import b64decode
 from datetime import timedelta
 
 from daisylink import platform
@@ -21,7 +22,7 @@
 )
 from daisylink.registry._apply_budget import TRANSFER
 from daisylink.serving import MemberRecord
-from daisylink.sidecar._fleet_state import FLEET_PREFIX
+from daisylink.sidecar._fleet_state import FLEET_PREFIX, member_key
 from daisylink.sidecar._peer_exchange import PeerExchange
 from daisylink.sidecar._peer_versions import PeerVersions
 from tests.revisions import at
@@ -232,3 +233,22 @@
             peer_exchange.fetch_updates(peer_versions.newest_host)
             asked += peer_exchange.transfers
         self.assertEqual(set(asked), {"10.0.0.33:70"})
+
+
+class LateWriteTests(SidecarTestCase):
+    def test_a_write_that_was_given_up_and_lands_later_does_not_stay(self):
+        """The fleet believed an older record of a node until its next change."""
+
+        async def scenario(store, machine, other):
+            key = member_key(machine.sidecar.members.own_record.node)
+            older = b64decode(store.items[key]["value"])
+            await machine.send_heartbeat("draining")
+            await self.wait_for(lambda: len(other.sidecar.members.serving("one")) == 1)
+            await asyncio.sleep(0.5)
+            store.put(key, older, store.items[key]["lease"])
+            await self.wait_for(
+                lambda: b64decode(store.items[key]["value"]) != older, APPLY_SECONDS
+            )
+            await self.wait_for(lambda: len(other.sidecar.members.serving("one")) == 1)
+
+        self.run_machines(scenario, 2)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -40,7 +40,7 @@
     assert isinstance(registration.tick(now), GrantLease)
     registration.handle_result(LEASE, now)
     assert registration.tick(now) == WriteRecord(7, registration.desired_record)
-    registration.handle_result(None, now)
+    registration.handle_result(at(5), now)
 
 
 class RegistrationTests(unittest.TestCase):
@@ -61,7 +61,7 @@
         registration.tick(0.0)
         registration.handle_result(Lease(7, timedelta(seconds=1.2)), 0.0)
         registration.tick(0.0)
-        registration.handle_result(None, 0.0)
+        registration.handle_result(at(5), 0.0)
         self.assertEqual(registration.tick(0.41), RenewLease(7))
         registration.handle_result(True, 0.41)
         self.assertEqual(registration.tick(0.82), RenewLease(7))
@@ -114,7 +114,7 @@
         register(registration)
         registration.leave(b"left")
         self.assertEqual(registration.tick(0.1), WriteRecord(7, b"left"))
-        registration.handle_result(None, 0.1)
+        registration.handle_result(at(5), 0.1)
         self.assertEqual(registration.tick(0.1), EndLease(7))
 
 
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -16,6 +16,7 @@
 )
 from daisylink.sidecar._fleet_state import departure_key, member_key
 from tests.loopback import LOOPBACK_HOST, reserve_port
+from tests.revisions import at
 from tests.sidecar_case import SidecarTestCase
 from tests.test_platform import make_configuration
 
@@ -260,7 +261,7 @@
         registration.tick(0.0)
         registration.handle_result(Lease(7, timedelta(seconds=3)), 0.0)
         registration.tick(0.0)
-        registration.handle_result(None, 0.0)
+        registration.handle_result(at(5), 0.0)
         registration.begin_era(0.5, timedelta(seconds=1))
         self.assertLessEqual(registration.wake_at, 1.5)
         self.assertIsInstance(registration.tick(1.5), GrantLease)
