What a sidecar knows of the fleet is kept in step by a module of its own

sidecar/_sidecar.py had 591 lines with two jobs: to serve (gateway, the local server, listeners, the stop) and to know (keys, versions, members, readers, the own record, eras, peers). The second one is FleetSync now, in _fleet_sync.py; 399 and 341 lines. Behaviour is unchanged; tests name the part that they use, one mutant moved with its line.

Measured: the ten test modules around it pass (96 tests).

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -376,9 +376,9 @@
     ),
     Mutant(
         "spread: a reader that is behind feeds others",
-        "sidecar/_sidecar.py",
-        "        if self.peer_versions.is_behind or self.stopping:\n",
-        "        if self.stopping:\n",
+        "sidecar/_fleet_sync.py",
+        "        if self.peer_versions.is_behind or self.is_stopping:\n",
+        "        if self.is_stopping:\n",
         "tests.test_large_fleet",
     ),
     Mutant(
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -16,24 +16,10 @@
 from daisylink.http_server import WebRequest, WebResponse
 from daisylink.logs import get_logger
 from daisylink.registry import (
-    ApplyBudget,
     BackoffSettings,
     DepartureLog,
-    DepartureSweeper,
-    DepartureSweeperSettings,
     MemberSettings,
     MemberTable,
-    Publisher,
-    PublisherSettings,
-    ReaderRole,
-    ReaderSettings,
-    Registration,
-    RegistrationSettings,
-    SourceSelector,
-    SourceSelectorSettings,
-    StoreRevision,
-    WatchCache,
-    WatchCacheSettings,
 )
 from daisylink.request import Fingerprint
 from daisylink.serving import (
@@ -50,23 +36,10 @@
 )
 from daisylink.settings import SidecarSettings
 from daisylink.sidecar._announcement_handler import AnnouncementHandler
-from daisylink.sidecar._change_feed import ChangeFeed
-from daisylink.sidecar._compressed_version import COMPRESSED_VERSION_KEY
-from daisylink.sidecar._era_recovery import EraRecovery
-from daisylink.sidecar._fleet_state import (
-    DEPARTURE_PREFIX,
-    FLEET_PREFIX,
-    FleetListeners,
-    FleetState,
-    departure_key,
-    member_key,
-)
+from daisylink.sidecar._fleet_sync import FleetSync, SyncListeners
 from daisylink.sidecar._gauges import add_gauges
 from daisylink.sidecar._listeners import Listeners
-from daisylink.sidecar._peer_exchange import PeerExchange
-from daisylink.sidecar._peer_versions import PeerVersions
 from daisylink.sidecar._platform_adapter import PlatformAdapter
-from daisylink.sidecar._store_driver import StoreDriver
 from daisylink.sidecar._strikes import (
     SIDECAR_QUARANTINE_SETTINGS,
     StrikeReporter,
@@ -159,90 +132,30 @@
         self.gateway.on_local_server_changed = self.update_server
         self.gateway.on_server_crashed = self._handle_crash
         self.gateway.on_suspect_answered = self._handle_suspect_answered
-        self.gateway.record_peer_version = self._handle_peer_version
-        budget = ApplyBudget(settings.apply_within)
-        self.publisher = Publisher(PublisherSettings.from_budget(budget))
-        self.era_tracker = platform_adapter.store.era_tracker
-        self.era_tracker.on_rise = self._handle_era
-        self.fleet_state = FleetState(
+        self.listeners = Listeners(self.loop)
+        self.tasks: set[asyncio.Task] = set()
+        self.timer: asyncio.TimerHandle | None = None
+        self.stopping = False
+        self.fleet_sync = FleetSync(
+            settings,
+            platform_adapter,
             self.members,
-            platform_adapter.config_key,
-            platform_adapter.decode_configuration,
-            self.publisher,
-            self.era_tracker,
-            self.now,
-            FleetListeners(
+            self.departure_log,
+            self.announcement_handler,
+            SyncListeners(
                 self._install,
                 self._handle_members_change,
                 lambda strikes: quarantine.merge_strikes(strikes, self.now()),
                 self.gateway.in_flight_tracker.forget,
-                self.announcement_handler.handle_stored_departures,
-            ),
-        )
-        ttl = max(settings.min_lease_ttl, RegistrationSettings().ttl)
-        self.registration = Registration(RegistrationSettings(ttl=ttl), rng)
-        self.watch_cache = WatchCache(
-            WatchCacheSettings.from_budget(budget),
-            self.fleet_state.handle_item,
-            self._handle_listing,
-            self.fleet_state.handle_older_item,
-            rng,
-        )
-        if settings.is_first_start:
-            delay = rng.uniform(*FIRST_LIST_SECONDS)
-            self.watch_cache.delay_first_list(delay, self.now())
-        self.era_recovery = EraRecovery(
-            self.era_tracker,
-            self.registration,
-            self.departure_log,
-            self.members,
-            settings.store_writes_per_s,
-            self.now,
-        )
-        self.source_selector = SourceSelector(
-            SourceSelectorSettings(), node, settings.zone
-        )
-        self.role = ReaderRole(
-            ReaderSettings(), self.members, self.source_selector, FLEET_PREFIX
-        )
-        self.store_driver = StoreDriver(
-            platform_adapter.store,
-            platform_adapter.config_key,
-            budget,
-            self.registration,
-            self.watch_cache,
-            self.publisher,
-            self.source_selector,
-            self.departure_log,
-            DepartureSweeper(
-                DepartureSweeperSettings(), self.members, self._list_departures
+                self.update_server,
+                self.step,
             ),
-            node,
-            self.now,
-            self._spawn,
-            self.step,
-        )
-        self.change_feed = ChangeFeed(
-            self.watch_cache, FLEET_PREFIX, lambda: self.can_serve_feed, self.now
-        )
-        self.peer_exchange = PeerExchange(
-            self.watch_cache,
-            self.members,
-            self.fleet_state,
-            self.era_tracker,
-            self.change_feed,
             rng,
             self.now,
             self._spawn,
-            self.step,
-        )
-        self.listeners = Listeners(self.loop)
-        self.tasks: set[asyncio.Task] = set()
-        self.timer: asyncio.TimerHandle | None = None
-        self.peer_versions = PeerVersions(
-            self.loop, lambda: self.fleet_state.version_number, self._get_missed_version
         )
-        self.stopping = False
+        self.gateway.record_peer_version = self.fleet_sync.handle_peer_version
+        self._expose_parts()
 
     @classmethod
     def from_config(
@@ -256,18 +169,24 @@
         parts.setdefault("rng", random.Random())
         return cls(settings, platform_adapter, **parts)
 
+    def _expose_parts(self) -> None:
+        """Make the parts of the fleet's state available as attributes."""
+        fleet_sync = self.fleet_sync
+        self.era_tracker = fleet_sync.era_tracker
+        self.era_recovery = fleet_sync.era_recovery
+        self.fleet_state = fleet_sync.fleet_state
+        self.registration = fleet_sync.registration
+        self.watch_cache = fleet_sync.watch_cache
+        self.store_driver = fleet_sync.store_driver
+        self.role = fleet_sync.role
+        self.change_feed = fleet_sync.change_feed
+        self.peer_exchange = fleet_sync.peer_exchange
+
     @property
     def is_ready(self) -> bool:
         """Return whether a version is in force and no stop was requested."""
         return self.fleet_state.version is not None and not self.stopping
 
-    @property
-    def is_store_unavailable(self) -> bool:
-        """Return whether the last calls to the store failed."""
-        return bool(
-            self.watch_cache.backoff.failures or self.registration.backoff.failures
-        )
-
     async def start(self) -> None:
         """Open the listeners and join the fleet.
 
@@ -304,7 +223,7 @@
             return
         started_at = self.now()
         log.bind(open=self.gateway.open_requests).info("stopping")
-        self.stopping = True
+        self.stopping = self.fleet_sync.is_stopping = True
         self.gateway.begin_stop()
         await asyncio.sleep(STOP_SERVE_SECONDS)
         left = msgspec.structs.replace(self.members.own_record, state=MemberState.LEFT)
@@ -379,147 +298,24 @@
             self._set_timer(now)
 
     def _run_due(self, now: float) -> None:
-        self.fleet_state.tick(now)
-        self._continue_recovery(now)
         self.gateway.quarantine.purge(now)
-        self._check_own_record()
-        self._update_rank()
-        self._update_prefix(now)
-        self.store_driver.tick(now, self.role.publish_rank)
-        needs_peers = self.is_store_unavailable or self.fleet_state.is_deferring
-        self.peer_exchange.tick(now, needs_peers)
-        self.change_feed.notify_waiters()
+        self.fleet_sync.tick(now)
         self.announcement_handler.acknowledger.notify_waiters()
         if now >= self.local_server.wake_at:
             self.loop.call_soon(self.update_server)
 
-    def _check_own_record(self) -> None:
-        """Write this node's record again if the store holds something else."""
-        stored = self.fleet_state.stored_own_record
-        if stored is None or self.registration.pending is not None:
-            return
-        self.fleet_state.stored_own_record = None
-        if self.registration.handle_stored_record(stored):
-            log.bind(revision=stored.revision, is_missing=stored.value is None).info(
-                "own record is not as written"
-            )
-
     def _set_timer(self, now: float, min_delay: float = 0.001) -> None:
         if self.timer is not None:
             self.timer.cancel()
         wake_at = min(
-            self.registration.wake_at,
-            self.watch_cache.wake_at,
-            self.store_driver.wake_at,
-            self.change_feed.wake_at,
+            self.fleet_sync.wake_at,
             self.members.wake_at,
             self.local_server.wake_at,
             self.departure_log.wake_at,
-            self.era_recovery.wake_at,
-            self.peer_exchange.next_fetch_at,
-            self.publisher.wake_at(self.role.publish_rank),
         )
         if wake_at < float("inf"):
             self.timer = self.loop.call_later(max(min_delay, wake_at - now), self.step)
 
-    @property
-    def can_serve_feed(self) -> bool:
-        """Return whether other nodes may get key changes from this one."""
-        if self.peer_versions.is_behind or self.stopping:
-            return False
-        return self.role.is_reader and self.now() < self.watch_cache.stale_at
-
-    def _update_prefix(self, now: float) -> None:
-        """Watch all keys on a reader, otherwise only those that the fleet writes."""
-        was_listed = self.role.is_fleet_listed
-        prefix = self.role.choose_prefix(self.fleet_state.version is not None, now)
-        is_changed = self.watch_cache.set_prefix(
-            prefix, is_reader=self.role.reads_configuration
-        )
-        if is_changed and was_listed:
-            log.bind(
-                prefix=prefix, rank=self.role.rank, standby=self.role.is_acting
-            ).info("key prefix changed")
-            self.store_driver.restart_watch("key prefix changed", is_urgent=True)
-
-    def _handle_listing(self) -> None:
-        if not self.fleet_state.has_listed and not self.era_tracker.current:
-            log.info("the store states no era")
-        self.role.handle_listing()
-        if not self.role.is_reader:
-            self.fleet_state.accept_compressed_versions()
-        key = member_key(self.members.own_record.node)
-        cache = self.watch_cache
-        if key not in cache.values:
-            self.registration.mark_unwritten()
-        has_key = departure_key(self.members.own_record.node) in cache.values
-        is_deferring = self.fleet_state.is_deferring
-        self.announcement_handler.handle_listing(
-            cache.revision, has_key, is_complete=not is_deferring
-        )
-        has_compressed = COMPRESSED_VERSION_KEY in cache.values
-        self.fleet_state.handle_listing(cache.revision, has_compressed)
-        if is_deferring:
-            self.era_recovery.settle()
-
-    # Eras of the store
-
-    def _handle_era(self, previous: int) -> None:
-        """Write again what the store may have lost, and list its keys again.
-
-        :param previous: the era before, 0 if this is the first one.
-        """
-        if previous:
-            self.era_recovery.begin(previous)
-            self.loop.call_soon(self.store_driver.end_outdated_watch)
-        if self.registration.desired_record is not None:
-            self.loop.call_soon(self.update_server)
-
-    def _continue_recovery(self, now: float) -> None:
-        has_settled = self.era_recovery.tick(now)
-        if has_settled:
-            self._handle_members_change()
-        has_answer = self.peer_exchange.answered_at >= self.era_recovery.began_at
-        if self.fleet_state.is_deferring and (has_answer or has_settled):
-            self.fleet_state.end_deferral()
-
-    def _list_departures(self) -> dict[str, StoreRevision]:
-        """Return the revisions of all nodes' departures, by node."""
-        revisions = self.watch_cache.list_revisions(DEPARTURE_PREFIX)
-        return {
-            key.removeprefix(DEPARTURE_PREFIX): revision
-            for key, revision in revisions.items()
-        }
-
-    # Peers
-
-    def _handle_peer_version(self, number: int, host: str = "") -> None:
-        self.peer_versions.handle_number(number, host)
-
-    def _get_missed_version(self, is_first: bool) -> bool:
-        """Get a version that peers have had for a while and this node lacks.
-
-        The watch may be full of other keys, so a peer is asked beside it.
-
-        :param is_first: whether this is the first attempt, which restarts the watch.
-        :returns: whether to try again later.
-        """
-        if self.stopping:
-            return False
-        self.source_selector.avoid_readers(self.now())
-        host = self.peer_versions.newest_host
-        log.bind(
-            version=self.peer_versions.missed_number,
-            host=host,
-            in_force=self.fleet_state.version_number,
-            age_ms=round(self.watch_cache.count_age(self.now()) * MS_PER_SECOND),
-        ).info("peers have had a newer version for a while")
-        if is_first:
-            self.store_driver.restart_watch("a peer has a newer version")
-        self.peer_exchange.fetch_updates(host)
-        self.loop.call_soon(self.step)
-        return True
-
     def _last_response_at(self, node: str) -> float:
         return self.balancer.last_response_at.get(node, float("-inf"))
 
@@ -543,21 +339,6 @@
         self._divide_retry_budget()
         self.role.is_outdated = True
 
-    def _update_rank(self) -> None:
-        """Select the readers again, once for all changes of a batch."""
-        if not self.role.is_outdated:
-            return
-        previous = self.role.rank
-        self.role.update_rank()
-        if self.role.rank != previous:
-            log.bind(
-                rank=self.role.rank,
-                previous=previous,
-                members=len(self.members.records),
-                expired=len(self.members.expired),
-                lapse=self.members.is_lapse,
-            ).info("reader rank changed")
-
     def _divide_retry_budget(self) -> None:
         """Divide the fleet's retry budget among the known members."""
         settings = self.settings
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -126,12 +126,14 @@
                 CompressedVersion.from_document(14, newer).to_bytes(),
             )
             for machine in others:
-                machine.sidecar._handle_peer_version(14)
+                machine.sidecar.fleet_sync.handle_peer_version(14)
             await self.wait_for(
                 lambda: all(m.sidecar.fleet_state.version_number == 14 for m in others),
                 2.5,
             )
-            await self.wait_for(lambda: not reader.sidecar.can_serve_feed, 1.5)
+            await self.wait_for(
+                lambda: not reader.sidecar.fleet_sync.can_serve_feed, 1.5
+            )
 
         self.run_machines(scenario, count=3)
 
@@ -140,9 +142,11 @@
 
         async def scenario(store, *machines):
             reader, _ = await self.select_reader(machines)
-            self.assertTrue(reader.sidecar.can_serve_feed)
-            reader.sidecar._handle_peer_version(14)
-            await self.wait_for(lambda: not reader.sidecar.can_serve_feed, 1.5)
+            self.assertTrue(reader.sidecar.fleet_sync.can_serve_feed)
+            reader.sidecar.fleet_sync.handle_peer_version(14)
+            await self.wait_for(
+                lambda: not reader.sidecar.fleet_sync.can_serve_feed, 1.5
+            )
             self.assertLess(
                 reader.sidecar.watch_cache.count_age(reader.sidecar.now()), 2
             )
@@ -170,7 +174,7 @@
             await self.select_reader(machines)
             await self.wait_for(lambda: COMPRESSED_VERSION_KEY in store.items)
             late = Machine(store, 9)
-            name = "daisylink.sidecar._sidecar.ReaderSettings"
+            name = "daisylink.sidecar._fleet_sync.ReaderSettings"
             with unittest.mock.patch(name, lambda: ONE_READER):
                 await late.start()
             await self.wait_for(lambda: late.sidecar.is_ready)
--- a/tests/test_late_versions.py
+++ b/tests/test_late_versions.py
@@ -160,7 +160,7 @@
 
             async def announce_newer_versions():
                 for number in range(14, 100):
-                    sidecar._handle_peer_version(number)
+                    sidecar.fleet_sync.handle_peer_version(number)
                     await asyncio.sleep(0.5)
 
             announcing = asyncio.ensure_future(announce_newer_versions())
@@ -226,7 +226,7 @@
             listener.handler = answer_late
             store.put(platform.CONFIG_KEY, make_version(14))
             await self.wait_for(lambda: first.sidecar.fleet_state.version_number == 14)
-            behind._handle_peer_version(14)
+            behind.fleet_sync.handle_peer_version(14)
             await self.wait_for(lambda: behind.fleet_state.version_number == 14, 3.0)
 
         self.run_machines(scenario, count=2)
@@ -305,13 +305,17 @@
             sidecar.store_driver.end_overdue_read = lambda _: None
             other = CompressedVersion.from_document(13, make_version(13))
             store.put(COMPRESSED_VERSION_KEY, other.to_bytes())
-            sidecar.publisher.handle_version(14, make_version(14), sidecar.now())
+            sidecar.fleet_sync.publisher.handle_version(
+                14, make_version(14), sidecar.now()
+            )
             before = len(store.write_times)
             sidecar.step()
             await asyncio.sleep(3.0)
             self.assertEqual(len(store.write_times) - before, 1)
             sidecar.watch_cache.restart_watch()
             sidecar.step()
-            await self.wait_for(lambda: sidecar.publisher.published_number == 14)
+            await self.wait_for(
+                lambda: sidecar.fleet_sync.publisher.published_number == 14
+            )
 
         self.run_machines(scenario)
