Watches wait for half of the bound, so that confirming costs fewer calls

A watch now waits for 0.5 of the bound and is overdue 0.16 later, so a reader notices silence within 0.78 of the bound as against 0.72, and serves unconfirmed keys for 0.84. 0.15 of the bound is left for the transfers; the test of the ways holds each of them against that.

test_late_readers, test_large_fleet and test_registry pass (42 tests).

--- a/src/daisylink/registry/_apply_budget.py
+++ b/src/daisylink/registry/_apply_budget.py
@@ -10,17 +10,17 @@
 from typing import NamedTuple
 
 # Shares of the bound.
-WATCH_WAIT = 0.4
-STORE_RESPONSE = 0.2
+WATCH_WAIT = 0.5
+STORE_RESPONSE = 0.16
 READER_BATCH = 0.12
 FOLLOWER_BATCH = 0.4
-MAX_VIEW_AGE = 0.8
+MAX_VIEW_AGE = 0.84
 POLL_WAIT = 0.24
 POLL_RESPONSE = 0.2
 RANK_DELAY = 0.16
 MAX_RANK_DELAY = 0.48
 # What is left of the bound for reading, publishing and sending the version itself.
-TRANSFER = 0.2
+TRANSFER = 0.15
 
 
 class ApplyBudget(NamedTuple):
--- a/src/daisylink/registry/_watch_cache.py
+++ b/src/daisylink/registry/_watch_cache.py
@@ -50,11 +50,11 @@
         response of which nothing arrives for so long is overdue.
     """
 
-    watch_timeout: timedelta = timedelta(seconds=1)
-    response_timeout: timedelta = timedelta(milliseconds=500)
+    watch_timeout: timedelta = timedelta(milliseconds=1250)
+    response_timeout: timedelta = timedelta(milliseconds=400)
     max_response_timeout: timedelta = timedelta(seconds=3.5)
     list_timeout_ratio: float = 2.0
-    max_age: timedelta = timedelta(seconds=2)
+    max_age: timedelta = timedelta(milliseconds=2100)
     batch_delay_per_key: timedelta = timedelta(milliseconds=12)
     min_batch_delay: timedelta = timedelta(milliseconds=40)
     max_batch_delay: timedelta = timedelta(seconds=1)
