A reader that was frozen does not begin with "no changes"

When a frozen process goes on, the ends of its polls' waits are due first, and each was answered with "no changes" from keys that were as old as the pause. The end of a wait now asks, as the beginning does, whether the keys are confirmed; if not, all waiting nodes are turned away.

test_a_poll_that_outlives_a_pause_of_the_process_is_turned_away failed before (200 for 503) and passes.

--- a/src/daisylink/registry/_watch_cache.py
+++ b/src/daisylink/registry/_watch_cache.py
@@ -133,7 +133,7 @@
         self.confirmed_at = float("-inf")
         self.pending: ReadCall | None = None
         self.started_at = 0.0
-        # Whether it is open if the next call will be answered at all.
+        # Whether the source of the next call has yet to show that it answers.
         self.is_unproven = False
 
     @property
--- a/src/daisylink/sidecar/_change_feed.py
+++ b/src/daisylink/sidecar/_change_feed.py
@@ -182,8 +182,13 @@
     def _end_wait(
         self, after: StoreRevision, response: asyncio.Future[WebResponse]
     ) -> None:
-        if not response.done():
-            response.set_result(self._make_response(after))
+        """Tell a waiting node that there are no changes, if this node can know it."""
+        if response.done():
+            return
+        if not self.can_serve():
+            self._turn_away()
+            return
+        response.set_result(self._make_response(after))
         self.waiting = [item for item in self.waiting if item[1] is not response]
 
     def _make_response(self, after: StoreRevision) -> WebResponse:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -252,3 +252,16 @@
         updates = self.poll_feed(9)
         self.assertTrue(updates.is_whole)
         self.assertEqual(updates.list_items(), [Item("own/b", b"2", at(8))])
+
+    async def test_a_poll_that_outlives_a_pause_of_the_process_is_turned_away(self):
+        """A frozen reader said "no changes" first when it went on."""
+        is_fresh = True
+        change_feed = ChangeFeed(
+            self.watch_cache, "own/", lambda: is_fresh, lambda: 0.0
+        )
+        query = {"after": format_revision(at(12)), "wait_ms": "10"}
+        response = change_feed.handle_request(
+            WebRequest("GET", "/v1/changes", query, b"")
+        )
+        is_fresh = False
+        self.assertEqual((await response).status, 503)
