Readers' watches are shorter than those of a small fleet

In a small fleet nobody waits for another node, but all of them make the calls.

Readers wait for 0.4 of the bound and serve unconfirmed keys for 0.74, nodes of a small fleet wait for 0.55. The standbys are ranked only while a node finds no reader that answers, not at each change of members.

--- a/src/daisylink/registry/_apply_budget.py
+++ b/src/daisylink/registry/_apply_budget.py
@@ -10,11 +10,12 @@
 from typing import NamedTuple
 
 # Shares of the bound.
-WATCH_WAIT = 0.5
+WATCH_WAIT = 0.4
+SMALL_FLEET_WATCH_WAIT = 0.55
 STORE_RESPONSE = 0.16
 READER_BATCH = 0.12
 FOLLOWER_BATCH = 0.4
-MAX_VIEW_AGE = 0.84
+MAX_VIEW_AGE = 0.74
 POLL_WAIT = 0.24
 POLL_RESPONSE = 0.2
 RANK_DELAY = 0.16
@@ -36,6 +37,14 @@
         """Return how long a watch waits at the store for a change."""
         return self.bound * WATCH_WAIT
 
+    @property
+    def small_fleet_watch_wait(self) -> timedelta:
+        """Return the same where all nodes watch the store and none waits for another.
+
+        All of them make these calls.
+        """
+        return self.bound * SMALL_FLEET_WATCH_WAIT
+
     @property
     def store_response(self) -> timedelta:
         """Return how long the store may take to answer beyond that."""
@@ -79,10 +88,13 @@
     @property
     def longest_ways(self) -> dict[str, timedelta]:
         """Return how long the steps of each way take, without the transfers."""
-        heard = self.reader_batch + self.watch_wait + self.store_response
+        reader = self.reader_batch + self.watch_wait + self.store_response
+        small_fleet = self.reader_batch + self.small_fleet_watch_wait
         first_reader = self.poll_wait + self.poll_response
         return {
-            "all readers hear nothing": heard,
+            "all readers hear nothing": reader,
+            "all nodes of a small fleet hear nothing": small_fleet
+            + self.store_response,
             "all readers but the last one end": self.reader_batch + self.max_rank_delay,
             "a reader loses the store": self.max_view_age,
             "a reader is silent": first_reader,
--- a/src/daisylink/registry/_role.py
+++ b/src/daisylink/registry/_role.py
@@ -34,9 +34,12 @@
         self.source_selector = source_selector
         self.fleet_prefix = fleet_prefix
         self.rank: int | None = 0
-        # Rank among the nodes that take the readers' place, and whether it does so.
+        self.readers: list[str] = []
+        # Rank among the nodes that take the place of readers that do not answer, while
+        # this node finds none that does, and whether it is one of them.
         self.standby_rank: int | None = None
         self.is_acting = False
+        self.is_standby_ranked = False
         self.last_reader_at = float("-inf")
         self.is_fleet_listed = False
         self.reads_version_at = float("inf")
@@ -53,13 +56,18 @@
         """Return whether this node reads the configuration itself."""
         return self.is_reader or self.is_acting
 
+    @property
+    def is_small_fleet(self) -> bool:
+        """Return whether the fleet is so small that every node is a reader."""
+        return len(self.members.records) <= self.settings.max_small_fleet
+
     @property
     def publish_rank(self) -> int | None:
         """Return the rank for publishing, None if this node does not publish.
 
         In a small fleet no node does.
         """
-        if len(self.members.records) <= self.settings.max_small_fleet:
+        if self.is_small_fleet:
             return None
         return self.rank if self.is_reader else self._acting_rank
 
@@ -79,8 +87,8 @@
         self.is_outdated = False
         node = members.own_record.node
         self.rank = readers.index(node) if node in readers else None
-        standbys = rank_standbys(records, readers, self.settings)
-        self.standby_rank = standbys.index(node) if node in standbys else None
+        self.readers = readers
+        self.is_standby_ranked = False
         candidates = [] if self.is_reader else [records[name] for name in readers]
         self.source_selector.set_readers(candidates)
 
@@ -99,10 +107,23 @@
             return self.fleet_prefix
         self.reads_version_at = min(self.reads_version_at, now + VERSION_WAIT_SECONDS)
         is_due = not has_version and now >= self.reads_version_at
-        is_standby = self.standby_rank is not None
-        self.is_acting = is_standby and self.source_selector.uses_store(now)
+        self._update_standby(now)
         if self.reads_configuration or is_due:
             self.last_reader_at = now
         if now - self.last_reader_at < LINGER_SECONDS:
             return ALL_KEYS_PREFIX
         return self.fleet_prefix
+
+    def _update_standby(self, now: float) -> None:
+        """Take a reader's place, or cease to, as the readers answer or not."""
+        if not self.source_selector.uses_store(now):
+            self.is_acting = self.is_standby_ranked = False
+            return
+        if self.is_standby_ranked:
+            return
+        self.is_standby_ranked = True
+        records = self.members.list_current()
+        standbys = rank_standbys(records, self.readers, self.settings)
+        node = self.members.own_record.node
+        self.standby_rank = standbys.index(node) if node in standbys else None
+        self.is_acting = self.standby_rank is not None
--- a/src/daisylink/registry/_watch_cache.py
+++ b/src/daisylink/registry/_watch_cache.py
@@ -42,6 +42,7 @@
     :param max_reader_batch_delay: longest such delay of a reader, because other nodes
         wait for its changes.
     :param watch_timeout: how long a watch waits at the store for a change.
+    :param small_fleet_watch_timeout: the same where no node waits for another.
     :param response_timeout: how long the store may take beyond that; doubles with each
         failure in a row, as it may be slow.
     :param max_response_timeout: longest such time.
@@ -50,11 +51,12 @@
         response of which nothing arrives for so long is overdue.
     """
 
-    watch_timeout: timedelta = timedelta(milliseconds=1250)
+    watch_timeout: timedelta = timedelta(seconds=1)
+    small_fleet_watch_timeout: timedelta = timedelta(milliseconds=1375)
     response_timeout: timedelta = timedelta(milliseconds=400)
     max_response_timeout: timedelta = timedelta(seconds=3.5)
     list_timeout_ratio: float = 2.0
-    max_age: timedelta = timedelta(milliseconds=2100)
+    max_age: timedelta = timedelta(milliseconds=1850)
     batch_delay_per_key: timedelta = timedelta(milliseconds=12)
     min_batch_delay: timedelta = timedelta(milliseconds=40)
     max_batch_delay: timedelta = timedelta(seconds=1)
@@ -66,6 +68,7 @@
         """Return the settings that keep the operator's bound."""
         return cls(
             watch_timeout=budget.watch_wait,
+            small_fleet_watch_timeout=budget.small_fleet_watch_wait,
             response_timeout=budget.store_response,
             max_age=budget.max_view_age,
             max_batch_delay=budget.follower_batch,
@@ -124,6 +127,7 @@
         self.change_count = 0
         self.prefix = ""
         self.max_batch_delay = settings.max_batch_delay
+        self.watch_timeout = settings.watch_timeout
         self.revision = NO_REVISION
         self.first_revision = NO_REVISION
         self.is_listed = False
@@ -154,7 +158,7 @@
             return None
         self.started_at = now
         if self.is_listed:
-            wait = timedelta() if self.is_unproven else self.settings.watch_timeout
+            wait = timedelta() if self.is_unproven else self.watch_timeout
             self.pending = WatchKeys(self.revision, wait, self.prefix)
         else:
             self.pending = ListKeys(self.prefix)
@@ -180,6 +184,13 @@
         stalled_at = received_at + settings.max_age.total_seconds()
         return max(self.started_at + allowed.total_seconds(), stalled_at)
 
+    def set_small_fleet(self, is_small: bool) -> None:
+        """Set whether all nodes watch the store, so that none waits for another."""
+        settings = self.settings
+        self.watch_timeout = (
+            settings.small_fleet_watch_timeout if is_small else settings.watch_timeout
+        )
+
     def set_prefix(self, prefix: str, is_reader: bool = False) -> bool:
         """Set the prefix of the cached keys; return whether it changed.
 
--- a/src/daisylink/sidecar/_fleet_sync.py
+++ b/src/daisylink/sidecar/_fleet_sync.py
@@ -259,6 +259,7 @@
     def _update_prefix(self, now: float) -> None:
         """Watch all keys on a reader, otherwise only those that the fleet writes."""
         was_listed = self.role.is_fleet_listed
+        self.watch_cache.set_small_fleet(self.role.is_small_fleet)
         prefix = self.role.choose_prefix(self.fleet_state.version is not None, now)
         is_changed = self.watch_cache.set_prefix(
             prefix, is_reader=self.role.reads_configuration
