--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -535,6 +535,72 @@
         "        return False\n",
         "tests.test_endless_bytes",
     ),
+    Mutant(
+        "late readers: a watch is never overdue",
+        "sidecar/_store_driver.py",
+        "        if now < self.overdue_at:\n",
+        "        if True:\n",
+        "tests.test_late_readers.LateReaderTests",
+    ),
+    Mutant(
+        "late readers: keys are served however old they are",
+        "sidecar/_fleet_sync.py",
+        " and self.now() < self.watch_cache.stale_at\n",
+        "\n",
+        "tests.test_late_readers.LateReaderTests",
+    ),
+    Mutant(
+        "late readers: a source that has not answered is waited for",
+        "registry/_watch_cache.py",
+        "            wait = timedelta() if self.is_unproven else self.watch_timeout\n",
+        "            wait = self.watch_timeout\n",
+        "tests.test_late_readers.LateReaderTests",
+    ),
+    Mutant(
+        "late readers: a postponed restart is dropped",
+        "sidecar/_store_driver.py",
+        "            self.restart_watch(restart.reason)\n",
+        "            pass\n",
+        "tests.test_late_readers.LateReaderTests",
+    ),
+    Mutant(
+        "late readers: each one publishes later without end",
+        "registry/_readers.py",
+        "        due = self.read_at + min(rank_delay, self.max_rank_delay_seconds)\n",
+        "        due = self.read_at + rank_delay\n",
+        "tests.test_late_readers.PublishOrderTests",
+    ),
+    Mutant(
+        "late readers: nobody takes their place",
+        "registry/_role.py",
+        "        self.is_acting = self.standby_rank is not None\n",
+        "        self.is_acting = False\n",
+        "tests.test_late_readers.LateReaderTests",
+    ),
+    Mutant(
+        "late readers: a random peer is asked",
+        "sidecar/_peer_exchange.py",
+        "        peer = self.rng.choice(known or peers)\n",
+        "        peer = self.rng.choice(peers)\n",
+        "tests.test_late_readers.KnowingPeerTests",
+    ),
+    Mutant(
+        "late readers: a late write of the own record stays",
+        "sidecar/_fleet_sync.py",
+        "        if self.registration.handle_stored_record(stored):\n",
+        "        if False:\n",
+        "tests.test_late_readers.LateWriteTests",
+    ),
+    Mutant(
+        "late readers: a frozen reader begins with no changes",
+        "sidecar/_change_feed.py",
+        "        if not self.can_serve():\n"
+        "            self._turn_away()\n"
+        "            return\n"
+        "        response",
+        "        response",
+        "tests.test_large_fleet.ChangeFeedTests",
+    ),
 )
 
 
