--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -150,7 +150,7 @@
     ),
     Mutant(
         "snapshots are not rationed",
-        "process/_fleet.py",
+        "process/_pull_server.py",
         "        if is_large and not self.snapshot_limiter.admit"
         "(request.sender, now):\n",
         "        if False:\n",
--- a/src/daisylink/process/__init__.py
+++ b/src/daisylink/process/__init__.py
@@ -4,7 +4,8 @@
 network, the clock and the platform.
 """
 
-from daisylink.process._fleet import FleetNode, FleetSettings, first_incarnation
+from daisylink.process._fleet import FleetNode, first_incarnation
+from daisylink.process._fleet_settings import FleetSettings
 from daisylink.process._messages import (
     MAX_DATAGRAM_BYTES,
     SurveyReply,
--- a/src/daisylink/process/_fleet.py
+++ b/src/daisylink/process/_fleet.py
@@ -6,17 +6,15 @@
 
 import random
 from datetime import datetime, timedelta
-from typing import NamedTuple
 
 from daisylink.errors import ResultCode
 from daisylink.process._broadcaster import (
     Broadcaster,
-    BroadcastSettings,
     PushPayload,
 )
-from daisylink.process._claims import Claims, ClaimSettings
-from daisylink.process._detector import Detector, DetectorSettings
-from daisylink.process._directory import BUCKET_COUNT, Directory
+from daisylink.process._claims import Claims
+from daisylink.process._detector import Detector
+from daisylink.process._directory import Directory
 from daisylink.process._distribution import Distribution
 from daisylink.process._events import (
     Action,
@@ -39,8 +37,9 @@
     SuspectRequestAnswered,
     TimePassed,
 )
+from daisylink.process._fleet_settings import FleetSettings
 from daisylink.process._installer import Installer
-from daisylink.process._key_records import KeyRecords, KeyRecordSettings
+from daisylink.process._key_records import KeyRecords
 from daisylink.process._membership import Membership
 from daisylink.process._messages import (
     Ack,
@@ -58,49 +57,22 @@
     ReplicaMap,
     ReplicaReply,
     ReplicaRequest,
-    Strike,
 )
-from daisylink.process._puller import Puller, PullSettings, SyncState
-from daisylink.process._reader import Reader, ReaderSettings, reader_key
-from daisylink.process._readiness import Readiness, ReadinessSettings
-from daisylink.process._replicas import ReplicaManager, ReplicaSettings
-from daisylink.process._snapshot_limiter import SnapshotLimiter, SnapshotLimitSettings
-from daisylink.process._zone_monitor import ZoneMonitor, ZoneMonitorSettings
-from daisylink.request import Fingerprint
-from daisylink.serving._quarantine import Quarantine, QuarantineSettings
+from daisylink.process._pull_server import PullServer
+from daisylink.process._puller import Puller, SyncState
+from daisylink.process._reader import Reader, reader_key
+from daisylink.process._readiness import Readiness
+from daisylink.process._replicas import ReplicaManager
+from daisylink.process._snapshot_limiter import SnapshotLimiter
+from daisylink.process._strike_broadcaster import StrikeBroadcaster
+from daisylink.process._zone_monitor import ZoneMonitor
+from daisylink.serving._quarantine import Quarantine
 from daisylink.serving._records import MemberRecord
 from daisylink.version import HEAD_KEY
 
-MAX_STRIKES = 16
 PURGE_INTERVAL = timedelta(minutes=1)
 
 
-class FleetSettings(NamedTuple):
-    """Settings of a :class:`FleetNode` and its components.
-
-    :param batch_interval: how long record changes are collected before they are
-        broadcast.
-    :param gap_timeout: how long a push is held while its version is missing.
-    :param directory_quiet_period: directories are compared only after this time
-        without a change.
-    """
-
-    detector: DetectorSettings = DetectorSettings()
-    broadcaster: BroadcastSettings = BroadcastSettings()
-    puller: PullSettings = PullSettings()
-    reader: ReaderSettings = ReaderSettings()
-    zone_monitor: ZoneMonitorSettings = ZoneMonitorSettings()
-    snapshot_limiter: SnapshotLimitSettings = SnapshotLimitSettings()
-    readiness: ReadinessSettings = ReadinessSettings()
-    replicas: ReplicaSettings = ReplicaSettings()
-    key_records: KeyRecordSettings = KeyRecordSettings()
-    claims: ClaimSettings = ClaimSettings()
-    quarantine: QuarantineSettings = QuarantineSettings()
-    batch_interval: timedelta = timedelta(milliseconds=50)
-    gap_timeout: timedelta = timedelta(seconds=1)
-    directory_quiet_period: timedelta = timedelta(seconds=1)
-
-
 class FleetNode:
     """Makes the decisions of one node.
 
@@ -133,6 +105,9 @@
             settings.key_records, Replica(record.node, record.boot)
         )
         self.quarantine = Quarantine(settings.quarantine)
+        self.strike_broadcaster = StrikeBroadcaster(
+            self.quarantine, self.broadcaster, record.node
+        )
         self.claims = Claims(settings.claims, record.node, self.replica_manager, rng)
         self.membership = Membership(
             self.directory, self.detector, self.broadcaster, settings.batch_interval
@@ -145,6 +120,9 @@
             self.reader,
             settings.gap_timeout,
         )
+        self.pull_server = PullServer(
+            self.installer, self.directory, self.replica_manager, self.snapshot_limiter
+        )
         self.head_due = float("inf")
         self.purge_due = 0.0
         self.has_joined = False
@@ -200,10 +178,9 @@
             case ClaimRequested(ticket, key):
                 actions = list(self.claims.request(ticket, key, now))
             case ServerCrashed(fingerprints):
-                actions = self._record_crash(fingerprints, now)
+                actions = self.strike_broadcaster.record_crash(fingerprints, now)
             case SuspectRequestAnswered(fingerprint):
-                pardons = self.quarantine.make_pardons(fingerprint)
-                actions = self._broadcast_strikes(pardons, now)
+                actions = self.strike_broadcaster.pardon(fingerprint, now)
             case ClaimEnded(ticket, run_result, response):
                 actions = list(self.claims.complete(ticket, run_result, response))
             case Started():
@@ -214,27 +191,7 @@
 
     def answer_pull(self, request: PullRequest, now: float) -> PullReply:
         """Return the data that a node lacks, or the delay before it may ask again."""
-        number = self.installer.number
-        records = ()
-        if len(request.buckets) == BUCKET_COUNT:
-            records = tuple(
-                self.directory.records_in_differing_buckets(request.buckets)
-            )
-        behind = request.number < number
-        updates = self.installer.updates_since(request.number) if behind else ()
-        snapshot = b""
-        is_large = len(records) > BUCKET_COUNT or (behind and not updates)
-        if is_large and not self.snapshot_limiter.admit(request.sender, now):
-            retry_ms = self.snapshot_limiter.retry_after_ms()
-            return PullReply(
-                number, retry_ms, self.snapshot_limiter.alternates(request.sender)
-            )
-        newer_map = self.replica_manager.map.number > request.keepers
-        replica_map = self.replica_manager.map if newer_map else None
-        if behind and not updates:
-            latest, snapshot = self.installer.snapshot()
-            updates = (latest,)
-        return PullReply(number, 0, (), updates, snapshot, records, replica_map)
+        return self.pull_server.answer(request, now)
 
     def answer_replica_request(
         self, request: ReplicaRequest, now: float
@@ -389,26 +346,6 @@
                 actions += self.distribution.broadcast_version(reply.news[-1], now)
         return actions
 
-    # Requests
-
-    def _record_crash(
-        self, fingerprints: tuple[Fingerprint, ...], now: float
-    ) -> list[Action]:
-        """Record and broadcast a strike for each request in flight at a crash."""
-        crash = f"{self.own_record.node}/{now:.3f}"
-        strikes = tuple(
-            Strike(item.head, item.whole, crash) for item in dict.fromkeys(fingerprints)
-        )[:MAX_STRIKES]
-        return self._broadcast_strikes(strikes, now)
-
-    def _broadcast_strikes(
-        self, strikes: tuple[Strike, ...], now: float
-    ) -> list[Action]:
-        """Record strikes or pardons, and broadcast them if any of them is new."""
-        if not self.quarantine.merge_strikes(strikes, now):
-            return []
-        return list(self.broadcaster.broadcast(PushPayload(strikes=strikes), now))
-
     # The platform
 
     def _handle_store_answer(self, answer: StoreAnswered, now: float) -> list[Action]:
--- a/src/daisylink/process/_node.py
+++ b/src/daisylink/process/_node.py
@@ -10,11 +10,11 @@
     NodeError,
     PlatformError,
     ResultCode,
-    SettingError,
 )
 from daisylink.logs import get_logger
 from daisylink.loop import Application
 from daisylink.process._admin import Admin
+from daisylink.process._control_handlers import ControlHandlers
 from daisylink.process._events import (
     Action,
     CallStore,
@@ -41,15 +41,14 @@
     TimePassed,
     VersionInstalled,
 )
-from daisylink.process._fleet import FleetNode, FleetSettings, first_incarnation
+from daisylink.process._fleet import FleetNode, first_incarnation
+from daisylink.process._fleet_settings import FleetSettings
+from daisylink.process._gauges import add_gauges
+from daisylink.process._listen import listen, listen_control
 from daisylink.process._messages import (
     Message,
-    PullReply,
     PullRequest,
-    ReplicaReply,
     ReplicaRequest,
-    SurveyReply,
-    SurveyRequest,
 )
 from daisylink.process._store_calls import perform_call
 from daisylink.process._survey import Surveyor
@@ -72,7 +71,6 @@
 from daisylink.version import Version
 from daisylink.web import WebServer
 
-BACKLOG = 512
 POLL_SECONDS = 0.02
 GC_THRESHOLDS = (20_000, 20, 20)
 
@@ -106,11 +104,12 @@
         self.fleet_settings = fleet_settings or FleetSettings()
         self.local_server = LocalServer(local_server_settings or LocalServerSettings())
         self.client = ControlClient(self._record_traffic)
+        self.control_handlers = ControlHandlers(self.now)
         self.server = ControlServer(
-            self._answer_pull,
-            self._answer_survey,
-            self._answer_burn,
-            self._answer_replica_request,
+            self.control_handlers.answer_pull,
+            self.control_handlers.answer_survey,
+            self.control_handlers.answer_burn,
+            self.control_handlers.answer_replica_request,
             self._record_traffic,
         )
         self.datagrams = DatagramEndpoint(self._handle_message, self._record_traffic)
@@ -159,7 +158,9 @@
         settings = self.settings
         zone = settings.zone
         self.metrics = Metrics(str(settings.control), zone)
-        control = await self._listen_control(settings.control)
+        control = await listen_control(
+            self.loop, self.server, self.datagrams, settings.control
+        )
         relay_host = settings.relay.host
         relay_socket = await self._listen(settings.relay, "relay", self._make_relay)
         self.relay_address = Address(relay_host, relay_socket)
@@ -192,7 +193,8 @@
         self.web = WebServer(self.application, *settings.admin)
         self.admin = Admin(self, self.web)
         self.web.start()
-        self._register_gauges()
+        add_gauges(self.metrics, self)
+        self.control_handlers.begin(self.fleet, self.surveyor)
         self.started = True
         self._handle_event(Started())
         gc.freeze()
@@ -256,28 +258,10 @@
 
     # Listeners
 
-    async def _listen_control(self, address: Address) -> Address:
-        """Bind gRPC and datagrams to the same port."""
-        port = await self.server.start(address)
-        bound = Address(address.host, port)
-        try:
-            await self.loop.create_datagram_endpoint(
-                lambda: self.datagrams, local_addr=bound
-            )
-        except OSError as error:
-            await self.server.stop()
-            raise _address_error("control", bound, error) from error
-        return bound
-
     async def _listen(self, address: Address, setting: str, factory) -> int:
-        try:
-            server = await self.loop.create_server(
-                factory, address.host, address.port, backlog=BACKLOG
-            )
-        except OSError as error:
-            raise _address_error(setting, address, error) from error
-        self.listeners.append(server)
-        return server.sockets[0].getsockname()[1]
+        listener = await listen(self.loop, factory, address, setting)
+        self.listeners.append(listener)
+        return listener.sockets[0].getsockname()[1]
 
     def _make_caller(self) -> asyncio.Protocol:
         return self.gateway.create_caller_connection()
@@ -285,28 +269,6 @@
     def _make_relay(self) -> asyncio.Protocol:
         return self.gateway.create_relay_connection()
 
-    def _register_gauges(self) -> None:
-        installer = self.fleet.installer
-        directory = self.fleet.directory
-        observe = self.metrics.add_gauge
-        observe("daisylink.version", lambda: installer.number, "Version in force.")
-        observe("daisylink.ready", lambda: int(self.is_ready), "Whether ready.")
-        observe(
-            "daisylink.members",
-            lambda: sum(len(ring) for ring in directory.zone_rings.values()),
-            "Nodes known to run.",
-        )
-        observe(
-            "daisylink.slots.in_use",
-            lambda: self.gateway.admission.in_use,
-            "Slots of the own backend server in use.",
-        )
-        observe(
-            "daisylink.versions.refused",
-            lambda: installer.refused_count,
-            "Versions that were damaged or not closed.",
-        )
-
     def _record_traffic(self, direction: str, transport: str, size: int) -> None:
         self.control_bytes += size
         self.control_messages += 1
@@ -392,26 +354,6 @@
     def _report_answered(self, fingerprint: Fingerprint) -> None:
         self._handle_event(SuspectRequestAnswered(fingerprint))
 
-    def _answer_replica_request(self, request: ReplicaRequest) -> ReplicaReply:
-        if not self.started:
-            raise NodeError("not started", ResultCode.NODE_NOT_READY)
-        return self.fleet.answer_replica_request(request, self.now())
-
-    def _answer_pull(self, request: PullRequest) -> PullReply:
-        if not self.started:
-            raise NodeError("not started", ResultCode.NODE_NOT_READY)
-        return self.fleet.answer_pull(request, self.now())
-
-    async def _answer_survey(self, request: SurveyRequest) -> SurveyReply:
-        if not self.started:
-            raise NodeError("not started", ResultCode.NODE_NOT_READY)
-        return await self.surveyor.answer(request)
-
-    async def _answer_burn(self, request: SurveyRequest) -> BurnReply:
-        if not self.started:
-            raise NodeError("not started", ResultCode.NODE_NOT_READY)
-        return await self.surveyor.answer_burn(request)
-
     def _read_burn(self) -> BurnReply:
         """Return this node's request counts against the service-level objectives."""
         version = self.gateway.version
@@ -450,10 +392,3 @@
             self._handle_event(StoreFailed(call, ResultCode(error.code)))
             return
         self._handle_event(StoreAnswered(call, result))
-
-
-def _address_error(setting: str, address: Address, error: OSError) -> SettingError:
-    return SettingError(
-        f"{setting}: cannot listen on {address}: {error.strerror}",
-        ResultCode.SETTING_ADDRESS_IN_USE,
-    )
