A store that is away for minutes stops no node's timer

Found by reading the change: the time that the store may take to answer doubles with each failure in a row, without a limit. After 47 failures, some 40 s without the store, it could no longer be computed; the error left the step, and the same computation in the step's own handling of errors left the process without a timer.

The doublings end with those of the backoff. A step whose next time cannot be computed is run again after 0.1 s like any other that failed, as that time is now found inside of what is guarded.

test_a_store_that_is_away_for_long_is_called_as_before failed before (OverflowError) and passes. test_the_time_of_the_next_step guards the second part.

--- a/src/daisylink/registry/_watch_cache.py
+++ b/src/daisylink/registry/_watch_cache.py
@@ -17,7 +17,7 @@
 
 from daisylink.errors import ResultCode
 from daisylink.registry._apply_budget import ApplyBudget
-from daisylink.registry._backoff import Backoff, BackoffSettings
+from daisylink.registry._backoff import MAX_DOUBLINGS, Backoff, BackoffSettings
 from daisylink.registry._store import (
     NO_REVISION,
     Changes,
@@ -173,9 +173,9 @@
         if self.pending is None:
             return float("inf")
         settings = self.settings
+        doublings = min(self.backoff.failures, MAX_DOUBLINGS)
         allowed = min(
-            settings.response_timeout * 2**self.backoff.failures,
-            settings.max_response_timeout,
+            settings.response_timeout * 2**doublings, settings.max_response_timeout
         )
         if isinstance(self.pending, WatchKeys):
             allowed += self.pending.wait
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -63,6 +63,7 @@
 STOP_MARGIN_SECONDS = 1.0
 # Time until the next step after one that failed, so that it does not run all the time.
 FAILED_STEP_SECONDS = 0.1
+MIN_STEP_SECONDS = 0.001
 MS_PER_SECOND = 1000
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -291,11 +292,15 @@
         now = self.now()
         try:
             self._run_due(now)
+            wake_at = self._find_wake_at()
         except Exception:
             log.exception("a step failed")
-            self._set_timer(now, min_delay=FAILED_STEP_SECONDS)
-        else:
-            self._set_timer(now)
+            wake_at = now + FAILED_STEP_SECONDS
+        if self.timer is not None:
+            self.timer.cancel()
+        if wake_at < float("inf"):
+            delay = max(MIN_STEP_SECONDS, wake_at - now)
+            self.timer = self.loop.call_later(delay, self.step)
 
     def _run_due(self, now: float) -> None:
         self.gateway.quarantine.purge(now)
@@ -304,17 +309,14 @@
         if now >= self.local_server.wake_at:
             self.loop.call_soon(self.update_server)
 
-    def _set_timer(self, now: float, min_delay: float = 0.001) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-        wake_at = min(
+    def _find_wake_at(self) -> float:
+        """Return when the next step is due, in monotonic seconds."""
+        return min(
             self.fleet_sync.wake_at,
             self.members.wake_at,
             self.local_server.wake_at,
             self.departure_log.wake_at,
         )
-        if wake_at < float("inf"):
-            self.timer = self.loop.call_later(max(min_delay, wake_at - now), self.step)
 
     def _last_response_at(self, node: str) -> float:
         return self.balancer.last_response_at.get(node, float("-inf"))
--- a/tests/test_late_readers.py
+++ b/tests/test_late_readers.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 
 from daisylink import platform
+from daisylink.errors import ResultCode
 from daisylink.registry import (
     ApplyBudget,
     Changes,
@@ -206,6 +207,22 @@
         watch_cache.handle_changes(Changes([], at(5)), 1.0)
         self.assertEqual(watch_cache.tick(1.0).wait, full_wait)
 
+    def test_a_store_that_is_away_for_long_is_called_as_before(self):
+        """The time allowed for its answer doubled until it could not be computed."""
+        watch_cache = WatchCache(
+            WatchCacheSettings(),
+            lambda _: None,
+            lambda: None,
+            lambda _: None,
+            random.Random(1),
+        )
+        now = 0.0
+        for _ in range(2000):
+            now = max(now, watch_cache.wake_at)
+            watch_cache.tick(now)
+            self.assertLessEqual(watch_cache.overdue_at(float("-inf")), now + 7.0)
+            watch_cache.handle_failure(ResultCode.PLATFORM_UNAVAILABLE, now)
+
 
 class KnowingPeerTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_missing_version_is_fetched_from_the_peer_that_has_it(self):
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -115,6 +115,13 @@
             lambda sidecar: sidecar.fleet_state.version_number == 14,
         )
 
+    def test_the_time_of_the_next_step(self):
+        self.check(
+            lambda sidecar: sidecar.watch_cache,
+            "overdue_at",
+            lambda sidecar: sidecar.fleet_state.version_number == 14,
+        )
+
     def test_the_check_of_idle_connections(self):
         self.check(
             lambda sidecar: sidecar.gateway.hop_pool,
