--- a/bench/late_readers.py
+++ b/bench/late_readers.py
@@ -50,7 +50,7 @@
         return self
 
     async def play(self, store, *machines):
-        readers, others = await self.select_three_readers(machines)
+        readers, others = await self.select_readers(machines)
         for machine in readers:
             mode = self.rng.choice(list(MODES))
             self.modes[mode] += 1
--- a/tests/sidecar_case.py
+++ b/tests/sidecar_case.py
@@ -28,9 +28,10 @@
 class Machine:
     """A sidecar with its backend server."""
 
-    def __init__(self, store, number, pool="one"):
+    def __init__(self, store, number, pool="one", zone="a"):
         self.store_address = store.address
         self.pool = pool
+        self.zone = zone
         self.server = ServerStandIn(f"i-{number}")
         self.sequence = 0
         self.addresses = [Address(LOOPBACK_HOST, reserve_port()) for _ in range(6)]
@@ -44,7 +45,7 @@
         callers, relay, ready, announcements, peers, metrics = self.addresses
         settings = SidecarSettings(
             node=f"n{self.number}",
-            zone="a",
+            zone=self.zone,
             pool=self.pool,
             callers=callers,
             relay=relay,
@@ -116,6 +117,8 @@
 
 
 class SidecarTestCase(unittest.TestCase):
+    zones = ("a",)
+
     def run_machines(self, scenario, count=1, configuration=None):
         configure_logging("CRITICAL")
         with asyncio.Runner(loop_factory=PacedLoop) as runner:
@@ -126,7 +129,10 @@
         await store.start()
         if configuration is not False:
             store.put(platform.CONFIG_KEY, configuration or make_configuration())
-        machines = [Machine(store, number) for number in range(count)]
+        machines = [
+            Machine(store, number, zone=self.zones[number % len(self.zones)])
+            for number in range(count)
+        ]
         for machine in machines:
             await machine.start()
             await machine.send_heartbeat()
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -4,6 +4,9 @@
 import random
 import unittest
 import unittest.mock
+import zlib
+
+import msgspec
 
 from daisylink import platform
 from daisylink.http_server import WebRequest
@@ -11,6 +14,7 @@
     Changes,
     Item,
     Listing,
+    StoreRevision,
     WatchCache,
     WatchCacheSettings,
 )
@@ -265,3 +269,19 @@
         )
         is_fresh = False
         self.assertEqual((await response).status, 503)
+
+    async def test_answers_pass_between_this_release_and_the_one_before(self):
+        """The age of the keys was added to an answer that both send and read."""
+
+        class EarlierKeyUpdates(msgspec.Struct, array_like=True):
+            revision: StoreRevision
+            items: list[tuple[str, bytes | None, StoreRevision]]
+            is_whole: bool = False
+            version: int = 0
+
+        now = KeyUpdates(at(12), [("own/a", None, at(12))], True, 7, age_ms=50)
+        body = zlib.decompress(now.to_bytes())
+        earlier = msgspec.msgpack.decode(body, type=EarlierKeyUpdates)
+        self.assertEqual((earlier.items, earlier.version), (now.items, 7))
+        back = zlib.compress(msgspec.msgpack.encode(earlier))
+        self.assertEqual(KeyUpdates.from_bytes(back).age_ms, 0)
--- a/tests/test_late_readers.py
+++ b/tests/test_late_readers.py
@@ -33,6 +33,9 @@
 # The users' bound for fleets of this kind, from the store's acknowledgement on.
 APPLY_SECONDS = 2.5
 THREE_READERS = ReaderSettings(max_small_fleet=1, max_readers_per_zone=3, min_readers=3)
+TWO_READERS_PER_ZONE = ReaderSettings(
+    max_small_fleet=1, max_readers=4, max_readers_per_zone=2, min_readers=4
+)
 FLEET_SIZE = 9
 
 
@@ -41,9 +44,10 @@
 
 
 class LateReaderTestCase(SidecarTestCase):
-    async def select_three_readers(self, machines):
+    async def select_readers(self, machines, settings=THREE_READERS):
+        """Return the readers by rank, and the other machines."""
         for machine in machines:
-            machine.sidecar.role.settings = THREE_READERS
+            machine.sidecar.role.settings = settings
             machine.sidecar._handle_members_change()
             machine.sidecar.step()
         readers = [m for m in machines if m.sidecar.role.is_reader]
@@ -97,7 +101,7 @@
             with self.subTest(count):
 
                 async def scenario(store, *machines, count=count):
-                    readers, others = await self.select_three_readers(machines)
+                    readers, others = await self.select_readers(machines)
                     for machine in readers[:count]:
                         silence_watch(machine)
                     await asyncio.sleep(0.1)
@@ -111,7 +115,7 @@
             with self.subTest(count):
 
                 async def scenario(store, *machines, count=count):
-                    readers, others = await self.select_three_readers(machines)
+                    readers, others = await self.select_readers(machines)
                     for machine in readers[:count]:
                         freeze(machine)
                     await asyncio.sleep(0.05)
@@ -123,7 +127,7 @@
         """Its failing lease told it, but polls that were waiting went on."""
 
         async def scenario(store, *machines):
-            readers, others = await self.select_three_readers(machines)
+            readers, others = await self.select_readers(machines)
             for machine in readers[:2]:
                 cut_off_store(machine)
             await asyncio.sleep(0.1)
@@ -158,6 +162,24 @@
         self.run_machines(scenario)
 
 
+class LateZoneTests(LateReaderTestCase):
+    zones = ("a", "b")
+
+    def test_a_zone_whose_readers_both_hear_nothing_is_not_late(self):
+        """Its nodes answered 404 for 3.9 s; no request came from elsewhere."""
+
+        async def scenario(store, *machines):
+            readers, others = await self.select_readers(machines, TWO_READERS_PER_ZONE)
+            late = [machine for machine in readers if machine.zone == "b"]
+            self.assertEqual(len(late), 2)
+            for machine in late:
+                silence_watch(machine)
+            await asyncio.sleep(0.1)
+            await self.change_version(store, others)
+
+        self.run_machines(scenario, FLEET_SIZE)
+
+
 def cut_off_store(machine):
     """Let all calls of the machine to the store go unanswered."""
     store = machine.sidecar.store_driver.store
