--- a/src/daisylink/platform/_announcements.py
+++ b/src/daisylink/platform/_announcements.py
@@ -19,6 +19,7 @@
     :param born: when the server started, in milliseconds of its wall clock.
     :param seq: grows with each heartbeat since the start.
     :param cold_left: how much longer the server is slow after its start.
+    :param version: version of the server's software.
     """
 
     service: str
@@ -28,6 +29,7 @@
     seq: int
     born: int
     cold_left: str = "0ms"
+    version: str = ""
 
 
 class _Leave(msgspec.Struct):
@@ -71,4 +73,5 @@
         born=heartbeat.born,
         sequence=heartbeat.seq,
         cold_left=parse_duration(heartbeat.cold_left),
+        software_version=heartbeat.version,
     )
--- a/src/daisylink/platform/_configuration.py
+++ b/src/daisylink/platform/_configuration.py
@@ -15,6 +15,8 @@
     Priority,
     Route,
     Service,
+    Tenant,
+    TenantTable,
     Version,
     VersionStamp,
     WeightedService,
@@ -38,7 +40,7 @@
 class _Resource(msgspec.Struct):
     """One entry of the configuration.
 
-    :param resource_type: routes, services or limits; others are ignored.
+    :param resource_type: routes, services, tenants or limits; others are ignored.
     """
 
     resource_type: str
@@ -61,6 +63,7 @@
 
     :param slo: time within which a response has its full value.
     :param priority: rank, 0 the most urgent.
+    :param allow_anon: whether a request needs no key.
     """
 
     host: str
@@ -72,6 +75,7 @@
     service: str = ""
     weighted_split: list[_Share] = []
     max_attempts: int = 1
+    allow_anon: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -83,6 +87,19 @@
     max_conns: int = 64
 
 
+class _Tenant(msgspec.Struct):
+    """A tenant.
+
+    :param priority: rank, 0 the most urgent; it goes before the route's.
+    :param rate_per_s: requests a second, 0 for no limit.
+    """
+
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Limits(msgspec.Struct):
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 64 * 1024 * 1024
@@ -131,7 +148,10 @@
         number = parse_version(document.version)
         stamp = VersionStamp(number, hashlib.sha256(data).digest(), datetime.now(UTC))
         caller_limits = _convert_limits(limits)
-        self.version = build_version(stamp, content, caller_limits, self.version)
+        tenants = _decode_tenants(resources.values())
+        self.version = build_version(
+            stamp, content, caller_limits, self.version, tenants
+        )
         self.limits = limits
         self.routes = routes
         return self.version
@@ -183,6 +203,20 @@
     ]
 
 
+def _decode_tenants(resources: Iterable[_Resource]) -> TenantTable:
+    """Return the tenants of a configuration with their keys."""
+    tenants = []
+    for resource in resources:
+        if resource.resource_type != "tenants":
+            continue
+        spec = msgspec.json.decode(resource.spec, type=_Tenant)
+        priority = None if spec.priority is None else _rank_priority(spec.priority)
+        name = resource.metadata.name
+        tenant = Tenant(name, priority, spec.rate_per_s, spec.burst)
+        tenants.append((tenant, spec.api_keys))
+    return TenantTable.from_keys(tenants)
+
+
 def _convert_route(resource: _Resource, limits: _Limits) -> Route:
     name = resource.metadata.name
     route = msgspec.json.decode(resource.spec, type=_Route)
@@ -191,7 +225,6 @@
     )
     if not route.service and not shares:
         raise ValueError(f"route {name} names no service")
-    rank = max(0, route.priority)
     return Route(
         name=name,
         host=route.host.lower(),
@@ -199,15 +232,22 @@
         service=route.service or shares[0].service,
         methods=(),
         idempotent=route.kind == IDEMPOTENT,
-        priority=PRIORITIES[rank] if rank < len(PRIORITIES) else Priority.BULK,
+        priority=_rank_priority(route.priority),
         deadline_ms=_parse_milliseconds(route.timeout),
         body_limit_kb=limits.max_body_bytes // KILOBYTE,
         split=shares,
         max_attempts=route.max_attempts,
         slo_ms=_parse_milliseconds(route.slo),
+        allow_anonymous=route.allow_anon,
     )
 
 
+def _rank_priority(rank: int) -> Priority:
+    """Return the priority of a rank, 0 the most urgent."""
+    rank = max(0, rank)
+    return PRIORITIES[rank] if rank < len(PRIORITIES) else Priority.BULK
+
+
 def _convert_limits(limits: _Limits) -> CallerLimits:
     return CallerLimits(
         limits.max_header_bytes,
--- a/src/daisylink/platform/_settings.py
+++ b/src/daisylink/platform/_settings.py
@@ -139,6 +139,12 @@
         retry_ratio=float(bounds.get("retry_ratio", defaults["retry_ratio"])),
         retry_window=_parse_bound(bounds, "retry_window", defaults["retry_window"]),
         retry_slack=float(bounds.get("retry_slack", defaults["retry_slack"])),
+        quota_window=_parse_bound(bounds, "quota_window", defaults["quota_window"]),
+        quota_over=float(bounds.get("quota_over", defaults["quota_over"])),
+        quota_slack=float(bounds.get("quota_slack", defaults["quota_slack"])),
+        canary_share=float(bounds.get("canary_share", defaults["canary_share"])),
+        canary_slack=float(bounds.get("canary_slack", defaults["canary_slack"])),
+        rollback_within=_parse_bound(bounds, "rollback", defaults["rollback_within"]),
     )
 
 
--- a/src/daisylink/request/_plan.py
+++ b/src/daisylink/request/_plan.py
@@ -34,6 +34,7 @@
     :param max_attempts: maximum number of attempts that reach a backend server.
     :param slo_deadline: until when a response meets the objective, in seconds of the
         monotonic clock.
+    :param tenant: name of the tenant whose API key the request carries, "" for none.
     """
 
     service: str
@@ -49,6 +50,7 @@
     origin: str = ""
     max_attempts: int = MAX_ATTEMPTS
     slo_deadline: float = float("inf")
+    tenant: str = ""
 
 
 def first_target(entry: RouteEntry) -> RouteTarget:
--- a/src/daisylink/serving/_local_server.py
+++ b/src/daisylink/serving/_local_server.py
@@ -51,6 +51,7 @@
     :param born: start time on the server's own clock; distinguishes its starts.
     :param sequence: increases with each announcement since the start.
     :param cold_left: remaining time in which the server is slow after its start.
+    :param software_version: version of the server's software, "" if not stated.
     """
 
     address: str
@@ -61,6 +62,7 @@
     born: int = 0
     sequence: int = 0
     cold_left: timedelta = timedelta(0)
+    software_version: str = ""
 
 
 class Departure(NamedTuple):
@@ -250,7 +252,13 @@
         announcement = self.announcement
         if announcement is None:
             return replace(
-                own_record, pool="", server=state, slots=0, instance="", born=0
+                own_record,
+                pool="",
+                server=state,
+                slots=0,
+                instance="",
+                born=0,
+                software_version="",
             )
         return replace(
             own_record,
@@ -259,6 +267,7 @@
             slots=announcement.slots,
             instance=announcement.instance,
             born=announcement.born,
+            software_version=announcement.software_version,
         )
 
     def _check_proof(self, announcement: Announcement) -> None:
--- a/src/daisylink/serving/_records.py
+++ b/src/daisylink/serving/_records.py
@@ -61,6 +61,7 @@
     :param is_settled: false for some seconds after the node has noticed that the store
         came back from an older copy.
     :param born: start time of the backend server on its own clock, in milliseconds.
+    :param software_version: version of the backend server's software.
     """
 
     node: str
@@ -78,6 +79,7 @@
     era: int = 0
     is_settled: bool = True
     born: int = 0
+    software_version: str = ""
 
     @property
     def server_start(self) -> ServerStart:
--- a/src/daisylink/settings.py
+++ b/src/daisylink/settings.py
@@ -113,6 +113,14 @@
     :param retry_ratio: retries of the whole fleet, as a share of first attempts.
     :param retry_window: period over which retries are counted.
     :param retry_slack: retries of the whole fleet beyond the ratio in a window.
+    :param quota_window: period over which a tenant's requests are counted.
+    :param quota_over: share by which the fleet may exceed a tenant's quota in a window.
+    :param quota_slack: requests by which it may exceed the quota on top.
+    :param canary_share: share of a service's requests that a new version of its backend
+        servers may get before it is known to be good.
+    :param canary_slack: requests that it may get on top.
+    :param rollback_within: time from the 50th bad answer of a new version until it gets
+        no more requests.
     """
 
     node: str
@@ -136,6 +144,12 @@
     retry_ratio: float = 0.2
     retry_window: timedelta = timedelta(seconds=10)
     retry_slack: float = 10.0
+    quota_window: timedelta = timedelta(seconds=5)
+    quota_over: float = 0.1
+    quota_slack: float = 20.0
+    canary_share: float = 0.1
+    canary_slack: float = 50.0
+    rollback_within: timedelta = timedelta(seconds=5)
 
 
 def parse_seconds(value: float | str | None, setting: str) -> timedelta:
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -36,6 +36,7 @@
 )
 from daisylink.settings import SidecarSettings
 from daisylink.sidecar._announcement_handler import AnnouncementHandler
+from daisylink.sidecar._datagrams import Datagrams
 from daisylink.sidecar._fleet_sync import FleetSync, SyncListeners
 from daisylink.sidecar._gauges import add_gauges
 from daisylink.sidecar._listeners import Listeners
@@ -134,6 +135,7 @@
         self.gateway.on_server_crashed = self._handle_crash
         self.gateway.on_suspect_answered = self._handle_suspect_answered
         self.listeners = Listeners(self.loop)
+        self.datagrams = Datagrams()
         self.tasks: set[asyncio.Task] = set()
         self.timer: asyncio.TimerHandle | None = None
         self.stopping = False
@@ -213,6 +215,7 @@
             await listeners.listen_auxiliary(settings.metrics, self._export_metrics)
         except SettingError as error:
             log.warning("metrics are not served: {}", error)
+        await self.datagrams.listen(settings.peers)
         add_gauges(self.metrics, self)
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
@@ -248,6 +251,7 @@
         for task in list(self.tasks):
             task.cancel()
         self.listeners.close()
+        self.datagrams.close()
         self.gateway.close()
 
     def reload(self, settings: SidecarSettings) -> None:
--- a/src/daisylink/version/__init__.py
+++ b/src/daisylink/version/__init__.py
@@ -46,6 +46,7 @@
     WeightedService,
 )
 from daisylink.version._sheet import InvalidSheetError, SheetFault, read_sheet
+from daisylink.version._tenants import Tenant, TenantTable
 from daisylink.version._version import (
     HeadRecord,
     Version,
@@ -83,6 +84,8 @@
     "RouteTarget",
     "Service",
     "SheetFault",
+    "Tenant",
+    "TenantTable",
     "InvalidSheetError",
     "Unchanged",
     "Unsettled",
--- /dev/null
+++ b/src/daisylink/version/_tenants.py
@@ -0,0 +1,74 @@
+"""Tenants of a configuration: their API keys, priority and quota.
+
+Keys are held as keyed digests, so that finding one takes a time that tells nothing of
+the keys that are known.
+"""
+
+import hashlib
+import os
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from daisylink.version._rows import Priority
+
+DIGEST_BYTES = 16
+# Of this process only; a digest tells nothing to another one.
+DIGEST_KEY = os.urandom(DIGEST_BYTES)
+
+
+class Tenant(NamedTuple):
+    """A tenant, whose requests carry one of its API keys.
+
+    :param priority: goes before the route's, None to use the route's.
+    :param rate_per_s: requests a second that all nodes together admit, 0 for no limit.
+    :param burst: requests that they admit beyond the rate at one moment.
+    """
+
+    name: str
+    priority: Priority | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class TenantTable:
+    """Finds a tenant by API key or by name."""
+
+    def __init__(self):
+        self.by_name: dict[str, Tenant] = {}
+        self.by_digest: dict[bytes, Tenant] = {}
+
+    @classmethod
+    def from_keys(
+        cls, tenants: Iterable[tuple[Tenant, Iterable[str]]]
+    ) -> "TenantTable":
+        """Build the table.
+
+        :param tenants: each tenant with its API keys.
+        """
+        table = cls()
+        for tenant, keys in tenants:
+            table.by_name[tenant.name] = tenant
+            for key in keys:
+                table.by_digest[digest_key(key.encode())] = tenant
+        return table
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the configuration has no tenants, so needs no keys."""
+        return not self.by_name
+
+    def find(self, key: bytes) -> Tenant | None:
+        """Return the tenant that holds an API key, if any."""
+        return self.by_digest.get(digest_key(key))
+
+    def get(self, name: str) -> Tenant | None:
+        """Return a tenant by its name, if it exists."""
+        return self.by_name.get(name)
+
+
+def digest_key(key: bytes) -> bytes:
+    """Return the keyed digest of an API key."""
+    return hashlib.blake2b(key, digest_size=DIGEST_BYTES, key=DIGEST_KEY).digest()
+
+
+NO_TENANTS = TenantTable()
--- a/src/daisylink/version/_version.py
+++ b/src/daisylink/version/_version.py
@@ -19,6 +19,7 @@
 )
 from daisylink.version._routes import RouteTable
 from daisylink.version._rows import CallerLimits
+from daisylink.version._tenants import NO_TENANTS, TenantTable
 
 COMPRESSION_LEVEL = 6
 
@@ -63,6 +64,7 @@
     content: Content
     route_table: RouteTable
     limits: CallerLimits = CallerLimits()
+    tenants: TenantTable = NO_TENANTS
 
     @property
     def number(self) -> int:
@@ -75,18 +77,20 @@
     content: Content,
     limits: CallerLimits | None = None,
     base: Version | None = None,
+    tenants: TenantTable = NO_TENANTS,
 ) -> Version:
     """Build a version from content whose digest is verified.
 
     :param limits: limits for callers; the defaults if not given.
     :param base: an earlier version; what was built for the rows that both have in
         common is used again.
+    :param tenants: tenants whose requests need an API key.
     :raises VersionError: ``VERSION_NOT_CLOSED`` if a pool or service is missing.
     """
     check_references(content)
     base_table = base.route_table if base is not None else None
     table = RouteTable.from_content(content, base_table)
-    return Version(stamp, content, table, limits or CallerLimits())
+    return Version(stamp, content, table, limits or CallerLimits(), tenants)
 
 
 def version_from_snapshot(stamp: VersionStamp, packed: bytes) -> Version:
