Tenants at the entry node: API keys, 401, the tenant's header and priority

Cause: the tenants of a configuration were decoded and not used. One damaged tenant entry refused the whole configuration.

Change: plan_request finds the tenant by the key and refuses with 401 (REQUEST_API_KEY_MISSING 5025, REQUEST_API_KEY_UNKNOWN 5026). The tenant's priority goes before the route's. Authorization is removed once the request is started, at the entry node and beside the server. A caller's x-daisylink-tenant is dropped in each spelling that CGI servers read as the same; the server's node sets it from the plan, and daisylink-tenant carries it between nodes. A claimed idempotency key is the tenant's own. A damaged tenant entry is left out, its keys are unknown, and it counts as a tenant, so it opens no route. A key at two tenants finds neither.

--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -84,6 +84,8 @@
     REQUEST_QUARANTINED = 5022
     REQUEST_RATE_LIMITED = 5023
     REQUEST_NO_FREE_SLOT = 5024
+    REQUEST_API_KEY_MISSING = 5025
+    REQUEST_API_KEY_UNKNOWN = 5026
 
     NODE_NOT_READY = 6001
     NODE_BUSY = 6002
@@ -274,6 +276,14 @@
         "No slot is free at the backend server, and the request goes elsewhere.",
         "Nothing to do; seen between nodes and in the trail of a request.",
     ),
+    ResultCode.REQUEST_API_KEY_MISSING: CodeInfo(
+        "The route needs an API key, and the request carries none.",
+        "Send `Authorization: Bearer KEY`.",
+    ),
+    ResultCode.REQUEST_API_KEY_UNKNOWN: CodeInfo(
+        "The request's API key is malformed, or no tenant of the version holds it.",
+        "Check the key; a new one is valid once its version is in force.",
+    ),
     ResultCode.NODE_NOT_READY: CodeInfo(
         "The node has not caught up with its peers.", "Wait."
     ),
--- a/src/daisylink/platform/_configuration.py
+++ b/src/daisylink/platform/_configuration.py
@@ -7,16 +7,14 @@
 import msgspec
 
 from daisylink.errors import ResultCode, VersionError
-from daisylink.platform._units import parse_duration, parse_version
+from daisylink.platform._tenants import TenantDecoder, is_tenant_row
+from daisylink.platform._units import parse_duration, parse_version, rank_priority
 from daisylink.version import (
     CallerLimits,
     Content,
     Pool,
-    Priority,
     Route,
     Service,
-    Tenant,
-    TenantTable,
     Version,
     VersionStamp,
     WeightedService,
@@ -26,8 +24,6 @@
 CONFIG_KEY = "op/config"
 KILOBYTE = 1024
 MS_PER_SECOND = 1000
-# By rank from 0, the most urgent; all higher ranks are bulk.
-PRIORITIES = (Priority.URGENT, Priority.NORMAL)
 IDEMPOTENT = "idempotent"
 # The platform states objectives for routes only, not for services.
 SLO_PERCENT = 99.0
@@ -87,19 +83,6 @@
     max_conns: int = 64
 
 
-class _Tenant(msgspec.Struct):
-    """A tenant.
-
-    :param priority: rank, 0 the most urgent; it goes before the route's.
-    :param rate_per_s: requests a second, 0 for no limit.
-    """
-
-    api_keys: list[str] = []
-    priority: int | None = None
-    rate_per_s: float = 0.0
-    burst: float = 0.0
-
-
 class _Limits(msgspec.Struct):
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 64 * 1024 * 1024
@@ -118,6 +101,7 @@
         self.limits = _Limits()
         self.routes: dict[bytes, Route] = {}
         self.version: Version | None = None
+        self.tenant_decoder = TenantDecoder()
 
     def decode(self, data: bytes) -> Version:
         """Decode a configuration and build its version.
@@ -132,6 +116,12 @@
 
     def _build(self, document: _Document, data: bytes) -> Version:
         rows = [bytes(row) for row in document.resources]
+        tenant_rows = [
+            row for row in rows if not self._knows(row) and is_tenant_row(row)
+        ]
+        tenants = self.tenant_decoder.decode(tenant_rows)
+        skipped = frozenset(tenant_rows)
+        rows = [row for row in rows if row not in skipped]
         resources = {row: _decode_resource(row) for row in rows if not self._knows(row)}
         limits = _find_limits(resources.values())
         if limits != self.limits:
@@ -148,7 +138,6 @@
         number = parse_version(document.version)
         stamp = VersionStamp(number, hashlib.sha256(data).digest(), datetime.now(UTC))
         caller_limits = _convert_limits(limits)
-        tenants = _decode_tenants(resources.values())
         self.version = build_version(
             stamp, content, caller_limits, self.version, tenants
         )
@@ -203,20 +192,6 @@
     ]
 
 
-def _decode_tenants(resources: Iterable[_Resource]) -> TenantTable:
-    """Return the tenants of a configuration with their keys."""
-    tenants = []
-    for resource in resources:
-        if resource.resource_type != "tenants":
-            continue
-        spec = msgspec.json.decode(resource.spec, type=_Tenant)
-        priority = None if spec.priority is None else _rank_priority(spec.priority)
-        name = resource.metadata.name
-        tenant = Tenant(name, priority, spec.rate_per_s, spec.burst)
-        tenants.append((tenant, spec.api_keys))
-    return TenantTable.from_keys(tenants)
-
-
 def _convert_route(resource: _Resource, limits: _Limits) -> Route:
     name = resource.metadata.name
     route = msgspec.json.decode(resource.spec, type=_Route)
@@ -232,7 +207,7 @@
         service=route.service or shares[0].service,
         methods=(),
         idempotent=route.kind == IDEMPOTENT,
-        priority=_rank_priority(route.priority),
+        priority=rank_priority(route.priority),
         deadline_ms=_parse_milliseconds(route.timeout),
         body_limit_kb=limits.max_body_bytes // KILOBYTE,
         split=shares,
@@ -242,12 +217,6 @@
     )
 
 
-def _rank_priority(rank: int) -> Priority:
-    """Return the priority of a rank, 0 the most urgent."""
-    rank = max(0, rank)
-    return PRIORITIES[rank] if rank < len(PRIORITIES) else Priority.BULK
-
-
 def _convert_limits(limits: _Limits) -> CallerLimits:
     return CallerLimits(
         limits.max_header_bytes,
--- a/src/daisylink/platform/_headers.py
+++ b/src/daisylink/platform/_headers.py
@@ -51,6 +51,7 @@
     target=b"x-daisylink-target-instance",
     origin=b"x-daisylink-caller-service",
     proof=b"x-daisylink-response-seal",
+    tenant=b"x-daisylink-tenant",
     callers_read_status_only=True,
     read_notice=read_notice,
 )
--- a/src/daisylink/platform/_units.py
+++ b/src/daisylink/platform/_units.py
@@ -1,7 +1,12 @@
-"""Durations and version numbers as the platform writes them."""
+"""Durations, version numbers and ranks as the platform writes them."""
 
 from datetime import timedelta
 
+from daisylink.version import Priority
+
+# By rank from 0, the most urgent; all higher ranks are bulk.
+PRIORITIES = (Priority.URGENT, Priority.NORMAL)
+
 
 def parse_duration(text: str) -> timedelta:
     """Return a duration written as a number with ``ms`` or ``s``.
@@ -28,3 +33,9 @@
     if not text.startswith("r"):
         raise ValueError(f"{text!r} is not a version")
     return int(text[1:])
+
+
+def rank_priority(rank: int) -> Priority:
+    """Return the priority of a rank, 0 the most urgent."""
+    rank = max(0, rank)
+    return PRIORITIES[rank] if rank < len(PRIORITIES) else Priority.BULK
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -10,6 +10,7 @@
 
 from daisylink.errors import ResultCode
 from daisylink.logs import get_logger
+from daisylink.request._authorization import remove_credentials
 from daisylink.request._body import RequestBody
 from daisylink.request._decision import RunResult
 from daisylink.request._head import LOAD_HEADER, RequestHead
@@ -96,6 +97,7 @@
         if not is_first and (self.gateway.stopping or not may_begin):
             return
         self.started = True
+        self.head = remove_credentials(self.head, self.gateway.version)
         if isinstance(plan, Refusal):
             self.send_refusal(plan)
             return
--- a/src/daisylink/request/_head.py
+++ b/src/daisylink/request/_head.py
@@ -12,6 +12,7 @@
 LOAD_HEADER = b"daisylink-load"
 LIMIT_HEADER = b"daisylink-limit"
 WAIT_HEADER = b"daisylink-wait"
+TENANT_HEADER = b"daisylink-tenant"
 MAY_NOT_WAIT = b"no"
 OWN_PREFIX = b"daisylink-"
 MAX_NUMBER_DIGITS = 9
@@ -56,6 +57,8 @@
         of none.
     :param may_wait: whether the request may wait for a slot at the node that it is
         relayed to; nodes of earlier releases let each one wait.
+    :param tenant: name of the tenant of a relayed request, "" for none; nodes of
+        earlier releases state none.
     """
 
     method: bytes
@@ -70,6 +73,7 @@
     request_id: bytes = b""
     told_limit: "ToldLimit | None" = None
     may_wait: bool = True
+    tenant: str = ""
 
     @property
     def path(self) -> str:
@@ -135,6 +139,7 @@
     depth = 0
     chunked = expects = has_connection_header = False
     may_wait = True
+    tenant = ""
     forwarded: list[Header] = []
     for item in headers:
         name, value = item
@@ -167,6 +172,8 @@
             told_limit = decode_told_limit(value)
         elif name == WAIT_HEADER and is_relay:
             may_wait = value != MAY_NOT_WAIT
+        elif name == TENANT_HEADER and is_relay:
+            tenant = value.decode("utf-8", "replace")
     if host is None:
         raise RequestError("missing Host header")
     if is_relay and hop is None:
@@ -187,6 +194,7 @@
         request_id,
         told_limit,
         may_wait,
+        tenant,
     )
 
 
--- a/src/daisylink/request/_header_names.py
+++ b/src/daisylink/request/_header_names.py
@@ -5,6 +5,8 @@
 """
 
 from collections.abc import Callable, Iterable
+from functools import lru_cache
+from itertools import product
 from typing import NamedTuple
 
 
@@ -39,6 +41,7 @@
     :param request_id: request id, which a backend server repeats in its response.
     :param target: request header: the only backend server that may run the request.
     :param origin: request header: service of the node where the request entered.
+    :param tenant: request header: tenant whose API key the request carries.
     :param proof: response header: proves that the backend server itself responded.
     :param callers_read_status_only: whether callers read the status only. 503 then
         guarantees that the request was not run, 504 guarantees nothing, and
@@ -58,12 +61,34 @@
     read_notice: Callable[[Iterable[tuple[bytes, bytes]]], ServerNotice] = (
         read_no_notice
     )
+    tenant: bytes = b""
 
     @property
     def consumed(self) -> frozenset[bytes]:
         """Return the request headers that are not forwarded: each node sets its own."""
-        names = (self.deadline, self.target, self.origin)
-        return frozenset(name for name in names if name)
+        return _list_consumed(self.deadline, self.target, self.origin, self.tenant)
+
+
+@lru_cache(maxsize=8)
+def _list_consumed(*names: bytes) -> frozenset[bytes]:
+    """Return the names that are in use, and each spelling of the last one.
+
+    :param names: header names, empty if not used; the last is the tenant's.
+    """
+    found = set(names)
+    found.update(_spell_with_underscores(names[-1]))
+    return frozenset(name for name in found if name)
+
+
+def _spell_with_underscores(name: bytes) -> Iterable[bytes]:
+    """Return a name with each choice of ``-`` and ``_`` between its words.
+
+    Servers that map headers to variables (CGI, WSGI) read all of them as the same.
+    """
+    first, *words = name.split(b"-")
+    for separators in product((b"-", b"_"), repeat=len(words)):
+        pairs = zip(separators, words, strict=True)
+        yield first + b"".join(separator + word for separator, word in pairs)
 
 
 DEFAULT_HEADER_NAMES = HeaderNames(
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -50,7 +50,7 @@
         plan = exchange.plan
         key = None
         if not plan.idempotent and self.gateway.claims_keys:
-            key = find_key(exchange.head, plan.pool)
+            key = find_key(exchange.head, plan.pool, plan.tenant)
         if key is None:
             self.sender.send_to_local_server()
             return
--- a/src/daisylink/request/_next_hop_head.py
+++ b/src/daisylink/request/_next_hop_head.py
@@ -7,6 +7,7 @@
     HOP_HEADER,
     LIMIT_HEADER,
     MAY_NOT_WAIT,
+    TENANT_HEADER,
     WAIT_HEADER,
     Header,
     HopMetadata,
@@ -54,6 +55,8 @@
         extra.append((LIMIT_HEADER, encode_told_limit(told_limit)))
     if not may_wait:
         extra.append((WAIT_HEADER, MAY_NOT_WAIT))
+    if plan.tenant:
+        extra.append((TENANT_HEADER, plan.tenant.encode()))
     return build_hop_head(head, extra, expect)
 
 
@@ -67,6 +70,8 @@
         headers.append((header_names.target, gateway.own_record.instance.encode()))
     if header_names.origin:
         headers.append((header_names.origin, origin.encode()))
+    if header_names.tenant and plan.tenant:
+        headers.append((header_names.tenant, plan.tenant.encode()))
     headers.append((DEPTH_HEADER, b"%d" % (head.depth + 1)))
     return build_hop_head(head, headers)
 
--- a/src/daisylink/request/_outcome.py
+++ b/src/daisylink/request/_outcome.py
@@ -11,6 +11,8 @@
 CODE_HEADER = b"daisylink-code"
 OUTCOME_HEADER = b"daisylink-outcome"
 RETRY_HEADER = b"daisylink-retry-after-ms"
+# RFC 9110 requires a challenge in each response with status 401.
+CHALLENGE_LINE = b"www-authenticate: Bearer"
 MS_PER_SECOND = 1000
 
 
@@ -34,6 +36,8 @@
     ResultCode.REQUEST_ANSWER_LOST: HTTPStatus.BAD_GATEWAY,
     ResultCode.REQUEST_TOO_DEEP: HTTPStatus.LOOP_DETECTED,
     ResultCode.REQUEST_KEY_RUNNING: HTTPStatus.CONFLICT,
+    ResultCode.REQUEST_API_KEY_MISSING: HTTPStatus.UNAUTHORIZED,
+    ResultCode.REQUEST_API_KEY_UNKNOWN: HTTPStatus.UNAUTHORIZED,
     ResultCode.REQUEST_KEY_DONE: HTTPStatus.CONFLICT,
 }
 OUTCOME_BY_CODE = {
@@ -105,6 +109,8 @@
     if refusal.retry_ms:
         lines.append(_format_retry(refusal.retry_ms, callers_read_status_only))
         lines.append(b"%s: %d" % (RETRY_HEADER, refusal.retry_ms))
+    if status is HTTPStatus.UNAUTHORIZED:
+        lines.append(CHALLENGE_LINE)
     lines += extra
     if close:
         lines.append(b"connection: close")
--- a/src/daisylink/request/_plan.py
+++ b/src/daisylink/request/_plan.py
@@ -4,9 +4,17 @@
 from typing import NamedTuple
 
 from daisylink.errors import ResultCode
+from daisylink.request._authorization import KnownKey, NoKey, UnknownKey, authorize
 from daisylink.request._head import RequestHead
 from daisylink.request._outcome import Refusal, make_refusal
-from daisylink.version import Priority, RouteEntry, RouteTarget, Version
+from daisylink.version import (
+    Priority,
+    Route,
+    RouteEntry,
+    RouteTarget,
+    Tenant,
+    Version,
+)
 
 MAX_DEPTH = 16
 MAX_ATTEMPTS = 4
@@ -78,6 +86,15 @@
     if head.depth > MAX_DEPTH:
         return make_refusal(ResultCode.REQUEST_TOO_DEEP)
     entry = version.route_table.find_route(head.host, head.path)
+    tenant = None
+    if not version.tenants.is_empty:
+        match authorize(head.headers, version.tenants):
+            case UnknownKey():
+                return make_refusal(ResultCode.REQUEST_API_KEY_UNKNOWN)
+            case NoKey() if entry is not None and not entry.route.allow_anonymous:
+                return make_refusal(ResultCode.REQUEST_API_KEY_MISSING)
+            case KnownKey(tenant):
+                pass
     if entry is None:
         return make_refusal(ResultCode.REQUEST_NO_ROUTE)
     route = entry.route
@@ -97,7 +114,7 @@
         service=target.service.name,
         pool=target.pool.name,
         idempotent=route.idempotent,
-        priority=route.priority,
+        priority=_choose_priority(route, tenant),
         deadline=now + deadline_ms / MS_PER_SECOND,
         body_limit=body_limit,
         version=version.number,
@@ -106,6 +123,7 @@
         route=route.name,
         max_attempts=route.max_attempts or MAX_ATTEMPTS,
         slo_deadline=_find_end(now, slo_left_ms),
+        tenant=tenant.name if tenant is not None else "",
     )
 
 
@@ -125,9 +143,17 @@
         route=hop.route,
         slo_deadline=_find_end(now, hop.slo_ms),
         origin=hop.origin,
+        tenant=head.tenant,
     )
 
 
+def _choose_priority(route: Route, tenant: Tenant | None) -> Priority:
+    """Return the tenant's priority if it has one, otherwise the route's."""
+    if tenant is None or tenant.priority is None:
+        return route.priority
+    return tenant.priority
+
+
 def _find_end(now: float, milliseconds: int) -> float:
     """Return when a duration ends, infinity for a duration of 0."""
     return now + milliseconds / MS_PER_SECOND if milliseconds else float("inf")
--- a/src/daisylink/request/_recording.py
+++ b/src/daisylink/request/_recording.py
@@ -49,14 +49,18 @@
         return msgspec.msgpack.encode(response)
 
 
-def find_key(head: RequestHead, pool: str) -> bytes | None:
+def find_key(head: RequestHead, pool: str, tenant: str = "") -> bytes | None:
     """Return the digest of a request's idempotency key, or None if it has none.
 
     :param pool: pool that the request goes to.
+    :param tenant: tenant of the request, "" for none. Equal keys of two tenants differ,
+        or one could read the response to the other's request.
     """
     for name, value in head.headers:
         if name == KEY_HEADER:
-            parts = (pool.encode(), head.host.encode(), head.target, value)
+            parts = [pool.encode(), head.host.encode(), head.target, value]
+            if tenant:
+                parts.append(tenant.encode())
             text = b"\n".join(parts)
             return hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
     return None
--- a/src/daisylink/version/__init__.py
+++ b/src/daisylink/version/__init__.py
@@ -46,7 +46,7 @@
     WeightedService,
 )
 from daisylink.version._sheet import InvalidSheetError, SheetFault, read_sheet
-from daisylink.version._tenants import Tenant, TenantTable
+from daisylink.version._tenants import NO_TENANTS, Tenant, TenantTable
 from daisylink.version._version import (
     HeadRecord,
     Version,
@@ -62,6 +62,7 @@
     "HEAD_KEY",
     "MAX_CONTENT_BYTES",
     "MAX_PART_BYTES",
+    "NO_TENANTS",
     "Acceptance",
     "Accepted",
     "AnswerLost",
--- a/src/daisylink/version/_tenants.py
+++ b/src/daisylink/version/_tenants.py
@@ -31,31 +31,55 @@
 
 
 class TenantTable:
-    """Finds a tenant by API key or by name."""
+    """Finds a tenant by API key or by name.
+
+    A key that two tenants hold finds neither: each would get the other's data.
+    """
 
     def __init__(self):
         self.by_name: dict[str, Tenant] = {}
         self.by_digest: dict[bytes, Tenant] = {}
+        self.damaged: tuple[str, ...] = ()
+        self.sharing: frozenset[str] = frozenset()
 
     @classmethod
     def from_keys(
-        cls, tenants: Iterable[tuple[Tenant, Iterable[str]]]
+        cls,
+        tenants: Iterable[tuple[Tenant, Iterable[str]]],
+        damaged: Iterable[str] = (),
     ) -> "TenantTable":
         """Build the table.
 
-        :param tenants: each tenant with its API keys.
+        :param tenants: each tenant with its API keys. Of several entries of one name,
+            the last one's priority and quota count, and the keys of all.
+        :param damaged: names of tenants whose entries cannot be read.
         """
         table = cls()
+        table.damaged = tuple(damaged)
+        names_by_digest: dict[bytes, str] = {}
+        shared: dict[bytes, set[str]] = {}
         for tenant, keys in tenants:
             table.by_name[tenant.name] = tenant
             for key in keys:
-                table.by_digest[digest_key(key.encode())] = tenant
+                digest = digest_key(key.encode())
+                first = names_by_digest.setdefault(digest, tenant.name)
+                if first != tenant.name:
+                    shared.setdefault(digest, {first}).add(tenant.name)
+        table.by_digest = {
+            digest: table.by_name[name]
+            for digest, name in names_by_digest.items()
+            if digest not in shared
+        }
+        table.sharing = frozenset().union(*shared.values())
         return table
 
     @property
     def is_empty(self) -> bool:
-        """Return whether the configuration has no tenants, so needs no keys."""
-        return not self.by_name
+        """Return whether the configuration has no tenants, so needs no keys.
+
+        A damaged entry counts: otherwise it would open the routes to every caller.
+        """
+        return not self.by_name and not self.damaged
 
     def find(self, key: bytes) -> Tenant | None:
         """Return the tenant that holds an API key, if any."""
