daisylinkctl check reviews a configuration of the store

Cause: a configuration could be checked only by sending it; nodes refuse a faulty one whole, at the first fault, and say so in their logs.

Change: check takes the store's JSON as well as a sheet. The decoder's own functions read each entry, so that all faults are named, and the decoder has the last word.

--- a/src/daisylink/commands/ctl.py
+++ b/src/daisylink/commands/ctl.py
@@ -16,9 +16,17 @@
     format_burn_text,
     make_burn_rows,
 )
+from daisylink.commands._configuration_check import (
+    ConfigurationFormat,
+    check_configuration,
+    describe_review,
+    format_review,
+    is_configuration,
+)
 from daisylink.commands._operations import Operations, ZoneReport
 from daisylink.commands._run import EXIT_FAILURE, exit_with
 from daisylink.errors import DaisylinkError, ResultCode, SheetError, format_code_table
+from daisylink.platform import CONFIG_KEY, MetadataStore, read_draft
 from daisylink.process import ControlClient
 from daisylink.settings import Address
 from daisylink.store import ConsulStore
@@ -27,11 +35,13 @@
     Delta,
     HeadRecord,
     InvalidSheetError,
+    Review,
     describe_delta,
     read_sheet,
 )
 
 DIGEST_DIGITS = 12
+STORE_TIMEOUT = timedelta(seconds=2)
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 report_app = typer.Typer(no_args_is_help=True, help="Reports over the whole fleet.")
@@ -59,8 +69,31 @@
 
 
 @app.command()
-def check(sheet: Sheet, json: Json = False) -> None:
-    """Validate a sheet and print all its errors."""
+def check(
+    sheet: Annotated[
+        Path, typer.Argument(help="CSV sheet, or the store's JSON configuration.")
+    ],
+    base: Annotated[
+        Path | None, typer.Option(help="Configuration in force, as a file.")
+    ] = None,
+    store: Annotated[
+        str, typer.Option(help="Address of the store that holds the one in force.")
+    ] = "",
+    node: Annotated[
+        str, typer.Option(help="Peers' address of a node, to check for servers.")
+    ] = "",
+    strict: Annotated[bool, typer.Option(help="Fail on warnings too.")] = False,
+    json: Json = False,
+) -> None:
+    """Validate a sheet or a configuration and print everything wrong with it."""
+    data = _read_file(sheet)
+    if is_configuration(data):
+        base_data = _read_file(base) if base is not None else None
+        review = _review(data, base_data, store, node)
+        _print(json, describe_review(review), format_review(review))
+        if review.has_errors or (strict and review.findings):
+            raise SystemExit(EXIT_FAILURE)
+        return
     content = _load_sheet(sheet, json)
     _print(
         json,
@@ -243,13 +276,42 @@
         exit_with(error)
 
 
-def _load_sheet(path: Path, json: bool) -> Content:
-    """Return the content of a sheet; print its errors and exit if it is invalid."""
+def _review(data: bytes, base: bytes | None, address: str, node: str) -> Review:
+    """Review a configuration; on an error of the store or the node, exit."""
+    configuration_format = ConfigurationFormat(CONFIG_KEY, read_draft)
+
+    async def run() -> Review:
+        store = MetadataStore(address, STORE_TIMEOUT) if address else None
+        try:
+            return await check_configuration(
+                data, configuration_format, base, store, node
+            )
+        finally:
+            if store is not None:
+                store.close()
+
     try:
-        return read_sheet(path.read_bytes())
+        for name, text in (("store", address), ("node", node)):
+            if text:
+                Address.from_text(text, name)
+        return asyncio.run(run())
+    except DaisylinkError as error:
+        exit_with(error)
+
+
+def _read_file(path: Path) -> bytes:
+    """Return the bytes of a file; exit if it cannot be read."""
+    try:
+        return path.read_bytes()
     except OSError as error:
         message = f"cannot read {path}: {error.strerror}"
         exit_with(SheetError(message, ResultCode.SHEET_UNREADABLE))
+
+
+def _load_sheet(path: Path, json: bool) -> Content:
+    """Return the content of a sheet; print its errors and exit if it is invalid."""
+    try:
+        return read_sheet(_read_file(path))
     except InvalidSheetError as error:
         value = {
             "ok": False,
--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -20,8 +20,8 @@
 
 
 class ResultCode(IntEnum):
-    """Result codes: 1xxx sheet, 2xxx acceptance, 3xxx platform, 4xxx settings,
-    5xxx requests, 6xxx nodes.
+    """Result codes: 10xx sheet, 11xx configuration, 2xxx acceptance, 3xxx platform,
+    4xxx settings, 5xxx requests, 6xxx nodes.
     """  # noqa: D205
 
     OK = 0
@@ -38,6 +38,17 @@
     SHEET_TOO_LARGE = 1010
     SHEET_UNREADABLE = 1011
 
+    CONFIG_UNREADABLE = 1101
+    CONFIG_ENTRY = 1102
+    CONFIG_DANGLING = 1103
+    CONFIG_DUPLICATE = 1104
+    CONFIG_NEVER_USED = 1105
+    CONFIG_NO_SERVER = 1106
+    CONFIG_NO_KEY = 1107
+    CONFIG_SHARED_KEY = 1108
+    CONFIG_LIMITS = 1109
+    CONFIG_NOT_NEWER = 1110
+
     ACCEPT_CONFLICT = 2001
     ACCEPT_UNSETTLED = 2002
     ACCEPT_UNCHANGED = 2003
@@ -128,6 +139,45 @@
     ResultCode.SHEET_UNREADABLE: CodeInfo(
         "The file cannot be read.", "Check the path."
     ),
+    ResultCode.CONFIG_UNREADABLE: CodeInfo(
+        "The configuration cannot be decoded; nodes would keep the version in force.",
+        "Correct the JSON, its version or its list of entries.",
+    ),
+    ResultCode.CONFIG_ENTRY: CodeInfo(
+        "An entry cannot be decoded.",
+        "Correct it. A tenant is left out; any other refuses the configuration.",
+    ),
+    ResultCode.CONFIG_DANGLING: CodeInfo(
+        "A route names a service that the configuration lacks; it would be refused.",
+        "Add the service or correct the name.",
+    ),
+    ResultCode.CONFIG_DUPLICATE: CodeInfo(
+        "Two entries have one name, or two routes one host and prefix.",
+        "Remove one; only one of them would be used.",
+    ),
+    ResultCode.CONFIG_NEVER_USED: CodeInfo(
+        "No request can match the entry, or its weight is 0.",
+        "Remove it or correct it.",
+    ),
+    ResultCode.CONFIG_NO_SERVER: CodeInfo(
+        "No backend server announces the service now.",
+        "Start its servers first, or check the name.",
+    ),
+    ResultCode.CONFIG_NO_KEY: CodeInfo(
+        "A tenant has no usable API key.", "Add one, or remove the tenant."
+    ),
+    ResultCode.CONFIG_SHARED_KEY: CodeInfo(
+        "Two tenants hold the same API key, which then identifies neither.",
+        "Give each its own.",
+    ),
+    ResultCode.CONFIG_LIMITS: CodeInfo(
+        "Two limits contradict each other, or a limit admits no request.",
+        "Correct the named limits.",
+    ),
+    ResultCode.CONFIG_NOT_NEWER: CodeInfo(
+        "The version is not above the one in force; nodes would ignore it.",
+        "Raise the version.",
+    ),
     ResultCode.ACCEPT_CONFLICT: CodeInfo(
         "Another version was accepted meanwhile; nothing was changed.",
         "Look at the changes printed, then accept again.",
--- a/src/daisylink/platform/__init__.py
+++ b/src/daisylink/platform/__init__.py
@@ -9,6 +9,7 @@
     ConfigurationDecoder,
     decode_configuration,
 )
+from daisylink.platform._draft import read_draft
 from daisylink.platform._headers import HEADER_NAMES
 from daisylink.platform._settings import (
     decode_settings,
@@ -30,5 +31,6 @@
     "decode_settings",
     "load_settings",
     "make_response",
+    "read_draft",
     "settings_path",
 ]
--- a/src/daisylink/version/__init__.py
+++ b/src/daisylink/version/__init__.py
@@ -36,6 +36,14 @@
     compute_delta,
     describe_delta,
 )
+from daisylink.version._review import (
+    Draft,
+    Finding,
+    Review,
+    Severity,
+    Surroundings,
+    review_draft,
+)
 from daisylink.version._routes import RouteEntry, RouteTable, RouteTarget
 from daisylink.version._rows import (
     CallerLimits,
@@ -72,6 +80,8 @@
     "Delete",
     "DeleteDone",
     "Delta",
+    "Draft",
+    "Finding",
     "HeadRecord",
     "Pool",
     "Priority",
@@ -79,12 +89,15 @@
     "Read",
     "ReadDone",
     "ReadFailed",
+    "Review",
     "Route",
     "RouteEntry",
     "RouteTable",
     "RouteTarget",
     "Service",
+    "Severity",
     "SheetFault",
+    "Surroundings",
     "Tenant",
     "TenantTable",
     "InvalidSheetError",
@@ -107,6 +120,7 @@
     "part_key",
     "read_content_steps",
     "read_sheet",
+    "review_draft",
     "unpack_content",
     "version_from_delta",
     "version_from_snapshot",
