--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -5,18 +5,8 @@
 """
 
 from enum import IntEnum
-from typing import NamedTuple
 
-
-class CodeInfo(NamedTuple):
-    """Documentation of a result code.
-
-    :param meaning: what happened.
-    :param advice: what to do about it.
-    """
-
-    meaning: str
-    advice: str
+from daisylink._configuration_codes import CONFIGURATION_CODES, CodeInfo
 
 
 class ResultCode(IntEnum):
@@ -139,45 +129,7 @@
     ResultCode.SHEET_UNREADABLE: CodeInfo(
         "The file cannot be read.", "Check the path."
     ),
-    ResultCode.CONFIG_UNREADABLE: CodeInfo(
-        "The configuration cannot be decoded; nodes would keep the version in force.",
-        "Correct the JSON, its version or its list of entries.",
-    ),
-    ResultCode.CONFIG_ENTRY: CodeInfo(
-        "An entry cannot be decoded.",
-        "Correct it. A tenant is left out; any other refuses the configuration.",
-    ),
-    ResultCode.CONFIG_DANGLING: CodeInfo(
-        "A route names a service that the configuration lacks; it would be refused.",
-        "Add the service or correct the name.",
-    ),
-    ResultCode.CONFIG_DUPLICATE: CodeInfo(
-        "Two entries have one name, or two routes one host and prefix.",
-        "Remove one; only one of them would be used.",
-    ),
-    ResultCode.CONFIG_NEVER_USED: CodeInfo(
-        "No request can match the entry, or its weight is 0.",
-        "Remove it or correct it.",
-    ),
-    ResultCode.CONFIG_NO_SERVER: CodeInfo(
-        "No backend server announces the service now.",
-        "Start its servers first, or check the name.",
-    ),
-    ResultCode.CONFIG_NO_KEY: CodeInfo(
-        "A tenant has no usable API key.", "Add one, or remove the tenant."
-    ),
-    ResultCode.CONFIG_SHARED_KEY: CodeInfo(
-        "Two tenants hold the same API key, which then identifies neither.",
-        "Give each its own.",
-    ),
-    ResultCode.CONFIG_LIMITS: CodeInfo(
-        "Two limits contradict each other, or a limit admits no request.",
-        "Correct the named limits.",
-    ),
-    ResultCode.CONFIG_NOT_NEWER: CodeInfo(
-        "The version is not above the one in force; nodes would ignore it.",
-        "Raise the version.",
-    ),
+    **{ResultCode(number): info for number, info in CONFIGURATION_CODES.items()},
     ResultCode.ACCEPT_CONFLICT: CodeInfo(
         "Another version was accepted meanwhile; nothing was changed.",
         "Look at the changes printed, then accept again.",
