--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -5,23 +5,13 @@
 """
 
 from enum import IntEnum
-from typing import NamedTuple
 
-
-class CodeInfo(NamedTuple):
-    """Documentation of a result code.
-
-    :param meaning: what happened.
-    :param advice: what to do about it.
-    """
-
-    meaning: str
-    advice: str
+from daisylink._configuration_codes import CONFIGURATION_CODES, CodeInfo
 
 
 class ResultCode(IntEnum):
-    """Result codes: 1xxx sheet, 2xxx acceptance, 3xxx platform, 4xxx settings,
-    5xxx requests, 6xxx nodes.
+    """Result codes: 10xx sheet, 11xx configuration, 2xxx acceptance, 3xxx platform,
+    4xxx settings, 5xxx requests, 6xxx nodes.
     """  # noqa: D205
 
     OK = 0
@@ -38,6 +28,17 @@
     SHEET_TOO_LARGE = 1010
     SHEET_UNREADABLE = 1011
 
+    CONFIG_UNREADABLE = 1101
+    CONFIG_ENTRY = 1102
+    CONFIG_DANGLING = 1103
+    CONFIG_DUPLICATE = 1104
+    CONFIG_NEVER_USED = 1105
+    CONFIG_NO_SERVER = 1106
+    CONFIG_NO_KEY = 1107
+    CONFIG_SHARED_KEY = 1108
+    CONFIG_LIMITS = 1109
+    CONFIG_NOT_NEWER = 1110
+
     ACCEPT_CONFLICT = 2001
     ACCEPT_UNSETTLED = 2002
     ACCEPT_UNCHANGED = 2003
@@ -128,6 +129,7 @@
     ResultCode.SHEET_UNREADABLE: CodeInfo(
         "The file cannot be read.", "Check the path."
     ),
+    **{ResultCode(number): info for number, info in CONFIGURATION_CODES.items()},
     ResultCode.ACCEPT_CONFLICT: CodeInfo(
         "Another version was accepted meanwhile; nothing was changed.",
         "Look at the changes printed, then accept again.",
