--- a/src/daisylink/clock.py
+++ b/src/daisylink/clock.py
@@ -5,6 +5,9 @@
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
 
+# Elsewhere than on Linux, the monotonic clock may count suspended time or not.
+BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
 
 class Clock(Protocol):
     """Source of time, passed in so that tests and benchmarks can control it."""
@@ -15,6 +18,9 @@
     def monotonic(self) -> float:
         """Return seconds since an arbitrary, fixed point; never decreases."""
 
+    def boot(self) -> float:
+        """Return the same, counting the time for which the machine was suspended."""
+
 
 class SystemClock:
     """The machine's clock."""
@@ -25,6 +31,11 @@
 
     monotonic = staticmethod(time.monotonic)
 
+    @staticmethod
+    def boot() -> float:
+        """Return seconds since an arbitrary point, suspended time included."""
+        return time.clock_gettime(BOOT_CLOCK)
+
 
 class LoopClock:
     """Clock of an event loop, whose time may run faster or slower than real time.
@@ -35,6 +46,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, start: datetime | None = None):
         self.start = start or datetime(2026, 1, 1, tzinfo=UTC)
         self.monotonic = loop.time
+        self.boot = loop.time
 
     def now(self) -> datetime:
         """Return the wall-clock time in UTC."""
@@ -58,3 +70,5 @@
     def monotonic(self) -> float:
         """Return seconds since the start."""
         return self.monotonic_seconds
+
+    boot = monotonic
--- /dev/null
+++ b/src/daisylink/quota/_node_quota.py
@@ -0,0 +1,167 @@
+"""Decides on requests at the entry node, from its own tokens and coordinators' answers.
+
+It is designed for a tenant that sends 8 times its usual rate: after a coordinator's
+refusal the tenant's requests are refused here until a token is due, without a message.
+"""
+
+import random
+from typing import NamedTuple
+
+from daisylink.quota._bucket import Bucket, Portion, ShareHistory, Shares
+from daisylink.quota._limit import Limit
+from daisylink.quota._messages import QuotaAnswer
+from daisylink.quota._pool import MAX_RETRY_SECONDS
+from daisylink.quota._ranking import SHARDS, find_shard
+
+# Longest time for which a coordinator's refusal is believed.
+MAX_HOLD_SECONDS = 0.2
+# The same for a coordinator of another zone, which is asked only when the own one
+# refuses: all zones refuse under an excess, and asking them again gains little.
+MAX_AWAY_HOLD_SECONDS = 1.0
+# Retry time where nobody can be asked: a lease has ended by then.
+NO_COORDINATOR_SECONDS = 1.0
+MIN_RETRY_SECONDS = 0.005
+# Retry times that reach the maximum are spread over its upper half.
+SPREAD = (0.5, 1.0)
+
+
+class Admitted(NamedTuple):
+    """A request may run."""
+
+
+class Refused(NamedTuple):
+    """A request is beyond its tenant's quota.
+
+    :param retry: seconds until a similar one is expected to be admitted.
+    :param decided_by: ``own`` (nobody could be asked), ``held`` (an earlier refusal
+        still holds), ``coordinator`` or ``timeout``.
+    """
+
+    retry: float
+    decided_by: str
+
+
+class MustAsk(NamedTuple):
+    """A coordinator is to be asked for a token.
+
+    :param number: identifies the request; 0 while no message was sent.
+    """
+
+    number: int = 0
+
+
+Decision = Admitted | Refused | MustAsk
+
+
+class Hold:
+    """What a coordinator's last refusal of a tenant said.
+
+    :ivar until: when a token is due, or the refusal is believed no longer.
+    :ivar turn_at: when there is a token for the next request that is refused.
+    :ivar away_until: until when no coordinator of another zone is asked.
+    """
+
+    __slots__ = ("away_until", "rate", "turn_at", "until")
+
+    def __init__(self):
+        self.until = self.turn_at = self.away_until = float("-inf")
+        self.rate = 0.0
+
+
+class NodeQuota:
+    """This node's shares, and what coordinators said.
+
+    :param rng: spreads retry times.
+    :param now: seconds of a clock that counts while the machine is suspended.
+    """
+
+    def __init__(self, rng: random.Random, now: float):
+        self.rng = rng
+        self.histories = [ShareHistory(now) for _ in range(SHARDS)]
+        self.buckets: dict[str, Bucket] = {}
+        self.holds: dict[str, Hold] = {}
+
+    def set_share(self, shard: int, size: int, is_lent: bool, now: float) -> None:
+        """Record what this node has of a shard's quotas.
+
+        :param size: number of nodes that share each quota, 0 for no share yet.
+        """
+        portion = Portion.KEPT if is_lent else Portion.WHOLE
+        shares = (Shares(size, 1, portion),) if size else ()
+        self.histories[shard].set_shares(shares, now)
+
+    def check(self, tenant: str, limit: Limit, now: float) -> Decision:
+        """Decide on a new request; :class:`MustAsk` if only a coordinator can."""
+        if self._take(tenant, limit, now):
+            return Admitted()
+        hold = self.holds.get(tenant)
+        if hold is not None and now < hold.until:
+            return self._refuse_held(hold, now)
+        return MustAsk()
+
+    def may_ask_away(self, tenant: str, now: float) -> bool:
+        """Return whether another zone's coordinator may be asked for the tenant."""
+        hold = self.holds.get(tenant)
+        return hold is None or now >= hold.away_until
+
+    def handle_refusal(
+        self, tenant: str, answer: QuotaAnswer, is_away: bool, now: float
+    ) -> Refused:
+        """Handle a coordinator's refusal.
+
+        :param is_away: whether it is a coordinator of another zone.
+        """
+        hold = self.holds.get(tenant)
+        if hold is None:
+            hold = self.holds[tenant] = Hold()
+        if is_away:
+            hold.away_until = now + min(answer.wait, MAX_AWAY_HOLD_SECONDS)
+            if now < hold.turn_at:
+                return Refused(self._limit_retry(hold.turn_at - now), "coordinator")
+        else:
+            hold.until = now + min(answer.wait, MAX_HOLD_SECONDS)
+        hold.rate = answer.rate
+        hold.turn_at = now + answer.retry
+        return Refused(self._limit_retry(answer.retry), "coordinator")
+
+    def decide_alone(self, tenant: str, limit: Limit, now: float) -> Decision:
+        """Decide on a request that no coordinator answered."""
+        if self._take(tenant, limit, now):
+            return Admitted()
+        history = self.histories[find_shard(tenant)]
+        wait = self.buckets[tenant].find_wait(history, limit)
+        wait = min(wait, NO_COORDINATOR_SECONDS)
+        return Refused(self._limit_retry(wait), "own")
+
+    def forget_idle(self, find_limit, now: float) -> None:
+        """Forget the tenants with full buckets, and refusals that hold no longer."""
+        for name, bucket in list(self.buckets.items()):
+            limit = find_limit(name)
+            if limit is not None:
+                history = self.histories[find_shard(name)]
+                bucket.settle(history, limit, now)
+                fraction = history.current.find_fraction(limit)
+                if bucket.tokens < limit.find_depth(fraction):
+                    continue
+            del self.buckets[name]
+        for name, hold in list(self.holds.items()):
+            if now >= max(hold.until, hold.away_until):
+                del self.holds[name]
+
+    def _take(self, tenant: str, limit: Limit, now: float) -> bool:
+        bucket = self.buckets.get(tenant)
+        if bucket is None:
+            bucket = self.buckets[tenant] = Bucket()
+        bucket.settle(self.histories[find_shard(tenant)], limit, now)
+        return bucket.take()
+
+    def _refuse_held(self, hold: Hold, now: float) -> Refused:
+        """Refuse a request; each next one gets a later turn."""
+        if hold.rate and hold.turn_at - now < MAX_RETRY_SECONDS:
+            hold.turn_at = max(hold.turn_at, now) + 1 / hold.rate
+        return Refused(self._limit_retry(hold.turn_at - now), "held")
+
+    def _limit_retry(self, retry: float) -> float:
+        if retry >= MAX_RETRY_SECONDS:
+            return MAX_RETRY_SECONDS * self.rng.uniform(*SPREAD)
+        return max(retry, MIN_RETRY_SECONDS)
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -6,10 +6,12 @@
 """
 
 import asyncio
+import math
 from typing import Any
 
 from daisylink.errors import ResultCode
 from daisylink.logs import get_logger
+from daisylink.quota import Admitted, Decision, MustAsk, Refused
 from daisylink.request._body import RequestBody
 from daisylink.request._decision import RunResult
 from daisylink.request._head import LOAD_HEADER, RequestHead
@@ -24,6 +26,8 @@
 from daisylink.request._response import ForwardedResponse
 from daisylink.request._sender import RequestSender
 
+MS_PER_SECOND = 1000
+
 log = get_logger("request")
 
 
@@ -63,6 +67,8 @@
         self.has_sent_continue = False
         self.response = ForwardedResponse()
         self.done = False
+        # Number of the question to a quota coordinator, 0 without one.
+        self.quota_number = 0
 
     # Events from the caller
 
@@ -107,9 +113,40 @@
             self.send_refusal(make_refusal(ResultCode.REQUEST_BODY_TOO_LARGE))
             return
         self.timer = self.gateway.loop.call_later(
-            plan.deadline - now, self.sender.handle_deadline
+            plan.deadline - now, self._handle_deadline
         )
-        self.sender.begin(now)
+        if self.is_relay or not plan.tenant:
+            self.sender.begin(now)
+            return
+        check = self.gateway.quota.check
+        self._apply_quota(check(plan.tenant, self._handle_quota))
+
+    def _handle_quota(self, decision: Decision) -> None:
+        """Handle the decision on the tenant's quota that was waited for."""
+        if self.done:
+            return
+        try:
+            self._apply_quota(decision)
+        except Exception:
+            log.bind(request=self.head.request_id).exception("a request failed")
+            self.fail(ResultCode.REQUEST_ANSWER_LOST)
+
+    def _apply_quota(self, decision: Decision) -> None:
+        self.quota_number = 0
+        match decision:
+            case Admitted():
+                self.sender.begin(self.gateway.now())
+            case Refused(retry):
+                retry_ms = math.ceil(retry * MS_PER_SECOND)
+                self.send_refusal(make_refusal(ResultCode.REQUEST_OVER_QUOTA, retry_ms))
+            case MustAsk(number):
+                self.quota_number = number
+
+    def _handle_deadline(self) -> None:
+        if self.quota_number:
+            self.send_refusal(make_refusal(ResultCode.REQUEST_DEADLINE_NOT_RUN))
+            return
+        self.sender.handle_deadline()
 
     def handle_body(self, data: bytes) -> None:
         """Handle a piece of the request body."""
@@ -277,5 +314,7 @@
     def _release(self, result: RunResult = RunResult.UNKNOWN) -> None:
         if self.timer is not None:
             self.timer.cancel()
+        if self.quota_number:
+            self.gateway.quota.cancel(self.quota_number)
         self.sender.end_attempt(result)
         self.body.pieces.clear()
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -8,6 +8,7 @@
 from daisylink.clock import Clock
 from daisylink.connection import CallerConnection, HopConnectionPool
 from daisylink.errors import ResultCode
+from daisylink.quota import UnlimitedQuota
 from daisylink.request import (
     DEFAULT_HEADER_NAMES,
     Exchange,
@@ -108,6 +109,8 @@
         self.in_flight_tracker = InFlightTracker(
             self.now, loop, balancer, self.hop_pool
         )
+        # Replaced by a node whose configurations may have tenants.
+        self.quota: Any = UnlimitedQuota()
         self.version: Version | None = None
         self.callers: set[CallerConnection] = set()
         self.stopping = False
--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -12,6 +12,7 @@
 
 from daisylink.errors import VersionError
 from daisylink.logs import get_logger, line_gate
+from daisylink.quota import FLEET_SIZE_KEY
 from daisylink.registry import (
     NO_REVISION,
     EraTracker,
@@ -53,6 +54,7 @@
     :param on_strikes: called with the strikes that a member reports.
     :param on_member_removed: called with each node that is no longer a member.
     :param on_own_departures: called with the key of this node's departures.
+    :param on_fleet_size: called with the key of the fleet's size.
     """
 
     on_version: Callable[[Version], None]
@@ -60,6 +62,7 @@
     on_strikes: Callable[[tuple[Strike, ...]], None]
     on_member_removed: Callable[[str], None]
     on_own_departures: Callable[[Item], None]
+    on_fleet_size: Callable[[Item], None] = lambda _item: None
 
 
 class Candidate(NamedTuple):
@@ -142,6 +145,8 @@
             self._handle_member(item)
         elif item.key == self.own_departure_key:
             self.listeners.on_own_departures(item)
+        elif item.key == FLEET_SIZE_KEY:
+            self.listeners.on_fleet_size(item)
 
     def handle_older_item(self, item: Item) -> None:
         """Handle a peer's key that is not newer than the known one.
--- a/src/daisylink/sidecar/_fleet_sync.py
+++ b/src/daisylink/sidecar/_fleet_sync.py
@@ -15,6 +15,7 @@
     DepartureLog,
     DepartureSweeper,
     DepartureSweeperSettings,
+    Item,
     MemberTable,
     Publisher,
     PublisherSettings,
@@ -65,6 +66,7 @@
     :param on_member_removed: called with each node that is no longer a member.
     :param on_era: called when this node's record has to state another era.
     :param on_due: called when :meth:`FleetSync.tick` may be due.
+    :param on_fleet_size: called with the key of the fleet's size.
     """
 
     on_version: Callable[[Version], None]
@@ -73,6 +75,7 @@
     on_member_removed: Callable[[str], None]
     on_era: Callable[[], None]
     on_due: Callable[[], None]
+    on_fleet_size: Callable[[Item], None] = lambda _item: None
 
 
 class FleetSync:
@@ -121,6 +124,7 @@
                 listeners.on_strikes,
                 listeners.on_member_removed,
                 announcement_handler.handle_stored_departures,
+                listeners.on_fleet_size,
             ),
         )
         ttl = max(settings.min_lease_ttl, RegistrationSettings().ttl)
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -41,6 +41,7 @@
 from daisylink.sidecar._gauges import add_gauges
 from daisylink.sidecar._listeners import Listeners
 from daisylink.sidecar._platform_adapter import PlatformAdapter
+from daisylink.sidecar._quota_driver import QuotaDriver, connect_quota
 from daisylink.sidecar._strikes import (
     SIDECAR_QUARANTINE_SETTINGS,
     StrikeReporter,
@@ -136,6 +137,7 @@
         self.gateway.on_suspect_answered = self._handle_suspect_answered
         self.listeners = Listeners(self.loop)
         self.datagrams = Datagrams()
+        self.quota: QuotaDriver = connect_quota(self)
         self.tasks: set[asyncio.Task] = set()
         self.timer: asyncio.TimerHandle | None = None
         self.stopping = False
@@ -149,9 +151,10 @@
                 self._install,
                 self._handle_members_change,
                 lambda strikes: quarantine.merge_strikes(strikes, self.now()),
-                self.gateway.in_flight_tracker.forget,
+                self._handle_member_removed,
                 self.update_server,
                 self.step,
+                self.quota.handle_fleet_size,
             ),
             rng,
             self.now,
@@ -252,6 +255,7 @@
             task.cancel()
         self.listeners.close()
         self.datagrams.close()
+        self.quota.close()
         self.gateway.close()
 
     def reload(self, settings: SidecarSettings) -> None:
@@ -338,13 +342,19 @@
 
     def _install(self, version: Version) -> None:
         self.gateway.version = version
+        self.quota.set_version(version)
         self.gateway.update_admission()
 
     def _handle_members_change(self) -> None:
         self.balancer.invalidate_candidates()
+        self.quota.handle_members_change()
         self._divide_retry_budget()
         self.role.is_outdated = True
 
+    def _handle_member_removed(self, node: str) -> None:
+        self.quota.handle_member_removed(node)
+        self.gateway.in_flight_tracker.forget(node)
+
     def _divide_retry_budget(self) -> None:
         """Divide the fleet's retry budget among the known members."""
         settings = self.settings
