--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -87,6 +87,7 @@
     REQUEST_NO_FREE_SLOT = 5024
     REQUEST_API_KEY_MISSING = 5025
     REQUEST_API_KEY_UNKNOWN = 5026
+    REQUEST_OVER_QUOTA = 5027
 
     NODE_NOT_READY = 6001
     NODE_BUSY = 6002
@@ -286,6 +287,10 @@
         "The request's API key is malformed, or no tenant of the version holds it.",
         "Check the key; a new one is valid once its version is in force.",
     ),
+    ResultCode.REQUEST_OVER_QUOTA: CodeInfo(
+        "The tenant's requests exceed its quota.",
+        "Come back after the stated time, or raise the tenant's quota.",
+    ),
     ResultCode.NODE_NOT_READY: CodeInfo(
         "The node has not caught up with its peers.", "Wait."
     ),
