Rollouts: decision objects, driver and wiring

Change: daisylink/rollout (order, state, evidence, judge, exposure, gate, controller), a transaction of several conditions in the store client, the driver on datagrams.

--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -84,6 +84,7 @@
     REQUEST_QUARANTINED = 5022
     REQUEST_RATE_LIMITED = 5023
     REQUEST_NO_FREE_SLOT = 5024
+    REQUEST_VERSION_HELD = 5030
 
     NODE_NOT_READY = 6001
     NODE_BUSY = 6002
@@ -274,6 +275,10 @@
         "No slot is free at the backend server, and the request goes elsewhere.",
         "Nothing to do; seen between nodes and in the trail of a request.",
     ),
+    ResultCode.REQUEST_VERSION_HELD: CodeInfo(
+        "The server's version gets no more requests at this step of a rollout.",
+        "Nothing to do; seen between nodes and in the trail of a request.",
+    ),
     ResultCode.NODE_NOT_READY: CodeInfo(
         "The node has not caught up with its peers.", "Wait."
     ),
--- a/src/daisylink/platform/__init__.py
+++ b/src/daisylink/platform/__init__.py
@@ -10,6 +10,12 @@
     decode_configuration,
 )
 from daisylink.platform._headers import HEADER_NAMES
+from daisylink.platform._rollouts import (
+    ORDER_PREFIX,
+    decode_order,
+    encode_status,
+    status_key,
+)
 from daisylink.platform._settings import (
     decode_settings,
     load_settings,
@@ -22,13 +28,17 @@
 __all__ = [
     "CONFIG_KEY",
     "HEADER_NAMES",
+    "ORDER_PREFIX",
     "READY_PATH",
     "ConfigurationDecoder",
     "MetadataStore",
     "decode_announcement",
     "decode_configuration",
+    "decode_order",
     "decode_settings",
+    "encode_status",
     "load_settings",
     "make_response",
     "settings_path",
+    "status_key",
 ]
--- a/src/daisylink/platform/_store.py
+++ b/src/daisylink/platform/_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from base64 import b64decode, b64encode
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from http import HTTPStatus
 from typing import NamedTuple
@@ -19,6 +19,7 @@
     Item,
     Lease,
     Listing,
+    Put,
     StoreRevision,
 )
 
@@ -185,6 +186,21 @@
         """End a lease; the keys it holds are deleted."""
         await self._call("DELETE", f"/-/kv-lease-end/{lease_id}")
 
+    async def transact(
+        self, conditions: Mapping[str, StoreRevision], puts: Sequence[Put]
+    ) -> StoreRevision:
+        """Write keys if others, or they, have not changed; return the new revision."""
+        expected = [
+            {"key": key, "rev": revision.number} for key, revision in conditions.items()
+        ]
+        rows = [
+            {"key": put.key, "value": b64encode(put.value).decode(), "lease": put.lease}
+            for put in puts
+        ]
+        body = {"expect_rev": expected, "puts": rows, "deletes": []}
+        response = await self._post("/-/kv-txn", body)
+        return StoreRevision(response.era, _decode(response, _Written).rev)
+
     async def _write(
         self, key: str, value: bytes, lease_id: int, expected: Sequence[dict]
     ) -> StoreRevision:
--- a/src/daisylink/registry/__init__.py
+++ b/src/daisylink/registry/__init__.py
@@ -43,6 +43,7 @@
     Lease,
     LeaseStore,
     Listing,
+    Put,
     StoreRevision,
 )
 from daisylink.registry._watch_cache import (
@@ -75,6 +76,7 @@
     "Publish",
     "Publisher",
     "PublisherSettings",
+    "Put",
     "ReadCall",
     "ReaderRole",
     "ReaderSettings",
--- a/src/daisylink/registry/_store.py
+++ b/src/daisylink/registry/_store.py
@@ -1,5 +1,6 @@
 """Interface of a key-value store with leases and watches over key prefixes."""
 
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from typing import NamedTuple, Protocol
 
@@ -64,6 +65,17 @@
     ttl: timedelta
 
 
+class Put(NamedTuple):
+    """A key that a transaction writes.
+
+    :param lease: number of the lease that the key lasts as long as, 0 for none.
+    """
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
 class LeaseStore(Protocol):
     """Interface to the store.
 
@@ -106,6 +118,17 @@
         :raises PlatformError: ``PLATFORM_CONFLICT`` if the key has another revision.
         """
 
+    async def transact(
+        self, conditions: Mapping[str, StoreRevision], puts: Sequence[Put]
+    ) -> StoreRevision:
+        """Write several keys at once if no condition fails; return the new revision.
+
+        :param conditions: expected revisions by key, with number 0 for a key that does
+            not exist.
+        :raises PlatformError: ``PLATFORM_CONFLICT`` if a key has another revision,
+            ``PLATFORM_LEASE_ENDED`` if a lease does not exist.
+        """
+
     async def delete(self, key: str, revision: StoreRevision) -> None:
         """Delete a key if its revision is unchanged.
 
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -37,6 +37,7 @@
         self.exchange = sender.exchange
         self.gateway = sender.gateway
         self.acquired_at = acquired_at
+        self.sent_at: float | None = None
         self.awaits_claim = False
         self.awaits_body = False
         self.suspect: Fingerprint | None = None
@@ -95,6 +96,19 @@
         pieces = exchange.body.pieces
         return compute_fingerprint(exchange.head, exchange.plan.pool, pieces)
 
+    def record_response(self, failed: bool) -> None:
+        """Record that the server has answered, for the rollout of its version."""
+        sent_at, self.sent_at = self.sent_at, None
+        if sent_at is not None:
+            seconds = self.gateway.now() - sent_at
+            kind = self.exchange.plan.route
+            self.gateway.version_gate.record_response(kind, failed, seconds)
+
+    def record_lost(self) -> None:
+        """Record that the server lost the connection of this run."""
+        self.sent_at = None
+        self.gateway.version_gate.record_lost(self.exchange.plan.route)
+
     def end(self, result: RunResult) -> None:
         """Release the slot, the claim and the turn in quarantine.
 
@@ -106,6 +120,10 @@
         if self.retry_timer is not None:
             self.retry_timer.cancel()
         is_answered = result is RunResult.ANSWERED
+        if self.sent_at is not None and result is not RunResult.NOT_RUN:
+            seconds = self.gateway.now() - self.sent_at
+            self.gateway.version_gate.record_given_up(self.exchange.plan.route, seconds)
+            self.sent_at = None
         if recording is not None:
             packed = recording.pack() if is_answered else b""
             self.gateway.complete_claim(self.exchange, result, packed)
--- a/src/daisylink/request/_response_reader.py
+++ b/src/daisylink/request/_response_reader.py
@@ -38,6 +38,10 @@
     shed = is_shed(head, header_names)
     failed = shed or head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
     gateway.record_server_outcome(failed)
+    if not shed and head.status != HTTPStatus.MISDIRECTED_REQUEST:
+        sender.local_run.record_response(failed)
+    elif not shed:
+        sender.local_run.sent_at = None
     if shed:
         return make_refusal(ResultCode.REQUEST_SHED_BY_SERVER)
     if not has_server_proof(head, header_names):
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -198,6 +198,8 @@
     def _attach(self, hop: Any) -> None:
         self.hop = hop
         self.head_sent = True
+        if self.local_run is not None:
+            self.local_run.sent_at = self.gateway.now()
         self.hop_refusal = None
         hop.start_exchange(self, self.exchange.head.method == b"HEAD")
         hop.buffer(self._make_head())
@@ -384,6 +386,7 @@
             return
         if self.local_run is not None:
             self.gateway.record_server_outcome(failed=True)
+            self.local_run.record_lost()
             self.gateway.record_server_lost(self.local_run.compute_fingerprint())
         elif self.target:
             self.gateway.in_flight_tracker.record_connection_lost(self.target)
--- a/src/daisylink/request/_slot_search.py
+++ b/src/daisylink/request/_slot_search.py
@@ -14,6 +14,8 @@
     def __init__(self, may_ask: bool):
         self.may_ask = may_ask
         self.is_new = True
+        # The :class:`~daisylink.rollout.Side` of the next attempt.
+        self.side: Any = None
         self.tried: set[str] = set()
         self.declined: dict[str, Any] = {}
 
--- a/src/daisylink/request/_slot_wait.py
+++ b/src/daisylink/request/_slot_wait.py
@@ -27,6 +27,9 @@
         if not sender.may_wait and not gateway.server_health.may_try(gateway.now()):
             sender.refuse_attempt(ResultCode.REQUEST_NO_FREE_SLOT)
             return
+        if not gateway.version_gate.try_admit():
+            sender.refuse_attempt(ResultCode.REQUEST_VERSION_HELD)
+            return
         match gateway.slots.try_admit(sender, sender.exchange.plan, sender.may_wait):
             case Admitted():
                 sender.run_locally()
--- /dev/null
+++ b/src/daisylink/rollout/_judge.py
@@ -0,0 +1,222 @@
+"""Judges a version by its servers' responses beside those of the old ones.
+
+For each kind of request there are two cumulative sums of log likelihood ratios: of
+failed responses and of slow ones. A sum never falls below zero, so that a version that
+becomes bad some seconds after its start is found as fast as one that always was. A
+response is slow if it takes longer than ``SLOW_FACTOR`` times the old servers' median
+of its kind, which a minority of slow old servers does not move.
+
+It is designed for about 35 requests a second to the target version, and finds a version
+of which half of the requests of one kind are bad after about 20 requests of that kind.
+"""
+
+import math
+from typing import NamedTuple
+
+from daisylink.rollout._evidence import Counts, KindCounts, bucket_seconds
+
+# Good servers differ in speed by up to 3 times; bad versions are 8 times as slow.
+SLOW_FACTOR = 4.5
+# The sum that is a verdict of bad. A good version reaches it in about one of exp(9.2)
+# = 10,000 requests of a kind at most.
+BAD_SUM = 9.2
+# The sum above which nothing is judged good.
+DOUBT_SUM = 3.0
+# Margin over the rate of the old servers, and the least rate, that a good version may
+# have; a bad one has at least so much more.
+FAILURE_MARGIN = 0.04
+MIN_FAILURE_RATE = 0.05
+SLOW_MARGIN = 0.06
+MIN_SLOW_RATE = 0.08
+BAD_EXCESS = 0.25
+MAX_GOOD_RATE = 0.65
+# Old responses without which a kind has no usual time.
+MIN_OLD_TIMES = 10
+# Old responses of the last seconds count too: a dependency that fails now is no fault
+# of the new version.
+RECENT_SECONDS = 2.0
+MIN_RECENT = 20.0
+# Responses that a good verdict needs of a kind, and of a rarer one.
+ENOUGH_RESPONSES = 16
+ENOUGH_RARE_RESPONSES = 8
+COMMON_SHARE = 0.06
+RARE_SHARE = 0.03
+
+
+class Suspicion(NamedTuple):
+    """The strongest sign against a version.
+
+    :param sign: ``failures`` or ``slow``.
+    """
+
+    total: float = 0.0
+    kind: str = ""
+    sign: str = ""
+
+    def describe(self) -> str:
+        """Return the sign as text."""
+        return f"{self.sign} of kind {self.kind!r}, sum {self.total:.1f}"
+
+
+class _OldKind:
+    """Responses of the old servers to one kind, in all and recently, by weight."""
+
+    def __init__(self):
+        self.responses = 0.0
+        self.failures = 0.0
+        self.times: dict[int, float] = {}
+
+    def add(self, counts: KindCounts) -> None:
+        self.responses += counts.responses
+        self.failures += counts.failures
+        for bucket, count in counts.times.items():
+            self.times[bucket] = self.times.get(bucket, 0.0) + count
+
+    def age(self, kept: float) -> None:
+        self.responses *= kept
+        self.failures *= kept
+        self.times = {bucket: n * kept for bucket, n in self.times.items() if n > 0.01}
+
+    @property
+    def timed(self) -> float:
+        return sum(self.times.values())
+
+    def median(self) -> float:
+        """Return the usual run time in seconds, 0 if too few are known."""
+        half = self.timed / 2
+        if half * 2 < MIN_OLD_TIMES:
+            return 0.0
+        for bucket in sorted(self.times):
+            half -= self.times[bucket]
+            if half <= 0:
+                return bucket_seconds(bucket)
+        return 0.0
+
+    def count_slow(self, limit: float) -> float:
+        return sum(
+            count
+            for bucket, count in self.times.items()
+            if bucket_seconds(bucket) > limit
+        )
+
+
+class Judge:
+    """Evidence of one rollout."""
+
+    def __init__(self):
+        self.old: dict[str, _OldKind] = {}
+        self.recent: dict[str, _OldKind] = {}
+        self.aged_at = float("-inf")
+        self.sums: dict[tuple[str, str], float] = {}
+        self.responses: dict[str, int] = {}
+        self.timed: dict[str, int] = {}
+
+    def add_old(self, counts: Counts, now: float) -> None:
+        """Add responses of an old server."""
+        self._age(now)
+        for kind, found in counts.items():
+            self.old.setdefault(kind, _OldKind()).add(found)
+            self.recent.setdefault(kind, _OldKind()).add(found)
+
+    def add_new(self, counts: Counts) -> None:
+        """Add responses of a server of the target version."""
+        for kind, found in counts.items():
+            self.responses[kind] = self.responses.get(kind, 0) + found.responses
+            good_rate = self._failure_rate(kind)
+            self._add(kind, "failures", good_rate, found.failures, found.responses)
+            median = self.find_usual(kind)
+            if not median:
+                continue
+            timed = sum(found.times.values())
+            self.timed[kind] = self.timed.get(kind, 0) + timed
+            slow = sum(
+                count
+                for bucket, count in found.times.items()
+                if bucket_seconds(bucket) > median * SLOW_FACTOR
+            )
+            self._add(kind, "slow", self._slow_rate(kind, median), slow, timed)
+
+    @property
+    def suspicion(self) -> Suspicion:
+        """Return the strongest sign against the version."""
+        if not self.sums:
+            return Suspicion()
+        (kind, sign), total = max(self.sums.items(), key=lambda item: item[1])
+        return Suspicion(total, kind, sign)
+
+    @property
+    def is_bad(self) -> bool:
+        """Return whether the version is certainly bad."""
+        return self.suspicion.total >= BAD_SUM
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether anything speaks against the version."""
+        return self.suspicion.total > DOUBT_SUM
+
+    def list_missing(self) -> list[str]:
+        """Return the kinds of which a good verdict needs more responses."""
+        total = sum(kind.responses for kind in self.old.values())
+        missing = []
+        for kind, old in self.old.items():
+            share = old.responses / max(1.0, total)
+            if share < RARE_SHARE:
+                continue
+            is_common = share >= COMMON_SHARE
+            enough = ENOUGH_RESPONSES if is_common else ENOUGH_RARE_RESPONSES
+            has_times = self.timed.get(kind, 0) >= enough or not self.find_usual(kind)
+            if self.responses.get(kind, 0) < enough or not has_times:
+                missing.append(kind)
+        return missing
+
+    def compute_mean_seconds(self) -> float:
+        """Return the mean run time of the old servers' requests, 0 if unknown."""
+        timed = sum(kind.timed for kind in self.old.values())
+        total = sum(
+            bucket_seconds(bucket) * count
+            for kind in self.old.values()
+            for bucket, count in kind.times.items()
+        )
+        return total / timed if timed else 0.0
+
+    def find_usual(self, kind: str) -> float:
+        """Return the old servers' usual time for a kind in seconds, 0 if unknown."""
+        usual = [
+            group[kind].median() for group in (self.old, self.recent) if kind in group
+        ]
+        return max(usual, default=0.0)
+
+    def _failure_rate(self, kind: str) -> float:
+        rates = [
+            group[kind].failures / max(MIN_RECENT, group[kind].responses)
+            for group in (self.old, self.recent)
+            if kind in group
+        ]
+        rate = max(rates, default=0.0) + FAILURE_MARGIN
+        return min(MAX_GOOD_RATE, max(MIN_FAILURE_RATE, rate))
+
+    def _slow_rate(self, kind: str, median: float) -> float:
+        rates = [
+            group[kind].count_slow(median * SLOW_FACTOR)
+            / max(MIN_RECENT, group[kind].timed)
+            for group in (self.old, self.recent)
+            if kind in group
+        ]
+        rate = max(rates, default=0.0) + SLOW_MARGIN
+        return min(MAX_GOOD_RATE, max(MIN_SLOW_RATE, rate))
+
+    def _add(
+        self, kind: str, sign: str, good_rate: float, bad: int, responses: int
+    ) -> None:
+        bad_rate = good_rate + BAD_EXCESS
+        ratio = bad * math.log(bad_rate / good_rate)
+        ratio += (responses - bad) * math.log((1 - bad_rate) / (1 - good_rate))
+        total = self.sums.get((kind, sign), 0.0) + ratio
+        self.sums[kind, sign] = max(0.0, total)
+
+    def _age(self, now: float) -> None:
+        if now > self.aged_at:
+            kept = math.exp((self.aged_at - now) / RECENT_SECONDS)
+            for kind in self.recent.values():
+                kind.age(kept)
+            self.aged_at = now
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -19,6 +19,7 @@
     RunResult,
     SlotSearch,
 )
+from daisylink.rollout import VersionGate
 from daisylink.serving._admission import Admission, AdmissionLimits
 from daisylink.serving._burn import HISTORY_INTERVAL, BurnTracker
 from daisylink.serving._in_flight import InFlightTracker
@@ -90,6 +91,9 @@
         self.lost_requests: list[Fingerprint] = []
         self.probes: set[asyncio.Task] = set()
         self.admission = Admission()
+        self.version_gate = VersionGate(
+            balancer.directory.own_record.node, balancer.rollouts, self.now
+        )
         self.slots = SlotDispatcher(self.admission, loop, self.now)
         self.notices = ServerNotices(
             balancer,
@@ -192,10 +196,11 @@
         """Open or close admission according to the node's own record."""
         own_record = self.own_record
         self.notices.update_own_start()
-        if own_record.server is ServerState.SERVING and self.is_serving:
+        is_serving = self.is_serving and not self.version_gate.is_closed()
+        if own_record.server is ServerState.SERVING and is_serving:
             self.admission.open(self._find_limits(own_record))
             return
-        draining = own_record.server is ServerState.DRAINING or not self.is_serving
+        draining = own_record.server is ServerState.DRAINING or not is_serving
         code = ResultCode.REQUEST_DRAINING if draining else ResultCode.REQUEST_NO_SERVER
         for sender in self.admission.close(code):
             sender.refuse_attempt(code)
--- a/src/daisylink/serving/_load_balancer.py
+++ b/src/daisylink/serving/_load_balancer.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Sequence
 from typing import NamedTuple, Protocol
 
+from daisylink.rollout import RolloutTable, Side
 from daisylink.serving._peer_notices import PeerNotices
 from daisylink.serving._reachability import ReachabilityMonitor
 from daisylink.serving._records import MemberRecord
@@ -82,7 +83,8 @@
         self.last_response_at: dict[str, float] = {}
         self.reachability = ReachabilityMonitor()
         self.peer_notices = PeerNotices()
-        self.cache: dict[str, Candidates] = {}
+        self.rollouts = RolloutTable(rng)
+        self.cache: dict[tuple[str, Side], Candidates] = {}
 
     def invalidate_candidates(self) -> None:
         """Discard the cached candidates because the directory changed."""
@@ -98,6 +100,7 @@
         slo_seconds: float = 0.0,
         any_zone: bool = True,
         max_compared: int = MAX_COMPARED_NODES,
+        side: Side = Side.ANY,
     ) -> MemberRecord | None:
         """Choose the node for the next attempt.
 
@@ -108,9 +111,10 @@
         :param slo_seconds: latency objective, 0 for none.
         :param any_zone: whether nodes of the own zone are candidates too.
         :param max_compared: nodes of each group that are compared, drawn at random.
+        :param side: which servers are candidates during a rollout.
         :returns: the node's record, or None if no candidate is left.
         """
-        candidates = self.cache.get(pool) or self._find_candidates(pool)
+        candidates = self.cache.get((pool, side)) or self._find_candidates(pool, side)
         compared = self._sample(candidates.other_zones, tried, now, max_compared)
         far = self._choose_fastest(compared, slots, kind, now)
         if not any_zone:
@@ -141,9 +145,9 @@
         margin = slo_seconds * OTHER_ZONE_SHARE or near_seconds * OTHER_ZONE_TIME_SHARE
         return estimate(far, kind, slots, now) + margin < near_seconds
 
-    def count_servers(self, pool: str) -> int:
-        """Return the number of nodes that serve a pool."""
-        candidates = self.cache.get(pool) or self._find_candidates(pool)
+    def count_servers(self, pool: str, side: Side = Side.ANY) -> int:
+        """Return the number of nodes that serve a pool, on a side of a rollout."""
+        candidates = self.cache.get((pool, side)) or self._find_candidates(pool, side)
         return len(candidates.own_zone) + len(candidates.other_zones)
 
     def describe(self, node: str, now: float) -> str:
@@ -194,18 +198,21 @@
         until = max(health.ejected_until, now + SUSPEND_SECONDS)
         self.health[node] = health._replace(ejected_until=until)
 
-    def _find_candidates(self, pool: str) -> Candidates:
+    def _find_candidates(self, pool: str, side: Side) -> Candidates:
         zone = self.directory.own_record.zone
         serving = [
             record
             for record in self.directory.serving(pool).values()
             if not self.peer_notices.is_leaving(record)
+            and self.rollouts.is_candidate(
+                pool, side, record.node, record.software_version
+            )
         ]
         candidates = Candidates(
             tuple(record for record in serving if record.zone == zone),
             tuple(record for record in serving if record.zone != zone),
         )
-        self.cache[pool] = candidates
+        self.cache[pool, side] = candidates
         return candidates
 
     def _sample(
--- a/src/daisylink/serving/_placer.py
+++ b/src/daisylink/serving/_placer.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from daisylink.request import RequestPlan, SlotSearch
+from daisylink.rollout import Side
 from daisylink.serving._load_balancer import LoadBalancer
 from daisylink.serving._records import MemberRecord
 
@@ -59,6 +60,31 @@
         :param now: seconds of the monotonic clock.
         :returns: the placement, or None if no server is left.
         """
+        rollouts = self.balancer.rollouts
+        if rollouts.get(plan.pool) is None:
+            search.side = Side.ANY
+            return self._place(plan, search, now)
+        search.side = rollouts.draw_side(plan.pool, is_retry=not search.is_new)
+        self._forget_unusable(plan, search)
+        placement = self._place(plan, search, now)
+        if placement is None:
+            other = rollouts.find_other_side(plan.pool, search.side)
+            if other is not None:
+                search.side = other
+                placement = self._place(plan, search, now)
+        return placement
+
+    def _forget_unusable(self, plan: RequestPlan, search: SlotSearch) -> None:
+        """Do not wait at a server that has declined and that the rollout left out."""
+        for node, record in list(search.declined.items()):
+            if not self.balancer.rollouts.is_candidate(
+                plan.pool, search.side, node, record.software_version
+            ):
+                search.record_tried(node)
+
+    def _place(
+        self, plan: RequestPlan, search: SlotSearch, now: float
+    ) -> Placement | None:
         if search.is_new and not self._draw_asking(plan.pool):
             search.may_ask = False
         search.is_new = False
@@ -102,6 +128,7 @@
             plan.slo_ms / MS_PER_SECOND,
             any_zone=len(near) < MAX_ASKED_NEAR,
             max_compared=MAX_COMPARED_TO_ASK,
+            side=search.side,
         )
         if record is None or record.zone == own_zone or not near:
             return record
@@ -120,6 +147,7 @@
                 now,
                 plan.route,
                 plan.slo_ms / MS_PER_SECOND,
+                side=search.side,
             )
         own_zone = self.balancer.directory.own_record.zone
         declined = search.declined.values()
@@ -156,4 +184,6 @@
     def _is_last(self, plan: RequestPlan, search: SlotSearch) -> bool:
         """Return whether no server is left to ask after the next one."""
         asked = len(search.tried) + len(search.declined) + 1
-        return not search.declined and asked >= self.balancer.count_servers(plan.pool)
+        return not search.declined and asked >= self.balancer.count_servers(
+            plan.pool, search.side
+        )
--- a/src/daisylink/sidecar/__main__.py
+++ b/src/daisylink/sidecar/__main__.py
@@ -13,7 +13,7 @@
 from daisylink import platform
 from daisylink.errors import DaisylinkError, SettingError
 from daisylink.logs import configure_json_logging, get_logger
-from daisylink.sidecar import PlatformAdapter, Sidecar
+from daisylink.sidecar import PlatformAdapter, RolloutFormats, Sidecar
 
 # The store responds in milliseconds, and within this time when slowed sixtyfold.
 STORE_TIMEOUT = timedelta(seconds=1)
@@ -36,6 +36,12 @@
         decode_announcement=platform.decode_announcement,
         make_response=platform.make_response,
         ready_path=platform.READY_PATH,
+        rollouts=RolloutFormats(
+            platform.ORDER_PREFIX,
+            platform.decode_order,
+            platform.status_key,
+            platform.encode_status,
+        ),
     )
     sidecar = Sidecar.from_config(settings, platform_adapter)
     loop = asyncio.get_running_loop()
--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -45,6 +45,10 @@
     return DEPARTURE_PREFIX + node
 
 
+def ignore_item(_item: Item) -> None:
+    """Handle a key that is of no use here."""
+
+
 class FleetListeners(NamedTuple):
     """Who is told of changes of the fleet's state.
 
@@ -53,6 +57,7 @@
     :param on_strikes: called with the strikes that a member reports.
     :param on_member_removed: called with each node that is no longer a member.
     :param on_own_departures: called with the key of this node's departures.
+    :param on_rollout_item: called with every other key, such as those of rollouts.
     """
 
     on_version: Callable[[Version], None]
@@ -60,6 +65,7 @@
     on_strikes: Callable[[tuple[Strike, ...]], None]
     on_member_removed: Callable[[str], None]
     on_own_departures: Callable[[Item], None]
+    on_rollout_item: Callable[[Item], None] = ignore_item
 
 
 class Candidate(NamedTuple):
@@ -142,6 +148,8 @@
             self._handle_member(item)
         elif item.key == self.own_departure_key:
             self.listeners.on_own_departures(item)
+        else:
+            self.listeners.on_rollout_item(item)
 
     def handle_older_item(self, item: Item) -> None:
         """Handle a peer's key that is not newer than the known one.
--- a/src/daisylink/sidecar/_fleet_sync.py
+++ b/src/daisylink/sidecar/_fleet_sync.py
@@ -15,6 +15,7 @@
     DepartureLog,
     DepartureSweeper,
     DepartureSweeperSettings,
+    Item,
     MemberTable,
     Publisher,
     PublisherSettings,
@@ -40,6 +41,7 @@
     FleetListeners,
     FleetState,
     departure_key,
+    ignore_item,
     member_key,
 )
 from daisylink.sidecar._peer_exchange import PeerExchange
@@ -65,6 +67,7 @@
     :param on_member_removed: called with each node that is no longer a member.
     :param on_era: called when this node's record has to state another era.
     :param on_due: called when :meth:`FleetSync.tick` may be due.
+    :param on_rollout_item: called with the keys of rollouts.
     """
 
     on_version: Callable[[Version], None]
@@ -73,6 +76,7 @@
     on_member_removed: Callable[[str], None]
     on_era: Callable[[], None]
     on_due: Callable[[], None]
+    on_rollout_item: Callable[[Item], None] = ignore_item
 
 
 class FleetSync:
@@ -121,6 +125,7 @@
                 listeners.on_strikes,
                 listeners.on_member_removed,
                 announcement_handler.handle_stored_departures,
+                listeners.on_rollout_item,
             ),
         )
         ttl = max(settings.min_lease_ttl, RegistrationSettings().ttl)
--- a/src/daisylink/sidecar/_gauges.py
+++ b/src/daisylink/sidecar/_gauges.py
@@ -54,6 +54,27 @@
         lambda: era_tracker.unstated,
         "Responses of the store without an era, or with one that is no number.",
     )
+    rollouts = sidecar.rollout_driver
+    metrics.add_gauge(
+        "daisylink.rollouts.running",
+        lambda: sum(not state.is_ended for state in rollouts.table.states.values()),
+        "Rollouts under way, as this node knows.",
+    )
+    metrics.add_gauge(
+        "daisylink.rollouts.controller",
+        lambda: int(bool(rollouts.controller and rollouts.controller.is_controller)),
+        "Whether this node controls the rollouts.",
+    )
+    metrics.add_gauge(
+        "daisylink.rollouts.admitted",
+        lambda: rollouts.gate.admitted,
+        "Requests admitted to the own server of a target version since the order.",
+    )
+    metrics.add_gauge(
+        "daisylink.rollouts.refused",
+        lambda: rollouts.gate.refused,
+        "Requests refused as the allowance of the own server was used up.",
+    )
     own_notice = sidecar.gateway.notices.own
     metrics.add_gauge(
         "daisylink.server.limit",
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -41,6 +41,7 @@
 from daisylink.sidecar._gauges import add_gauges
 from daisylink.sidecar._listeners import Listeners
 from daisylink.sidecar._platform_adapter import PlatformAdapter
+from daisylink.sidecar._rollout_driver import RolloutDriver
 from daisylink.sidecar._strikes import (
     SIDECAR_QUARANTINE_SETTINGS,
     StrikeReporter,
@@ -152,11 +153,22 @@
                 self.gateway.in_flight_tracker.forget,
                 self.update_server,
                 self.step,
+                lambda item: self.rollout_driver.handle_item(item),
             ),
             rng,
             self.now,
             self._spawn,
         )
+        self.rollout_driver = RolloutDriver(
+            self.gateway,
+            self.members,
+            self.fleet_sync,
+            platform_adapter.rollouts,
+            self.datagrams,
+            clock,
+            self._spawn,
+            self.update_server,
+        )
         self.gateway.record_peer_version = self.fleet_sync.handle_peer_version
         self._expose_parts()
 
@@ -252,6 +264,7 @@
             task.cancel()
         self.listeners.close()
         self.datagrams.close()
+        self.rollout_driver.close()
         self.gateway.close()
 
     def reload(self, settings: SidecarSettings) -> None:
@@ -274,6 +287,7 @@
             is_settled=not self.era_recovery.is_recent,
         )
         record = self.local_server.update_record(own_record, now)
+        record = self.rollout_driver.update_server(record)
         if self.members.set_own_record(record):
             log.bind(
                 instance=record.instance,
