--- a/src/daisylink/rollout/_controller.py
+++ b/src/daisylink/rollout/_controller.py
@@ -39,8 +39,8 @@
     observe: float = 5.2
     short_observe: float = 3.0
     min_elapsed_share: float = 0.5
-    finish: float = 2.6
-    shift: tuple[float, float] = (0.8, 0.3)
+    finish: float = 3.2
+    shift: tuple[float, float] = (0.6, 0.3)
     decide: float = 1.2
     complete: float = 0.25
     settle: float = 0.7
@@ -50,11 +50,11 @@
 DEFAULT_SETTINGS = ControllerSettings()
 DEFAULT_EXPOSURE = ExposureSettings()
 # Share of the requests that entry nodes send to the canaries; allowances bound it.
-CANARY_DRAW = 0.12
+CANARY_DRAW = 0.14
 SHIFT_SHARES = (0.35, 0.7)
 # Load at which canaries are to run: bad versions may be bad only with nearly all slots
 # in use.
-CANARY_LOAD = 0.9
+CANARY_LOAD = 0.8
 MAX_CANARIES = 3
 # After so many requests the next servers become canaries, so that a slow machine does
 # not stand for a version.
@@ -196,8 +196,13 @@
         ceiling = self.exposure.find_ceiling(self.requests)
         if canaries == state.canaries and ceiling == state.granted:
             return None
-        share = CANARY_DRAW if canaries else 0.0
-        return replace(state, canaries=canaries, share=share, granted=ceiling)
+        return replace(
+            state,
+            canaries=canaries,
+            boosted=tuple(self.judge.list_boosted()),
+            share=CANARY_DRAW if canaries else 0.0,
+            granted=ceiling,
+        )
 
     def _decide_shift(
         self, servers: list[ServerView], now: float
@@ -260,8 +265,11 @@
 
     def _is_good(self, now: float) -> bool:
         settings = self.settings
+        self.judge.note_enough(now)
         if self.judge.is_doubtful or self.judge.list_missing():
             return False
+        if not self.judge.has_awaited(now):
+            return False
         if now - self.started_at < settings.min_elapsed_share * self.state.duration:
             return False
         # Two short steps of traffic have to fit before the old servers get nothing.
@@ -331,11 +339,12 @@
 
     def _count_canaries(self, slots: int, now: float) -> int:
         work = self._canary_rate(now) * self.judge.compute_mean_seconds()
-        return max(1, min(MAX_CANARIES, int(work / (slots * CANARY_LOAD))))
+        return max(1, min(MAX_CANARIES, round(work / (slots * CANARY_LOAD))))
 
     def _canary_rate(self, now: float) -> float:
         elapsed = max(1.0, now - self.started_at)
-        return self.requests * self.exposure.settings.share / elapsed
+        exposure = self.exposure.settings
+        return (self.requests * exposure.share + exposure.slack) / elapsed
 
     # Evidence and allowances
 
--- a/src/daisylink/rollout/_exposure.py
+++ b/src/daisylink/rollout/_exposure.py
@@ -17,12 +17,14 @@
     :param margin: requests of the slack that are not granted, as some are in flight
         when the version is judged.
     :param chunk: requests by which the ceiling is raised, about those of a second.
+    :param min_raise: smallest raise, as each is a write to the store.
     """
 
     share: float = 0.1
     slack: int = 50
     margin: int = 8
     chunk: int = 42
+    min_raise: int = 16
 
 
 class Exposure:
@@ -50,7 +52,9 @@
         if self.ceiling - self.granted > settings.chunk // 2:
             return self.ceiling
         bound = settings.share * requests + settings.slack - settings.margin
-        return max(self.ceiling, min(math.floor(bound), self.granted + settings.chunk))
+        ceiling = min(math.floor(bound), self.granted + settings.chunk)
+        is_worth_a_write = ceiling >= self.ceiling + settings.min_raise
+        return ceiling if is_worth_a_write else self.ceiling
 
     def grant(self, server: str, admitted: int, wanted: int) -> int:
         """Return how many requests a server may run in all.
--- a/src/daisylink/rollout/_judge.py
+++ b/src/daisylink/rollout/_judge.py
@@ -21,7 +21,7 @@
 # = 10,000 requests of a kind at most.
 BAD_SUM = 9.2
 # The sum above which nothing is judged good.
-DOUBT_SUM = 3.0
+DOUBT_SUM = 2.0
 # Margin over the rate of the old servers, and the least rate, that a good version may
 # have; a bad one has at least so much more.
 FAILURE_MARGIN = 0.04
@@ -29,6 +29,8 @@
 SLOW_MARGIN = 0.06
 MIN_SLOW_RATE = 0.08
 BAD_EXCESS = 0.25
+# Excess of the rate over all responses at which a kind is not judged good.
+DOUBT_EXCESS = 0.1
 MAX_GOOD_RATE = 0.65
 # Old responses without which a kind has no usual time.
 MIN_OLD_TIMES = 10
@@ -37,10 +39,18 @@
 RECENT_SECONDS = 2.0
 MIN_RECENT = 20.0
 # Responses that a good verdict needs of a kind, and of a rarer one.
-ENOUGH_RESPONSES = 16
-ENOUGH_RARE_RESPONSES = 8
+ENOUGH_RESPONSES = 14
+ENOUGH_RARE_RESPONSES = 10
+# Slow responses come later than usual ones, so that after the last response that was
+# needed they are waited for: as long as a bad version takes for them, but no longer than
+# callers wait, and until the next report.
+BAD_FACTOR = 8.0
+MAX_PENDING_SECONDS = 2.0
+REPORT_SECONDS = 0.3
 COMMON_SHARE = 0.06
-RARE_SHARE = 0.03
+RARE_SHARE = 0.01
+# Share of all requests that kinds sent to the canaries more often may have together.
+MAX_BOOSTED_SHARE = 0.1
 
 
 class Suspicion(NamedTuple):
@@ -108,8 +118,12 @@
         self.recent: dict[str, _OldKind] = {}
         self.aged_at = float("-inf")
         self.sums: dict[tuple[str, str], float] = {}
+        self.bad: dict[tuple[str, str], int] = {}
+        self.judged: dict[tuple[str, str], int] = {}
         self.responses: dict[str, int] = {}
         self.timed: dict[str, int] = {}
+        # When enough responses of a kind were known.
+        self.enough_at: dict[str, float] = {}
 
     def add_old(self, counts: Counts, now: float) -> None:
         """Add responses of an old server."""
@@ -165,10 +179,56 @@
             is_common = share >= COMMON_SHARE
             enough = ENOUGH_RESPONSES if is_common else ENOUGH_RARE_RESPONSES
             has_times = self.timed.get(kind, 0) >= enough or not self.find_usual(kind)
-            if self.responses.get(kind, 0) < enough or not has_times:
+            is_seen = self.responses.get(kind, 0) >= enough and has_times
+            if not is_seen or self._has_high_rate(kind):
                 missing.append(kind)
         return missing
 
+    def _has_high_rate(self, kind: str) -> bool:
+        """Return whether more responses are needed, as many of the first were bad."""
+        rates = {"failures": self._failure_rate(kind)}
+        median = self.find_usual(kind)
+        if median:
+            rates["slow"] = self._slow_rate(kind, median)
+        return any(
+            self.bad.get((kind, sign), 0)
+            > self.judged.get((kind, sign), 0) * (rate + DOUBT_EXCESS)
+            for sign, rate in rates.items()
+        )
+
+    def has_awaited(self, now: float) -> bool:
+        """Return whether slow responses to the requests needed are known too."""
+        return all(
+            now - since >= self._find_pending_seconds(kind)
+            for kind, since in self.enough_at.items()
+        )
+
+    def _find_pending_seconds(self, kind: str) -> float:
+        slow = BAD_FACTOR * self.find_usual(kind)
+        return min(MAX_PENDING_SECONDS, slow) + REPORT_SECONDS
+
+    def note_enough(self, now: float) -> None:
+        """Note since when enough responses are known of each kind."""
+        missing = self.list_missing()
+        for kind in self.old:
+            if kind in missing:
+                self.enough_at.pop(kind, None)
+            else:
+                self.enough_at.setdefault(kind, now)
+
+    def list_boosted(self) -> list[str]:
+        """Return the kinds that the canaries should get more often: rare ones."""
+        left = sum(kind.responses for kind in self.old.values()) * MAX_BOOSTED_SHARE
+        boosted = []
+        for kind in sorted(
+            self.list_missing(), key=lambda name: self.old[name].responses
+        ):
+            left -= self.old[kind].responses
+            if left < 0:
+                break
+            boosted.append(kind)
+        return sorted(boosted)
+
     def compute_mean_seconds(self) -> float:
         """Return the mean run time of the old servers' requests, 0 if unknown."""
         timed = sum(kind.timed for kind in self.old.values())
@@ -211,6 +271,8 @@
         bad_rate = good_rate + BAD_EXCESS
         ratio = bad * math.log(bad_rate / good_rate)
         ratio += (responses - bad) * math.log((1 - bad_rate) / (1 - good_rate))
+        self.bad[kind, sign] = self.bad.get((kind, sign), 0) + bad
+        self.judged[kind, sign] = self.judged.get((kind, sign), 0) + responses
         total = self.sums.get((kind, sign), 0.0) + ratio
         self.sums[kind, sign] = max(0.0, total)
 
--- a/src/daisylink/rollout/_order.py
+++ b/src/daisylink/rollout/_order.py
@@ -47,6 +47,8 @@
     :param duration: seconds from the order to its time limit.
     :param share: share of the requests that entry nodes send to the target version.
     :param canaries: nodes whose servers take the canary's requests.
+    :param boosted: kinds of requests that the canaries get more often, as too few of
+        them were seen.
     :param rejected: versions that were rolled back or replaced by a later order.
     :param baseline: version that the last completed rollout moved to, "" for none.
     :param controller: node that wrote the state.
@@ -61,6 +63,7 @@
     step: Step = Step.CANARY
     share: float = 0.0
     canaries: tuple[str, ...] = ()
+    boosted: tuple[str, ...] = ()
     rejected: tuple[str, ...] = ()
     baseline: str = ""
     controller: str = ""
--- a/src/daisylink/rollout/_table.py
+++ b/src/daisylink/rollout/_table.py
@@ -6,6 +6,12 @@
 from daisylink.rollout._order import RolloutState, Step
 
 
+# Share of the requests of a kind that go to the canaries while they have seen too few
+# of it, and by how much those of other kinds are fewer then: allowances bound the sum.
+BOOSTED_DRAW = 0.4
+UNBOOSTED_FACTOR = 0.75
+
+
 class Side(Enum):
     """Which servers of a service a request is sent to."""
 
@@ -42,9 +48,10 @@
         """Return the state of a service's last rollout, None if there was none."""
         return self.states.get(service)
 
-    def draw_side(self, service: str, is_retry: bool) -> Side:
+    def draw_side(self, service: str, kind: str, is_retry: bool) -> Side:
         """Return which servers the next attempt of a request goes to.
 
+        :param kind: name of the route.
         :param is_retry: whether the request was sent to a server before; it then goes
             to an old one while there are any.
         """
@@ -56,7 +63,12 @@
                 return Side.NEW
             case Step.ROLLED_BACK:
                 return Side.OLD
-        if is_retry or self.rng.random() >= state.share:
+        share = state.share
+        if kind in state.boosted:
+            share = BOOSTED_DRAW
+        elif state.boosted:
+            share *= UNBOOSTED_FACTOR
+        if is_retry or self.rng.random() >= share:
             return Side.OLD
         return Side.NEW
 
--- a/src/daisylink/serving/_placer.py
+++ b/src/daisylink/serving/_placer.py
@@ -64,7 +64,9 @@
         if rollouts.get(plan.pool) is None:
             search.side = Side.ANY
             return self._place(plan, search, now)
-        search.side = rollouts.draw_side(plan.pool, is_retry=not search.is_new)
+        search.side = rollouts.draw_side(
+            plan.pool, plan.route, is_retry=not search.is_new
+        )
         self._forget_unusable(plan, search)
         placement = self._place(plan, search, now)
         if placement is None:
