--- a/bench/rollout_drill.py
+++ b/bench/rollout_drill.py
@@ -152,11 +152,8 @@
 
     def arrive(self):
         self.at(self.now + self.rng.expovariate(RATE * self.scenario.load), self.arrive)
-        draw = self.rng.random()
-        for kind, share, seconds in KINDS:
-            draw -= share
-            if draw < 0:
-                break
+        shares = [share for _, share, _ in KINDS]
+        kind, _, seconds = self.rng.choices(KINDS, shares)[0]
         if ORDER_AT <= self.now < self.limit_at:
             self.counts["requests"] += 1
         alive = [item for item in self.servers.values() if item.starts_at <= self.now]
@@ -368,7 +365,9 @@
     "starts over 4 s": Scenario(start_spread=4.0),
     "2 % lost": Scenario(loss=0.02),
     "3 never start": Scenario(started=21),
-    "killed at 3 s": Scenario(kill_at=3.0, duration=16.0),
+    "killed at 3 s": Scenario(kill_at=3.0),
+    "killed at 5 s": Scenario(kill_at=5.0),
+    "killed at 5 s of 16 s": Scenario(kill_at=5.0, duration=16.0),
 }
 BAD = {}
 for _bad in ("fail", "slow"):
--- a/src/daisylink/rollout/_controller.py
+++ b/src/daisylink/rollout/_controller.py
@@ -67,6 +67,8 @@
 SLOTS_PER_RUNNING = 1.1
 SLOTS_PER_OLD_SLOT = 0.9
 DEFAULT_SLOTS = 8
+# A controller that begins later after the order has taken over from another one.
+SUCCESSOR_SECONDS = 2.0
 
 
 class ServerView(NamedTuple):
@@ -106,8 +108,11 @@
         self.counted: dict[str, dict[str, KindCounts]] = {}
         self.totals: dict[str, dict[str, int]] = {}
         self.first_new_at = float("inf")
+        if state.observed_from >= 0:
+            self.first_new_at = started_at + state.observed_from
         self.chosen_at_admitted = 0
         self.step_at = now
+        self.is_successor = now - started_at > SUCCESSOR_SECONDS
 
     @property
     def limit_at(self) -> float:
@@ -259,14 +264,20 @@
         )
 
     def _stamp(self, state: RolloutState, now: float) -> RolloutState:
-        return replace(state, elapsed=round(now - self.started_at, 3))
+        observed_from = state.observed_from
+        if math.isfinite(self.first_new_at):
+            observed_from = round(self.first_new_at - self.started_at, 3)
+        elapsed = round(now - self.started_at, 3)
+        return replace(state, elapsed=elapsed, observed_from=observed_from)
 
     # Conditions
 
     def _is_good(self, now: float) -> bool:
         settings = self.settings
-        self.judge.note_enough(now)
-        if self.judge.is_doubtful or self.judge.list_missing():
+        # A controller that took over has had less time to collect.
+        is_late = self.is_successor and self._must_finish(now)
+        self.judge.note_enough(now, is_late)
+        if self.judge.is_doubtful or self.judge.list_missing(is_late):
             return False
         if not self.judge.has_awaited(now):
             return False
--- a/src/daisylink/rollout/_judge.py
+++ b/src/daisylink/rollout/_judge.py
@@ -41,9 +41,10 @@
 # Responses that a good verdict needs of a kind, and of a rarer one.
 ENOUGH_RESPONSES = 14
 ENOUGH_RARE_RESPONSES = 10
+ENOUGH_LATE_RESPONSES = 4
 # Slow responses come later than usual ones, so that after the last response that was
-# needed they are waited for: as long as a bad version takes for them, but no longer than
-# callers wait, and until the next report.
+# needed they are waited for: as long as a bad version takes for them, but no longer
+# than callers wait, and until the next report.
 BAD_FACTOR = 8.0
 MAX_PENDING_SECONDS = 2.0
 REPORT_SECONDS = 0.3
@@ -168,8 +169,12 @@
         """Return whether anything speaks against the version."""
         return self.suspicion.total > DOUBT_SUM
 
-    def list_missing(self) -> list[str]:
-        """Return the kinds of which a good verdict needs more responses."""
+    def list_missing(self, is_late: bool = False) -> list[str]:
+        """Return the kinds of which a good verdict needs more responses.
+
+        :param is_late: whether little time is left, so that few have to do of a kind
+            that is rare.
+        """
         total = sum(kind.responses for kind in self.old.values())
         missing = []
         for kind, old in self.old.items():
@@ -177,7 +182,8 @@
             if share < RARE_SHARE:
                 continue
             is_common = share >= COMMON_SHARE
-            enough = ENOUGH_RESPONSES if is_common else ENOUGH_RARE_RESPONSES
+            rare = ENOUGH_LATE_RESPONSES if is_late else ENOUGH_RARE_RESPONSES
+            enough = ENOUGH_RESPONSES if is_common else rare
             has_times = self.timed.get(kind, 0) >= enough or not self.find_usual(kind)
             is_seen = self.responses.get(kind, 0) >= enough and has_times
             if not is_seen or self._has_high_rate(kind):
@@ -207,9 +213,9 @@
         slow = BAD_FACTOR * self.find_usual(kind)
         return min(MAX_PENDING_SECONDS, slow) + REPORT_SECONDS
 
-    def note_enough(self, now: float) -> None:
+    def note_enough(self, now: float, is_late: bool) -> None:
         """Note since when enough responses are known of each kind."""
-        missing = self.list_missing()
+        missing = self.list_missing(is_late)
         for kind in self.old:
             if kind in missing:
                 self.enough_at.pop(kind, None)
--- a/src/daisylink/rollout/_order.py
+++ b/src/daisylink/rollout/_order.py
@@ -1,9 +1,11 @@
 """Orders of rollouts, and the state of a rollout that all nodes share."""
 
+from collections.abc import Collection
 from enum import StrEnum
 from typing import NamedTuple
 
 import msgspec
+from msgspec.structs import replace
 
 ROLLOUT_PREFIX = "daisylink/rollouts/"
 CONTROLLER_KEY = ROLLOUT_PREFIX + "controller"
@@ -54,6 +56,8 @@
     :param controller: node that wrote the state.
     :param elapsed: seconds since the order when the state was written.
     :param granted: requests granted to target servers when the state was written.
+    :param observed_from: seconds from the order to the first response of the target
+        version, negative if there was none.
     :param reason: why the step was taken.
     """
 
@@ -69,6 +73,7 @@
     controller: str = ""
     elapsed: float = 0.0
     granted: int = 0
+    observed_from: float = -1.0
     reason: str = ""
 
     @property
@@ -96,12 +101,18 @@
 
 
 def begin_state(
-    order: RolloutOrder, previous: RolloutState | None, controller: str
+    order: RolloutOrder,
+    previous: RolloutState | None,
+    controller: str,
+    serving: Collection[str] = (),
 ) -> RolloutState:
     """Return the first state of an ordered rollout.
 
     :param previous: the state of the service's last rollout, None if there was none.
         A target that it did not complete is rejected from now on.
+    :param serving: versions of the servers that accept requests. If the target is the
+        only one left, as when an operator orders the old version again, it gets all
+        traffic at once.
     """
     rejected: tuple[str, ...] = ()
     baseline = ""
@@ -112,7 +123,7 @@
         elif previous.target not in rejected:
             rejected = (*rejected, previous.target)
     rejected = tuple(name for name in rejected if name != order.target_version)
-    return RolloutState(
+    state = RolloutState(
         order.revision,
         order.target_version,
         order.duration,
@@ -120,6 +131,10 @@
         baseline=baseline,
         controller=controller,
     )
+    has_old = any(state.is_old(version) for version in serving)
+    if has_old or order.target_version not in serving:
+        return state
+    return replace(state, step=Step.FINISH, share=1.0, reason="no old servers")
 
 
 def state_key(service: str) -> str:
--- a/src/daisylink/rollout/_table.py
+++ b/src/daisylink/rollout/_table.py
@@ -5,7 +5,6 @@
 
 from daisylink.rollout._order import RolloutState, Step
 
-
 # Share of the requests of a kind that go to the canaries while they have seen too few
 # of it, and by how much those of other kinds are fewer then: allowances bound the sum.
 BOOSTED_DRAW = 0.4
--- a/src/daisylink/sidecar/_rollout_controller.py
+++ b/src/daisylink/sidecar/_rollout_controller.py
@@ -91,7 +91,9 @@
         self.lease = 0
         self.orders: dict[str, Ordered] = {}
         self.started_at: dict[str, float] = {}
+        # Revisions of the states as written or read, and as read.
         self.revisions: dict[str, StoreRevision] = {}
+        self.read_revisions: dict[str, StoreRevision] = {}
         self.rollouts: dict[str, ServiceRollout] = {}
         self.writing: set[str] = set()
         self.retry_at: dict[str, float] = {}
@@ -141,6 +143,7 @@
     ) -> None:
         """Handle a state that was read."""
         now = self.now()
+        self.read_revisions[service] = revision
         self.revisions[service] = max(
             revision, self.revisions.get(service, NO_REVISION)
         )
@@ -254,7 +257,9 @@
         order = self.orders[service].order
         previous = self.table.get(service)
         self.rollouts.pop(service, None)
-        self._write(service, begin_state(order, previous, self.node), None)
+        servers = self.fleet.list_servers(service)
+        serving = {server.version for server in servers if server.is_serving}
+        self._write(service, begin_state(order, previous, self.node, serving), None)
 
     def _write(
         self, service: str, state: RolloutState, rollout: ServiceRollout | None
@@ -267,11 +272,13 @@
             or previous.target != state.target
             or state.is_ended
         )
-        puts = [Put(state_key(service), msgspec.json.encode(state))]
+        puts = []
         if is_new_status:
             status = state.step.value if state.is_ended else STATUS_RUNNING
             value = self.formats.encode_status(status, state.target)
             puts.append(Put(self.formats.status_key(service), value))
+        # The state is the last key, as the store answers with the last revision.
+        puts.append(Put(state_key(service), msgspec.json.encode(state)))
         if previous is None or previous.step is not state.step or is_new_status:
             judge = rollout.judge if rollout is not None else None
             log.bind(
@@ -300,6 +307,7 @@
         except PlatformError as error:
             self._log_failure("rollout step not written", service, error)
             self.retry_at[service] = self.now() + RETRY_SECONDS
+            self.revisions[service] = self.read_revisions.get(service, NO_REVISION)
         else:
             self.revisions[service] = revision
             self.on_state(service, state)
--- a/src/daisylink/sidecar/_rollout_driver.py
+++ b/src/daisylink/sidecar/_rollout_driver.py
@@ -130,7 +130,7 @@
         others = {
             other.software_version
             for node, other in self.members.serving(record.pool).items()
-            if node != record.node
+            if node != record.node and other.software_version
         }
         view_age = self.fleet_sync.watch_cache.count_age(now)
         if not self.gate.holds_back(others, view_age):
--- a/tests/sidecar_case.py
+++ b/tests/sidecar_case.py
@@ -13,7 +13,7 @@
 from daisylink.logs import configure_logging
 from daisylink.registry import ReaderSettings
 from daisylink.settings import Address, SidecarSettings
-from daisylink.sidecar import PlatformAdapter, Sidecar
+from daisylink.sidecar import PlatformAdapter, RolloutFormats, Sidecar
 from daisylink.sidecar._fleet_state import FLEET_PREFIX
 from daisylink.standin import CallerClient
 from tests.loopback import LOOPBACK_HOST, reserve_port
@@ -66,6 +66,12 @@
             platform.decode_announcement,
             platform.make_response,
             platform.READY_PATH,
+            RolloutFormats(
+                platform.ORDER_PREFIX,
+                platform.decode_order,
+                platform.status_key,
+                platform.encode_status,
+            ),
         )
         loop = asyncio.get_running_loop()
         rng = random.Random(self.number)
