--- a/src/daisylink/rollout/_judge.py
+++ b/src/daisylink/rollout/_judge.py
@@ -38,6 +38,8 @@
 # of the new version.
 RECENT_SECONDS = 2.0
 MIN_RECENT = 20.0
+# How often the recent responses lose weight and the usual times are computed again.
+AGE_SECONDS = 0.25
 # Responses that a good verdict needs of a kind, and of a rarer one.
 ENOUGH_RESPONSES = 14
 ENOUGH_RARE_RESPONSES = 10
@@ -118,6 +120,7 @@
         self.old: dict[str, _OldKind] = {}
         self.recent: dict[str, _OldKind] = {}
         self.aged_at = float("-inf")
+        self.usual: dict[str, float] = {}
         self.sums: dict[tuple[str, str], float] = {}
         self.bad: dict[tuple[str, str], int] = {}
         self.judged: dict[tuple[str, str], int] = {}
@@ -247,10 +250,19 @@
 
     def find_usual(self, kind: str) -> float:
         """Return the old servers' usual time for a kind in seconds, 0 if unknown."""
-        usual = [
-            group[kind].median() for group in (self.old, self.recent) if kind in group
-        ]
-        return max(usual, default=0.0)
+        usual = self.usual.get(kind)
+        if usual is None:
+            usual = max(
+                (
+                    group[kind].median()
+                    for group in (self.old, self.recent)
+                    if kind in group
+                ),
+                default=0.0,
+            )
+            if usual:
+                self.usual[kind] = usual
+        return usual
 
     def _failure_rate(self, kind: str) -> float:
         rates = [
@@ -283,7 +295,8 @@
         self.sums[kind, sign] = max(0.0, total)
 
     def _age(self, now: float) -> None:
-        if now > self.aged_at:
+        if now >= self.aged_at + AGE_SECONDS:
+            self.usual.clear()
             kept = math.exp((self.aged_at - now) / RECENT_SECONDS)
             for kind in self.recent.values():
                 kind.age(kept)
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -39,7 +39,11 @@
 from daisylink.version import CallerLimits, RouteEntry, RouteTarget, Version
 
 MS_PER_SECOND = 1000
-NO_FREE_SLOT = str(int(ResultCode.REQUEST_NO_FREE_SLOT))
+# Refusals between nodes, which the entry node's line names in its trail.
+UNLOGGED_CODES = frozenset(
+    str(int(code))
+    for code in (ResultCode.REQUEST_NO_FREE_SLOT, ResultCode.REQUEST_VERSION_HELD)
+)
 SWEEP_INTERVAL_SECONDS = 1.0
 CRASH_CHECK_DELAY_SECONDS = 0.02
 PROBE_TIMEOUT_SECONDS = 0.5
@@ -340,8 +344,7 @@
         self.hop_pool.close()
 
     def _count(self, exchange: Exchange, code: str) -> None:
-        if code == NO_FREE_SLOT and exchange.is_relay:
-            # The entry node's line names it in its trail.
+        if code in UNLOGGED_CODES and exchange.is_relay:
             return
         log_request_end(exchange, code, self.now())
         if exchange.is_relay:
