--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -88,6 +88,7 @@
     REQUEST_API_KEY_MISSING = 5025
     REQUEST_API_KEY_UNKNOWN = 5026
     REQUEST_OVER_QUOTA = 5027
+    REQUEST_VERSION_HELD = 5028
 
     NODE_NOT_READY = 6001
     NODE_BUSY = 6002
@@ -291,6 +292,10 @@
         "The tenant's requests exceed its quota.",
         "Come back after the stated time, or raise the tenant's quota.",
     ),
+    ResultCode.REQUEST_VERSION_HELD: CodeInfo(
+        "The server's version gets no more requests at this step of a rollout.",
+        "Nothing to do; seen between nodes and in the trail of a request.",
+    ),
     ResultCode.NODE_NOT_READY: CodeInfo(
         "The node has not caught up with its peers.", "Wait."
     ),
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -20,6 +20,7 @@
     RunResult,
     SlotSearch,
 )
+from daisylink.rollout import VersionGate
 from daisylink.serving._admission import Admission, AdmissionLimits
 from daisylink.serving._burn import HISTORY_INTERVAL, BurnTracker
 from daisylink.serving._in_flight import InFlightTracker
@@ -39,7 +40,11 @@
 from daisylink.version import CallerLimits, RouteEntry, RouteTarget, Version
 
 MS_PER_SECOND = 1000
-NO_FREE_SLOT = str(int(ResultCode.REQUEST_NO_FREE_SLOT))
+# Refusals between nodes, which the entry node's line names in its trail.
+UNLOGGED_CODES = frozenset(
+    str(int(code))
+    for code in (ResultCode.REQUEST_NO_FREE_SLOT, ResultCode.REQUEST_VERSION_HELD)
+)
 SWEEP_INTERVAL_SECONDS = 1.0
 CRASH_CHECK_DELAY_SECONDS = 0.02
 PROBE_TIMEOUT_SECONDS = 0.5
@@ -91,6 +96,9 @@
         self.lost_requests: list[Fingerprint] = []
         self.probes: set[asyncio.Task] = set()
         self.admission = Admission()
+        self.version_gate = VersionGate(
+            balancer.directory.own_record.node, balancer.rollouts, self.now
+        )
         self.slots = SlotDispatcher(self.admission, loop, self.now)
         self.notices = ServerNotices(
             balancer,
@@ -195,10 +203,11 @@
         """Open or close admission according to the node's own record."""
         own_record = self.own_record
         self.notices.update_own_start()
-        if own_record.server is ServerState.SERVING and self.is_serving:
+        is_serving = self.is_serving and not self.version_gate.is_closed()
+        if own_record.server is ServerState.SERVING and is_serving:
             self.admission.open(self._find_limits(own_record))
             return
-        draining = own_record.server is ServerState.DRAINING or not self.is_serving
+        draining = own_record.server is ServerState.DRAINING or not is_serving
         code = ResultCode.REQUEST_DRAINING if draining else ResultCode.REQUEST_NO_SERVER
         for sender in self.admission.close(code):
             sender.refuse_attempt(code)
@@ -338,8 +347,7 @@
         self.hop_pool.close()
 
     def _count(self, exchange: Exchange, code: str) -> None:
-        if code == NO_FREE_SLOT and exchange.is_relay:
-            # The entry node's line names it in its trail.
+        if code in UNLOGGED_CODES and exchange.is_relay:
             return
         log_request_end(exchange, code, self.now())
         if exchange.is_relay:
--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -47,6 +47,10 @@
     return DEPARTURE_PREFIX + node
 
 
+def ignore_item(_item: Item) -> None:
+    """Handle a key that is of no use here."""
+
+
 class FleetListeners(NamedTuple):
     """Who is told of changes of the fleet's state.
 
@@ -56,6 +60,7 @@
     :param on_member_removed: called with each node that is no longer a member.
     :param on_own_departures: called with the key of this node's departures.
     :param on_fleet_size: called with the key of the fleet's size.
+    :param on_rollout_item: called with every other key, such as those of rollouts.
     """
 
     on_version: Callable[[Version], None]
@@ -64,6 +69,7 @@
     on_member_removed: Callable[[str], None]
     on_own_departures: Callable[[Item], None]
     on_fleet_size: Callable[[Item], None] = lambda _item: None
+    on_rollout_item: Callable[[Item], None] = ignore_item
 
 
 class Candidate(NamedTuple):
@@ -148,6 +154,8 @@
             self.listeners.on_own_departures(item)
         elif item.key == FLEET_SIZE_KEY:
             self.listeners.on_fleet_size(item)
+        else:
+            self.listeners.on_rollout_item(item)
 
     def handle_older_item(self, item: Item) -> None:
         """Handle a peer's key that is not newer than the known one.
--- a/src/daisylink/sidecar/_fleet_sync.py
+++ b/src/daisylink/sidecar/_fleet_sync.py
@@ -41,6 +41,7 @@
     FleetListeners,
     FleetState,
     departure_key,
+    ignore_item,
     member_key,
 )
 from daisylink.sidecar._peer_exchange import PeerExchange
@@ -67,6 +68,7 @@
     :param on_era: called when this node's record has to state another era.
     :param on_due: called when :meth:`FleetSync.tick` may be due.
     :param on_fleet_size: called with the key of the fleet's size.
+    :param on_rollout_item: called with the keys of rollouts.
     """
 
     on_version: Callable[[Version], None]
@@ -76,6 +78,7 @@
     on_era: Callable[[], None]
     on_due: Callable[[], None]
     on_fleet_size: Callable[[Item], None] = lambda _item: None
+    on_rollout_item: Callable[[Item], None] = ignore_item
 
 
 class FleetSync:
@@ -125,6 +128,7 @@
                 listeners.on_member_removed,
                 announcement_handler.handle_stored_departures,
                 listeners.on_fleet_size,
+                listeners.on_rollout_item,
             ),
         )
         ttl = max(settings.min_lease_ttl, RegistrationSettings().ttl)
