Rollouts: an ended rollout is written again after an older copy

Cause: if the store came back from before the end of a rollout, its status stayed running. Change: the controller writes the kept state again; the takeover is tested after the state exists, and the shared fault with more responses.

--- a/src/daisylink/sidecar/_rollout_controller.py
+++ b/src/daisylink/sidecar/_rollout_controller.py
@@ -95,6 +95,9 @@
         self.revisions: dict[str, StoreRevision] = {}
         self.read_revisions: dict[str, StoreRevision] = {}
         self.rollouts: dict[str, ServiceRollout] = {}
+        # Services whose rollout has ended but goes on according to the store, which
+        # came back from an older copy.
+        self.outdated: set[str] = set()
         self.writing: set[str] = set()
         self.retry_at: dict[str, float] = {}
 
@@ -106,9 +109,9 @@
     @property
     def has_work(self) -> bool:
         """Return whether a rollout runs or is ordered."""
-        return any(not state.is_ended for state in self.table.states.values()) or any(
-            self._is_new(service) for service in self.orders
-        )
+        is_running = any(not state.is_ended for state in self.table.states.values())
+        has_new = any(self._is_new(service) for service in self.orders)
+        return is_running or has_new or bool(self.outdated)
 
     # What the store tells
 
@@ -152,6 +155,11 @@
         known = self.started_at.get(service, now)
         if not self._is_new(service):
             self.started_at[service] = min(known, began, now - state.elapsed)
+        kept = self.table.get(service)
+        if kept is not None and kept.is_ended and not state.is_ended:
+            self.outdated.add(service)
+        else:
+            self.outdated.discard(service)
         self._adopt(service, state)
 
     def handle_report(self, report: EvidenceReport) -> EvidenceReply | None:
@@ -238,6 +246,8 @@
         state = self.table.get(service)
         if state is None or state.is_ended:
             self.rollouts.pop(service, None)
+            if service in self.outdated:
+                self._write(service, state, None)
             return
         rollout = self.rollouts.get(service)
         if rollout is None:
@@ -310,6 +320,7 @@
             self.revisions[service] = self.read_revisions.get(service, NO_REVISION)
         else:
             self.revisions[service] = revision
+            self.outdated.discard(service)
             self.on_state(service, state)
             self._adopt(service, state)
         finally:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -199,7 +199,7 @@
     def test_a_fault_that_all_servers_share_now_is_not_the_versions(self):
         """Guards against a dependency that fails for old and new alike."""
         self.judge.add_old({"r": KindCounts(40, 24, {20: 16})}, 9.0)
-        self.judge.add_new({"r": KindCounts(20, 12, {20: 8})})
+        self.judge.add_new({"r": KindCounts(30, 18, {20: 12})})
         self.assertFalse(self.judge.is_bad)
 
     def test_a_crash_counts_as_few_failures(self):
--- a/tests/test_rollout_sockets.py
+++ b/tests/test_rollout_sockets.py
@@ -8,7 +8,7 @@
 
 from daisylink.errors import PlatformError, ResultCode
 from daisylink.registry import NO_REVISION, Put, StoreRevision
-from daisylink.rollout import CONTROLLER_KEY
+from daisylink.rollout import CONTROLLER_KEY, state_key
 from tests.platform_standin import SEAL, Fault
 from tests.sidecar_case import Machine, SidecarTestCase
 
@@ -154,7 +154,8 @@
         async def scenario(store, *machines):
             await self.announce(machines, "v1")
             store.put(ORDER_KEY, make_order("v7", "6s"))
-            await self.wait_for(lambda: CONTROLLER_KEY in store.items)
+            await self.wait_for(lambda: list_statuses(store) == ["running"])
+            await asyncio.sleep(0.5)
             value = b64decode(store.items[CONTROLLER_KEY]["value"]).decode()
             (first,) = [
                 m for m in machines if str(m.addresses[4]) == value.split(" ")[0]
@@ -187,6 +188,23 @@
 
         self.run_machines(scenario, count=2)
 
+    def test_an_ended_rollout_is_written_again_after_an_older_copy(self):
+        """Guards against a store that came back from before the roll-back."""
+
+        async def scenario(store, *machines):
+            await self.announce(machines, "v1")
+            self.keep_announcing(machines, "v1")
+            store.put(ORDER_KEY, make_order("v7", "3s"))
+            await self.wait_for(lambda: state_key("one") in store.items)
+            older = b64decode(store.items[state_key("one")]["value"])
+            await self.wait_for(lambda: len(list_statuses(store)) == 2)
+            store.put(state_key("one"), older)
+            await self.wait_for(lambda: len(list_statuses(store)) == 3)
+            value = b64decode(store.items[state_key("one")]["value"])
+            self.assertEqual(msgspec.json.decode(value)["step"], "rolled_back")
+
+        self.run_machines(scenario, count=2)
+
 
 class TransactionTests(SidecarTestCase):
     def test_a_transaction_with_a_failed_condition_writes_nothing(self):
