Rollouts: more of the rare kinds for the canaries

Cause: verdicts waited for kinds of 2 % of the requests, so that some rollouts were completed at the limit with requests in flight at old servers. Change: half of a rare kind's requests are drawn for the canaries, six tenths of the usual share of the others.

--- a/src/daisylink/rollout/_table.py
+++ b/src/daisylink/rollout/_table.py
@@ -7,8 +7,8 @@
 
 # Share of the requests of a kind that go to the canaries while they have seen too few
 # of it, and by how much those of other kinds are fewer then: allowances bound the sum.
-BOOSTED_DRAW = 0.4
-UNBOOSTED_FACTOR = 0.75
+BOOSTED_DRAW = 0.5
+UNBOOSTED_FACTOR = 0.6
 
 
 class Side(Enum):
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -210,6 +210,15 @@
         self.judge.add_new(counter.kinds)
         self.assertFalse(self.judge.is_bad)
 
+    def test_slow_responses_that_are_still_under_way_are_awaited(self):
+        """Guards against a verdict by the fast responses of a half slow version."""
+        self.judge.add_new({"r": KindCounts(14, 0, {20: 14})})
+        self.judge.note_enough(2.0, is_late=False)
+        self.assertEqual(self.judge.list_missing(), [])
+        pending = 8 * self.judge.find_usual("r")
+        self.assertFalse(self.judge.has_awaited(2.0 + pending))
+        self.assertTrue(self.judge.has_awaited(2.0 + pending + 0.31))
+
     def test_slow_responses_of_a_cold_server_do_not_count(self):
         counter = EvidenceCounter()
         for _ in range(20):
