Age of returning requests, calls count for their parent, queue in order of value

Cause: callers' limits are longer than a route's timeout, so the first seconds of a retry's age were not seen; calls of a running request were queued as late. Change: limits of first attempts are learned for each route; a call inherits priority and end of objective of its parent; requests of a kind wait in the order in which their objectives end, calls first, with a guaranteed share.

--- a/src/daisylink/platform/_headers.py
+++ b/src/daisylink/platform/_headers.py
@@ -52,5 +52,6 @@
     origin=b"x-daisylink-caller-service",
     proof=b"x-daisylink-response-seal",
     callers_read_status_only=True,
+    call_separator=b".",
     read_notice=read_notice,
 )
--- a/src/daisylink/request/__init__.py
+++ b/src/daisylink/request/__init__.py
@@ -60,7 +60,9 @@
     make_refusal,
 )
 from daisylink.request._plan import RequestPlan, plan_relayed, plan_request
+from daisylink.request._request_age import AgeEstimator
 from daisylink.request._response import ResponseHead
+from daisylink.request._running import RunningRequests, inherit_plan
 from daisylink.request._sender import RequestSender
 from daisylink.request._slot_search import SlotSearch
 
@@ -76,6 +78,7 @@
     "OWN_PREFIX",
     "RETRY_HEADER",
     "Admitted",
+    "AgeEstimator",
     "AttemptLost",
     "AttemptRefused",
     "Attempts",
@@ -104,6 +107,7 @@
     "RequestSender",
     "SlotSearch",
     "RetryBudget",
+    "RunningRequests",
     "RunResult",
     "ServerNotice",
     "ToldLimit",
@@ -114,6 +118,7 @@
     "digest_head",
     "encode_hop_metadata",
     "encode_refusal",
+    "inherit_plan",
     "make_refusal",
     "parse_head",
     "plan_relayed",
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -23,6 +23,7 @@
 from daisylink.request._recording import build_replay
 from daisylink.request._response import ForwardedResponse
 from daisylink.request._sender import RequestSender
+from daisylink.version import Version
 
 log = get_logger("request")
 
@@ -91,7 +92,7 @@
                 self.gateway.notices.record_told_limit(self.head.told_limit)
         else:
             version = self.gateway.version
-            plan = plan_request(self.head, version, now, self.gateway.pick_target)
+            plan = self._plan_entering(version, now)
         may_begin = isinstance(plan, RequestPlan) and plan.idempotent
         if not is_first and (self.gateway.stopping or not may_begin):
             return
@@ -111,6 +112,17 @@
         )
         self.sender.begin(now)
 
+    def _plan_entering(self, version: Version | None, now: float) -> Any:
+        """Plan a request that enters at this node, by its parent's if it is a call."""
+        gateway = self.gateway
+        request_id = self.head.request_id
+        is_call = gateway.running.is_call(request_id)
+        ages = None if is_call else gateway.ages
+        plan = plan_request(self.head, version, now, gateway.pick_target, ages)
+        if isinstance(plan, Refusal) or not is_call:
+            return plan
+        return gateway.running.plan_call(request_id, plan, now)
+
     def handle_body(self, data: bytes) -> None:
         """Handle a piece of the request body."""
         if self.done:
--- a/src/daisylink/request/_head.py
+++ b/src/daisylink/request/_head.py
@@ -13,6 +13,8 @@
 LIMIT_HEADER = b"daisylink-limit"
 WAIT_HEADER = b"daisylink-wait"
 MAY_NOT_WAIT = b"no"
+CALL_HEADER = b"daisylink-call"
+IS_CALL = b"1"
 OWN_PREFIX = b"daisylink-"
 MAX_NUMBER_DIGITS = 9
 LIMIT_FIELDS = 3
@@ -56,6 +58,8 @@
         of none.
     :param may_wait: whether the request may wait for a slot at the node that it is
         relayed to; nodes of earlier releases let each one wait.
+    :param is_call: whether a backend server makes the relayed request for one that it
+        runs; nodes of earlier releases do not say so.
     """
 
     method: bytes
@@ -70,6 +74,7 @@
     request_id: bytes = b""
     told_limit: "ToldLimit | None" = None
     may_wait: bool = True
+    is_call: bool = False
 
     @property
     def path(self) -> str:
@@ -135,6 +140,7 @@
     depth = 0
     chunked = expects = has_connection_header = False
     may_wait = True
+    is_call = False
     forwarded: list[Header] = []
     for item in headers:
         name, value = item
@@ -167,6 +173,8 @@
             told_limit = decode_told_limit(value)
         elif name == WAIT_HEADER and is_relay:
             may_wait = value != MAY_NOT_WAIT
+        elif name == CALL_HEADER and is_relay:
+            is_call = value == IS_CALL
     if host is None:
         raise RequestError("missing Host header")
     if is_relay and hop is None:
@@ -187,6 +195,7 @@
         request_id,
         told_limit,
         may_wait,
+        is_call,
     )
 
 
--- a/src/daisylink/request/_header_names.py
+++ b/src/daisylink/request/_header_names.py
@@ -43,6 +43,9 @@
     :param callers_read_status_only: whether callers read the status only. 503 then
         guarantees that the request was not run, 504 guarantees nothing, and
         ``Retry-After`` may have a fraction.
+    :param call_separator: stands between the request id of a request and the suffix
+        that a backend server adds for a call that it makes meanwhile, empty if ids do
+        not tell.
     :param read_notice: reads what a backend server says of itself from the headers of
         its response, pairs of lower-case name and value.
     """
@@ -55,6 +58,7 @@
     origin: bytes = b""
     proof: bytes = b""
     callers_read_status_only: bool = False
+    call_separator: bytes = b""
     read_notice: Callable[[Iterable[tuple[bytes, bytes]]], ServerNotice] = (
         read_no_notice
     )
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -39,6 +39,7 @@
         self.acquired_at = acquired_at
         self.awaits_claim = False
         self.awaits_body = False
+        self.is_sent = False
         self.suspect: Fingerprint | None = None
         self.retry_timer: asyncio.TimerHandle | None = None
 
@@ -52,7 +53,7 @@
         if not plan.idempotent and self.gateway.claims_keys:
             key = find_key(exchange.head, plan.pool)
         if key is None:
-            self.sender.send_to_local_server()
+            self._send()
             return
         self.awaits_claim = True
         self.gateway.request_claim(exchange, key)
@@ -75,7 +76,7 @@
         match outcome:
             case ClaimGranted():
                 exchange.response.recording = ResponseRecorder()
-                self.sender.send_to_local_server()
+                self._send()
                 return True
             case ClaimKnown(_, answer) if answer:
                 exchange.replay(answer)
@@ -112,8 +113,17 @@
         if self.suspect is not None:
             self.gateway.end_suspect(self.suspect, is_answered)
             self.suspect = None
+        if self.is_sent:
+            request_id = self.exchange.head.request_id
+            self.gateway.running.end(request_id, is_answered, self.gateway.now())
         self.gateway.slots.free_slot(self.acquired_at, self.exchange.plan.route)
 
+    def _send(self) -> None:
+        self.is_sent = True
+        exchange = self.exchange
+        self.gateway.running.begin(exchange.head.request_id, exchange.plan)
+        self.sender.send_to_local_server()
+
     def _check_quarantine(self) -> bool:
         """Return whether quarantine lets the request run now.
 
--- a/src/daisylink/request/_next_hop_head.py
+++ b/src/daisylink/request/_next_hop_head.py
@@ -3,8 +3,10 @@
 from typing import Any
 
 from daisylink.request._head import (
+    CALL_HEADER,
     DEPTH_HEADER,
     HOP_HEADER,
+    IS_CALL,
     LIMIT_HEADER,
     MAY_NOT_WAIT,
     WAIT_HEADER,
@@ -52,6 +54,8 @@
     extra = [(HOP_HEADER, encode_hop_metadata(hop)), (DEPTH_HEADER, b"%d" % head.depth)]
     if told_limit is not None:
         extra.append((LIMIT_HEADER, encode_told_limit(told_limit)))
+    if plan.is_call:
+        extra.append((CALL_HEADER, IS_CALL))
     if not may_wait:
         extra.append((WAIT_HEADER, MAY_NOT_WAIT))
     return build_hop_head(head, extra, expect)
--- a/src/daisylink/request/_plan.py
+++ b/src/daisylink/request/_plan.py
@@ -6,6 +6,7 @@
 from daisylink.errors import ResultCode
 from daisylink.request._head import RequestHead
 from daisylink.request._outcome import Refusal, make_refusal
+from daisylink.request._request_age import AgeEstimator
 from daisylink.version import Priority, RouteEntry, RouteTarget, Version
 
 MAX_DEPTH = 16
@@ -35,6 +36,8 @@
     :param slo_deadline: until when a response meets the objective, in seconds of the
         monotonic clock.
     :param tenant: name of the tenant whose API key the request carries, "" for none.
+    :param is_call: whether a backend server makes the request for one that it runs,
+        which holds a slot until the response.
     """
 
     service: str
@@ -51,6 +54,7 @@
     max_attempts: int = MAX_ATTEMPTS
     slo_deadline: float = float("inf")
     tenant: str = ""
+    is_call: bool = False
 
 
 def first_target(entry: RouteEntry) -> RouteTarget:
@@ -63,15 +67,18 @@
     version: Version | None,
     now: float,
     pick: Callable[[RouteEntry], RouteTarget] = first_target,
+    ages: AgeEstimator | None = None,
 ) -> RequestPlan | Refusal:
     """Plan a caller's request, or refuse it.
 
-    A caller that states a shorter deadline than the route's is assumed to have spent
-    the difference on earlier attempts, which counts against the objective.
+    What a caller is estimated to have spent on earlier attempts counts against the
+    objective.
 
     :param version: the version in force, None before the first one.
     :param now: seconds of the monotonic clock.
     :param pick: chooses a target of a split route.
+    :param ages: estimates the age of the request; without it, a caller that states a
+        shorter deadline than the route's has spent the difference.
     """
     if version is None:
         return make_refusal(ResultCode.REQUEST_NOT_READY, NOT_READY_RETRY_MS)
@@ -92,6 +99,10 @@
     target = pick(entry)
     slo_ms = route.slo_ms or target.service.slo_ms
     spent_ms = entry.deadline_ms - deadline_ms
+    if ages is not None:
+        spent_ms = ages.estimate_ms(
+            route.name, entry.deadline_ms, head.deadline_ms, now
+        )
     slo_left_ms = max(1, slo_ms - spent_ms) if slo_ms else 0
     return RequestPlan(
         service=target.service.name,
@@ -125,6 +136,7 @@
         route=hop.route,
         slo_deadline=_find_end(now, hop.slo_ms),
         origin=hop.origin,
+        is_call=head.is_call,
     )
 
 
--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -112,6 +112,8 @@
         slo_deadline: float = float("inf"),
         kind: str = "",
         may_wait: bool = True,
+        is_call: bool = False,
+        tenant: str = "",
     ) -> Decision:
         """Admit, queue or refuse a new request.
 
@@ -122,6 +124,8 @@
         :param kind: group of requests with about the same service time.
         :param may_wait: whether the request may wait here. If not, it also declines a
             slot of a server that is too slow for its objective.
+        :param is_call: whether a request that holds a slot elsewhere waits for it.
+        :param tenant: name of the tenant, "" for none.
         :returns: the decision.
         """
         if self.closed is not None:
@@ -129,12 +133,14 @@
         is_free = self._can_start(now) and not self.queued
         if not may_wait and not (is_free and self._is_in_time(kind, slo_deadline, now)):
             return Refused(ResultCode.REQUEST_NO_FREE_SLOT)
-        if is_free:
-            self._start(now)
-            return Admitted()
         seconds = self.get_service_time(kind)
         seconds = seconds or self._assume_service(slo_deadline - now)
-        waiting = QueuedRequest(ticket, kind, priority, deadline, slo_deadline, seconds)
+        waiting = QueuedRequest(
+            ticket, kind, priority, deadline, slo_deadline, seconds, is_call, tenant
+        )
+        if is_free:
+            self._start(waiting, now)
+            return Admitted()
         wait = self._expected_wait(waiting, now)
         if now + wait + seconds >= deadline:
             return self._refuse(waiting, wait, now)
@@ -172,7 +178,7 @@
             waiting = self._pop_next(now)
             if waiting is None:
                 break
-            self._start(now)
+            self._start(waiting, now)
             admitted.append(waiting.ticket)
         return admitted
 
@@ -214,8 +220,9 @@
     def _can_start(self, now: float) -> bool:
         return self.in_use < self.capacity and self.pacer.has_turn(now)
 
-    def _start(self, now: float) -> None:
+    def _start(self, waiting: QueuedRequest, now: float) -> None:
         self.in_use += 1
+        self.queue.shares.charge(waiting.group, waiting.seconds, now)
         self.pacer.take(now)
 
     def _update_service_times(self, seconds: float, kind: str) -> None:
@@ -230,7 +237,7 @@
     def _pop_next(self, now: float) -> QueuedRequest | None:
         """Remove and return the next request; late ones only if no other is queued."""
         while self.queue:
-            waiting = self.queue.pop_first()
+            waiting = self.queue.pop_first(self.slots, now)
             if now + waiting.seconds / 2 >= waiting.deadline:
                 self.expired.append(waiting.ticket)
             elif waiting.is_late(now):
@@ -286,8 +293,9 @@
 
     def _expected_wait(self, waiting: QueuedRequest, now: float) -> float:
         """Return the expected seconds until those ahead have run and it is the turn."""
-        ahead = self.queue.list_seconds_ahead(waiting)
-        slot_wait = self._expect_slot(waiting) + sum(ahead) / self.slots
+        ahead = self.queue.list_seconds_ahead(waiting, self.slots, now)
+        slots = self.slots * self.queue.expect_share(waiting, self.slots, now)
+        slot_wait = self._expect_slot(waiting) + sum(ahead) / slots
         return max(slot_wait, self.pacer.expect_wait(now, len(ahead)))
 
     def _expect_slot(self, waiting: QueuedRequest) -> float:
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -10,12 +10,14 @@
 from daisylink.errors import ResultCode
 from daisylink.request import (
     DEFAULT_HEADER_NAMES,
+    AgeEstimator,
     Exchange,
     Fingerprint,
     HeaderNames,
     Refusal,
     RequestPlan,
     RetryBudget,
+    RunningRequests,
     RunResult,
     SlotSearch,
 )
@@ -99,6 +101,8 @@
             lambda: loop.call_soon(self.on_local_server_changed),
         )
         self.header_names = header_names
+        self.ages = AgeEstimator()
+        self.running = RunningRequests(header_names.call_separator)
         self.claims_keys = claims_keys
         self.fixed_origin = origin
         self.retry_budget_settings = retry_budget_settings or RetryBudgetSettings()
--- a/src/daisylink/serving/_slot_dispatcher.py
+++ b/src/daisylink/serving/_slot_dispatcher.py
@@ -40,6 +40,8 @@
             plan.slo_deadline,
             plan.route,
             may_wait,
+            plan.is_call,
+            plan.tenant,
         )
         self._schedule_turn()
         return decision
--- a/src/daisylink/serving/_waiting_queue.py
+++ b/src/daisylink/serving/_waiting_queue.py
@@ -1,21 +1,27 @@
 """The order in which requests wait for a slot of the local backend server.
 
 It is designed for overload by requests of unequal duration and urgency, some of which
-are calls that a running request waits for. Short kinds of requests go first, weighted
-by their priority: a call of 50 ms that waited behind requests of 300 ms would cost its
-caller, which holds a slot elsewhere, more than they gain. Requests of a kind are served
-in order of arrival.
+are calls that a running request waits for. Such calls go first: their parents hold a
+slot elsewhere. After them go short kinds of requests, weighted by their priority, which
+is the order of what a request earns for a second of a slot. Requests of a kind are
+served in the order in which their objectives end, which is that of their first attempts:
+one that returns goes before newer ones. A group that has had hardly any slots of late
+goes before all others.
 """
 
-from collections import deque
+from bisect import insort
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from daisylink.serving._slot_shares import SlotShares
 from daisylink.version import Priority
 
 PRIORITIES = (Priority.URGENT, Priority.NORMAL, Priority.BULK)
 # A request waits like an urgent one whose service time is so many times longer.
 TIME_FACTORS = {Priority.URGENT: 1.0, Priority.NORMAL: 2.0, Priority.BULK: 4.0}
+# Share of the slots that a group is expected to get at least, however many others go
+# before it.
+MIN_EXPECTED_SHARE = 0.05
 
 
 class QueuedRequest(NamedTuple):
@@ -26,6 +32,8 @@
     :param deadline: when the request times out, in seconds of the monotonic clock.
     :param slo_deadline: until when a response meets the objective, on the same clock.
     :param seconds: expected service time.
+    :param is_call: whether a request that holds a slot elsewhere waits for this one.
+    :param tenant: name of the tenant, "" for none.
     """
 
     ticket: Any
@@ -34,21 +42,34 @@
     deadline: float
     slo_deadline: float
     seconds: float
+    is_call: bool = False
+    tenant: str = ""
 
     def is_late(self, now: float) -> bool:
         """Return whether the objective would be missed if it ran now."""
         return now + self.seconds > self.slo_deadline
 
+    @property
+    def group(self) -> "Group":
+        """Return the group in which it waits."""
+        return Group(self.is_call, self.priority, self.kind, self.tenant)
+
 
-class _Group(NamedTuple):
-    """Requests of one kind and priority that wait in order of arrival."""
+class Group(NamedTuple):
+    """Requests that wait in the order in which their objectives end."""
 
+    is_call: bool
     priority: Priority
     kind: str
+    tenant: str
+
+
+def _get_end(request: QueuedRequest) -> float:
+    return request.slo_deadline
 
 
 class WaitingQueue:
-    """Queued requests by kind, and which kind goes next.
+    """Queued requests by group, and which group goes next.
 
     :param get_service_time: returns the usual service time of a kind in seconds, 0 if
         unknown; such a kind goes first, so that its time becomes known.
@@ -56,37 +77,55 @@
 
     def __init__(self, get_service_time: Callable[[str], float]):
         self.get_service_time = get_service_time
-        self.groups: dict[_Group, deque[QueuedRequest]] = {}
+        self.groups: dict[Group, list[QueuedRequest]] = {}
+        self.shares = SlotShares()
 
     def __len__(self) -> int:
         return sum(len(waiting) for waiting in self.groups.values())
 
     @property
     def requests(self) -> list[QueuedRequest]:
-        """Return the queued requests of all kinds."""
+        """Return the queued requests of all groups."""
         return [request for waiting in self.groups.values() for request in waiting]
 
     def push(self, request: QueuedRequest) -> None:
         """Add a request."""
-        group = _Group(request.priority, request.kind)
-        self.groups.setdefault(group, deque()).append(request)
+        insort(self.groups.setdefault(request.group, []), request, key=_get_end)
+
+    def pop_first(self, slots: int, now: float) -> QueuedRequest:
+        """Remove and return the request that goes next.
 
-    def pop_first(self) -> QueuedRequest:
-        """Remove and return the request that goes next."""
-        group = min(self.groups, key=self._rank)
-        request = self.groups[group].popleft()
+        :param slots: slots of the server.
+        :param now: seconds of the monotonic clock.
+        """
+        count = len(self.groups)
+        if count == 1:
+            group = next(iter(self.groups))
+        else:
+            group = min(
+                self.groups,
+                key=lambda item: (
+                    not self.shares.is_due(item, slots, count, now),
+                    self._rank(item),
+                    self.shares.count_slots(item, now),
+                ),
+            )
+        request = self.groups[group].pop(0)
         self._drop_if_empty(group)
         return request
 
     def displace(self, request: QueuedRequest) -> Any:
-        """Remove the newest request of the last kind if another one goes before it.
+        """Remove the newest request of the last group if another one goes before it.
 
         :returns: its ticket, or None.
         """
         last = max(self.groups, key=self._rank, default=None)
         if last is None:
             return None
-        if self._rank(last) <= self._rank(_Group(request.priority, request.kind)):
+        newest = self.groups[last][-1]
+        rank, new_rank = self._rank(last), self._rank(request.group)
+        is_older = last == request.group and request.slo_deadline < newest.slo_deadline
+        if rank <= new_rank and not is_older:
             return None
         ticket = self.groups[last].pop().ticket
         self._drop_if_empty(last)
@@ -95,9 +134,9 @@
     def remove(self, ticket: Any) -> bool:
         """Remove a request; return whether it was queued."""
         for group, waiting in self.groups.items():
-            for request in waiting:
+            for index, request in enumerate(waiting):
                 if request.ticket is ticket:
-                    waiting.remove(request)
+                    del waiting[index]
                     self._drop_if_empty(group)
                     return True
         return False
@@ -108,21 +147,45 @@
         self.groups.clear()
         return tickets
 
-    def list_seconds_ahead(self, request: QueuedRequest) -> list[float]:
-        """Return the expected service time of each that goes before a new request."""
-        rank = self._rank(_Group(request.priority, request.kind))
+    def list_seconds_ahead(
+        self, request: QueuedRequest, slots: int, now: float
+    ) -> list[float]:
+        """Return the expected service time of each that goes before a new request.
+
+        :param slots: slots of the server.
+        :param now: seconds of the monotonic clock.
+        """
+        own = request.group
+        rank = self._rank(own)
+        ends = request.slo_deadline
+        is_due = self.shares.is_due(own, slots, len(self.groups) + 1, now)
         return [
             item.seconds
             for group, waiting in self.groups.items()
-            if self._rank(group) <= rank
+            if group == own or (not is_due and self._rank(group) <= rank)
             for item in waiting
+            if group != own or item.slo_deadline <= ends
         ]
 
-    def _rank(self, group: _Group) -> tuple[float, int]:
-        """Return the position of a kind; lower ranks go first."""
+    def expect_share(self, request: QueuedRequest, slots: int, now: float) -> float:
+        """Return the share of the slots that is left by those that go before.
+
+        :param slots: slots of the server.
+        :param now: seconds of the monotonic clock.
+        """
+        rank = self._rank(request.group)
+        taken = sum(
+            self.shares.count_slots(group, now)
+            for group in self.shares.used
+            if self._rank(group) < rank
+        )
+        return max(MIN_EXPECTED_SHARE, 1 - taken / slots)
+
+    def _rank(self, group: Group) -> tuple[bool, float, int]:
+        """Return the position of a group; lower ranks go first."""
         weighted = self.get_service_time(group.kind) * TIME_FACTORS[group.priority]
-        return weighted, PRIORITIES.index(group.priority)
+        return not group.is_call, weighted, PRIORITIES.index(group.priority)
 
-    def _drop_if_empty(self, group: _Group) -> None:
+    def _drop_if_empty(self, group: Group) -> None:
         if not self.groups[group]:
             del self.groups[group]
