Reserve for calls, margin for late ones, Retry-After from the drain, full pools

Cause: long bulk requests held every slot while calls waited; half of the requests served at the brink of their objective ended after it; each refused request asked several full nodes; callers were told similar times to return. Change: slots for calls are kept free of long requests, a request counts as late with a margin, an entry node that sees a pool refuse asks one node or none, Retry-After is spread and leaves time for the retry, and no second attempt follows a rejection while most servers reject. Relayed requests leave the queue early enough for the entry node to learn that they did not run.

--- a/bench/burst.py
+++ b/bench/burst.py
@@ -147,7 +147,11 @@
         self.plan = plan
         self.work = work
         self.search = SlotSearch(may_ask=True)
-        self.attempts = Attempts(plan, entry.budget)
+        try:
+            self.attempts = Attempts(plan, entry.budget, entry.balancer.rng)
+        except TypeError:
+            # The release before this bench spreads nothing.
+            self.attempts = Attempts(plan, entry.budget)
         self.node = ""
         self.state = "new"
         self.step = 0
@@ -189,6 +193,7 @@
         self.used = {}
         self.wasted = {}
         self.statuses = {}
+        self.hops = 0
 
     def run(self):
         """Run to the end."""
@@ -258,6 +263,13 @@
             event = DeadlinePassed(may_have_run=False)
             self.perform(request, request.attempts.handle(event, now), now)
             return
+        if hasattr(entry.placer, "is_pool_full"):
+            from daisylink.request import PoolFull
+
+            if entry.placer.is_pool_full(plan, request.search, now):
+                self.perform(request, request.attempts.handle(PoolFull(), now), now)
+                return
+        self.hops += 1
         placement = entry.placer.place(plan, request.search, now)
         if placement is None:
             self.perform(request, request.attempts.handle(NoServer(), now), now)
@@ -308,6 +320,8 @@
         else:
             request.search.record_tried(record)
         event = AttemptRefused(code, retry_ms)
+        if hasattr(entry.placer, "record_refused"):
+            entry.placer.record_refused(request.plan, code, now)
         self.perform(request, request.attempts.handle(event, now), now)
 
     def begin(self, request, now):
@@ -335,11 +349,11 @@
         request.state = "done"
         self.account(request, now)
         admission = self.admissions[request.node]
-        admitted = admission.release(
-            now - request.slot_since, now, request.plan.route
-        )
+        admitted = admission.release(now - request.slot_since, now, request.plan.route)
         self.report(request, now)
         request.entry.balancer.end(request.node)
+        if hasattr(request.entry.placer, "record_served"):
+            request.entry.placer.record_served(request.plan, True, now)
         self.answer(request, is_good, now)
         for other in admitted:
             self.begin(other, now)
--- a/src/daisylink/request/_attempts.py
+++ b/src/daisylink/request/_attempts.py
@@ -1,19 +1,17 @@
 """Retry policy of a single request: whether to send it, retry it or give up."""
 
+import random
 from dataclasses import dataclass
 
 from daisylink.errors import ResultCode
 from daisylink.request._outcome import Refusal, make_refusal
 from daisylink.request._plan import RequestPlan
+from daisylink.request._retry_after import choose_retry_ms
 
 # Nodes that a request is sent to, those that decline it included. If so many of a pool
 # have no room, hardly any other has.
 MAX_HOPS = 5
 DEFAULT_RETRY_MS = 500
-MS_PER_SECOND = 1000
-# Share of the caller's remaining time after which it should retry: late enough for the
-# queue to have moved, early enough for a retry to meet the deadline.
-RETRY_SHARE = 0.25
 
 
 @dataclass(frozen=True)
@@ -53,12 +51,19 @@
     may_have_run: bool
 
 
+@dataclass(frozen=True)
+class PoolFull:
+    """Event: the request's pool is unlikely to have room for it."""
+
+
 @dataclass(frozen=True)
 class NoServer:
     """Event: no backend server is left to try."""
 
 
-Event = RequestPlanned | AttemptRefused | AttemptLost | DeadlinePassed | NoServer
+Event = (
+    RequestPlanned | AttemptRefused | AttemptLost | DeadlinePassed | PoolFull | NoServer
+)
 
 
 @dataclass(frozen=True)
@@ -130,9 +135,16 @@
 
     :param plan: the plan of the request.
     :param budget: retry budget of the request's service at this node.
+    :param rng: spreads the times at which refused callers return.
     """
 
-    def __init__(self, plan: RequestPlan, budget: RetryBudget):
+    def __init__(
+        self,
+        plan: RequestPlan,
+        budget: RetryBudget,
+        rng: random.Random | None = None,
+    ):
+        self.rng = rng or random.Random()
         self.plan = plan
         self.budget = budget
         self.count = 0
@@ -164,9 +176,13 @@
             case DeadlinePassed(may_have_run):
                 if may_have_run or self.has_lost_attempt:
                     return GiveUp(make_refusal(ResultCode.REQUEST_DEADLINE_UNKNOWN))
-                return GiveUp(
-                    make_refusal(ResultCode.REQUEST_DEADLINE_NOT_RUN, DEFAULT_RETRY_MS)
-                )
+                code = ResultCode.REQUEST_DEADLINE_NOT_RUN
+                retry_ms = choose_retry_ms(0, self.plan, now, self.rng)
+                return GiveUp(make_refusal(code, retry_ms))
+            case PoolFull():
+                if not self.servers_reached and self.count == 1:
+                    self.last_refusal = make_refusal(ResultCode.REQUEST_OVERLOADED)
+                return self._give_up(now)
             case NoServer():
                 return self._give_up(now)
 
@@ -183,8 +199,8 @@
         """Give up with the last refusal, or an unknown outcome after a lost attempt."""
         if self.has_lost_attempt:
             return GiveUp(make_refusal(ResultCode.REQUEST_ANSWER_LOST))
-        left_ms = (self.plan.deadline - now) * MS_PER_SECOND
-        retry_ms = max(self.last_refusal.retry_ms, round(left_ms * RETRY_SHARE))
+        expected_ms = self.last_refusal.retry_ms
+        retry_ms = choose_retry_ms(expected_ms, self.plan, now, self.rng)
         return GiveUp(self.last_refusal._replace(retry_ms=retry_ms))
 
     def _retry(self, allowed: bool, now: float) -> Action:
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -80,7 +80,12 @@
             self._start(is_first)
         except Exception:
             log.bind(request=self.head.request_id).exception("a request failed")
-            self.fail(ResultCode.REQUEST_ANSWER_LOST)
+            is_sent = self.sender.head_sent
+            lost, not_sent = (
+                ResultCode.REQUEST_ANSWER_LOST,
+                ResultCode.REQUEST_NO_SERVER,
+            )
+            self.fail(lost if is_sent else not_sent)
 
     def _start(self, is_first: bool) -> None:
         now = self.gateway.now()
--- a/src/daisylink/request/_request_age.py
+++ b/src/daisylink/request/_request_age.py
@@ -1,14 +1,15 @@
 """Estimates how long ago a request was first sent, from the time limit it states.
 
-It is designed for overload in which every refused request returns once. A caller's limit
-is often longer than the route's ``timeout``, so the time that a retry has lost does not
-show against the timeout. It shows against the limit that callers state on a first
-attempt, which is learned here for each route.
+It is designed for overload in which every refused request returns once. A caller's
+limit is often longer than the route's ``timeout``, so the time that a retry has lost
+does not show against the timeout. It shows against the limit that callers state on a
+first attempt, which is learned here for each route.
 
 A first attempt states the same limit each time, while retries state whatever is left.
-Limits are therefore counted in slots of time, each of which has one vote: a limit counts
-as one of first attempts only while it stands out in many slots. A burst of callers with
-short limits, or of retries that all state half of their limit, fills a few slots only.
+Limits are therefore counted in slots of time, each of which has one vote: a limit
+counts as one of first attempts only while it stands out in many slots. A burst of
+callers with short limits, or of retries that all state half of their limit, fills a few
+slots only.
 """
 
 from collections import Counter, deque
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -15,6 +15,7 @@
     DeadlinePassed,
     GiveUp,
     NoServer,
+    PoolFull,
     RequestPlanned,
     Try,
 )
@@ -91,7 +92,7 @@
         """
         plan = self.exchange.plan
         budget = self.gateway.get_retry_budget(plan.service)
-        self.attempts = Attempts(plan, budget)
+        self.attempts = Attempts(plan, budget, self.gateway.balancer.rng)
         self._perform(self.attempts.handle(RequestPlanned(), now))
 
     @property
@@ -121,6 +122,9 @@
             event = DeadlinePassed(may_have_run=False)
             self._perform(self.attempts.handle(event, gateway.now()))
             return
+        if gateway.placer.is_pool_full(self.exchange.plan, self.search, gateway.now()):
+            self._perform(self.attempts.handle(PoolFull(), gateway.now()))
+            return
         placement = gateway.place(self.exchange.plan, self.search)
         if placement is None:
             self._perform(self.attempts.handle(NoServer(), gateway.now()))
@@ -243,8 +247,9 @@
             return
         event = AttemptRefused(code, retry_ms)
         now = self.gateway.now()
-        replayable = self.exchange.body.replayable
-        self._perform(self.attempts.handle(event, now, replayable))
+        may_retry = self.gateway.placer.record_refused(self.exchange.plan, code, now)
+        may_retry = may_retry and self.exchange.body.replayable
+        self._perform(self.attempts.handle(event, now, may_retry))
 
     def _handle_loss(self) -> None:
         """End an attempt that may have run the request, then retry or give up."""
@@ -357,10 +362,9 @@
         self.exchange.response.end()
         self.exchange.flush_response()
         if self.target:
-            self.gateway.balancer.record_success(self.target, self.gateway.now())
-            if not self.may_wait:
-                pool = self.exchange.plan.pool
-                self.gateway.placer.record_answer(pool, declined=False)
+            now = self.gateway.now()
+            self.gateway.balancer.record_success(self.target, now)
+            self.gateway.placer.record_served(self.exchange.plan, self.may_wait, now)
         self.gateway.record_answered(self.exchange)
         self.exchange.finish(RunResult.ANSWERED)
 
--- a/src/daisylink/request/_slot_wait.py
+++ b/src/daisylink/request/_slot_wait.py
@@ -7,6 +7,8 @@
 from daisylink.request._decision import Admitted, Queued, Refused
 
 DISPLACED_RETRY_MS = 200
+# Time for a refusal to reach the entry node over a slow or lossy link.
+ANSWER_SECONDS = 0.05
 
 
 class SlotWait:
@@ -58,7 +60,12 @@
         if expires == float("inf"):
             return
         gateway = self.sender.gateway
-        seconds = max(0.0, expires - gateway.now())
+        now = gateway.now()
+        seconds = max(0.0, expires - now)
+        if self.sender.is_relay:
+            # The entry node must hear that the request was not run before its deadline.
+            left = max(0.0, self.sender.exchange.plan.deadline - now)
+            seconds = min(seconds, max(left - ANSWER_SECONDS, left / 2))
         self.timer = gateway.loop.call_later(seconds, self._expire)
 
     def _expire(self) -> None:
--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -7,12 +7,14 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from daisylink.errors import ResultCode
 from daisylink.request import Admitted, Decision, Queued, Refused
+from daisylink.serving._call_reserve import CallReserve
 from daisylink.serving._pacer import Pacer
-from daisylink.serving._waiting_queue import QueuedRequest, WaitingQueue
+from daisylink.serving._waiting_queue import Group, QueuedRequest, WaitingQueue
 from daisylink.version import Priority
 
 SERVICE_TIME_WEIGHT = 0.1
@@ -29,6 +31,11 @@
 # Part of the time left to its objective that a request of an unknown kind is expected
 # to take, so that a process that has just started does not queue all that comes.
 UNKNOWN_TIME_SHARE = 0.4
+# Margin for service times above the usual one, as a share of it; without a margin half
+# of the requests that wait as long as they may end after their objective.
+MARGIN_SHARE = 0.5
+# The most that the margin takes of the time that a request could wait.
+MAX_MARGIN_SHARE = 0.25
 MAX_KINDS = 1000
 
 
@@ -52,6 +59,7 @@
         self.limits = AdmissionLimits()
         self.in_use = 0
         self.queue = WaitingQueue(self.get_service_time)
+        self.reserve = CallReserve(self.get_service_time)
         self.late: deque[QueuedRequest] = deque()
         self.expired: list[Any] = []
         self.service_time = 0.0
@@ -59,6 +67,8 @@
         self.measured_at: dict[str, float] = {}
         self.closed: ResultCode | None = ResultCode.REQUEST_NO_SERVER
         self.pacer = Pacer()
+        # Whether a free slot is kept from all that wait.
+        self.is_held_back = False
 
     @property
     def capacity(self) -> int:
@@ -85,6 +95,8 @@
         """Return when :meth:`admit_waiting` is due, in monotonic seconds."""
         if not self.queued or self.in_use >= self.capacity:
             return float("inf")
+        if not self.pacer.is_limited and self.is_held_back:
+            return float("inf")
         return self.pacer.turn_at
 
     def open(self, limits: AdmissionLimits) -> None:
@@ -130,13 +142,22 @@
         """
         if self.closed is not None:
             return Refused(self.closed)
-        is_free = self._can_start(now) and not self.queued
+        is_free = self._can_take_free_slot(kind, is_call, now)
         if not may_wait and not (is_free and self._is_in_time(kind, slo_deadline, now)):
             return Refused(ResultCode.REQUEST_NO_FREE_SLOT)
         seconds = self.get_service_time(kind)
         seconds = seconds or self._assume_service(slo_deadline - now)
+        margin = self._find_margin(seconds, slo_deadline - now)
         waiting = QueuedRequest(
-            ticket, kind, priority, deadline, slo_deadline, seconds, is_call, tenant
+            ticket,
+            kind,
+            priority,
+            deadline,
+            slo_deadline,
+            seconds,
+            is_call,
+            tenant,
+            margin,
         )
         if is_free:
             self._start(waiting, now)
@@ -165,6 +186,7 @@
         self._update_service_times(seconds, kind)
         self.measured_at[kind] = now
         self.in_use -= 1
+        self.reserve.end(kind)
         return self.admit_waiting(now)
 
     def admit_waiting(self, now: float) -> list[Any]:
@@ -217,12 +239,33 @@
             return True
         return now + self.get_service_time(kind) <= slo_deadline
 
+    def _can_take_free_slot(self, kind: str, is_call: bool, now: float) -> bool:
+        """Return whether a new request can start now without going before others."""
+        if not self._can_start(now):
+            return False
+        if not self.reserve.may_start(kind, is_call, self.slots, now):
+            return False
+        if not self.queued:
+            return True
+        # Those that wait are held back, unless calls have ended meanwhile.
+        may_start = self._may_start(now)
+        return self.is_held_back and not any(map(may_start, self.queue.groups))
+
+    def _may_start(self, now: float) -> Callable[[Group], bool]:
+        """Return a test of whether the requests of a group may take a free slot."""
+        slots = self.slots
+        return lambda group: self.reserve.may_start(
+            group.kind, group.is_call, slots, now
+        )
+
     def _can_start(self, now: float) -> bool:
         return self.in_use < self.capacity and self.pacer.has_turn(now)
 
     def _start(self, waiting: QueuedRequest, now: float) -> None:
         self.in_use += 1
+        self.is_held_back = False
         self.queue.shares.charge(waiting.group, waiting.seconds, now)
+        self.reserve.begin(waiting.kind, waiting.is_call, waiting.seconds, now)
         self.pacer.take(now)
 
     def _update_service_times(self, seconds: float, kind: str) -> None:
@@ -237,18 +280,22 @@
     def _pop_next(self, now: float) -> QueuedRequest | None:
         """Remove and return the next request; late ones only if no other is queued."""
         while self.queue:
-            waiting = self.queue.pop_first(self.slots, now)
+            waiting = self.queue.pop_first(self.slots, now, self._may_start(now))
+            if waiting is None:
+                break
             if now + waiting.seconds / 2 >= waiting.deadline:
                 self.expired.append(waiting.ticket)
             elif waiting.is_late(now):
                 self._move_to_late(waiting)
             else:
                 return waiting
-        while self.late:
+        may_start = self._may_start(now)
+        while self.late and may_start(self.late[0].group):
             waiting = self.late.popleft()
             if now + waiting.seconds / 2 < waiting.deadline:
                 return waiting
             self.expired.append(waiting.ticket)
+        self.is_held_back = bool(self.queued)
         return None
 
     def _queue_late(self, waiting: QueuedRequest, wait: float, now: float) -> Decision:
@@ -282,6 +329,15 @@
             return self.late.pop().ticket
         return self.queue.displace(waiting)
 
+    def _find_margin(self, seconds: float, seconds_left: float) -> float:
+        """Return the time by which a request should start early to be in time.
+
+        :param seconds: expected service time.
+        :param seconds_left: time left to the objective.
+        """
+        room = max(0.0, seconds_left - seconds)
+        return min(seconds * MARGIN_SHARE, room * MAX_MARGIN_SHARE)
+
     def _assume_service(self, seconds_left: float) -> float:
         """Return the service time to assume for a kind of which none is known.
 
@@ -309,6 +365,6 @@
         room = min(waiting.slo_deadline, waiting.deadline) - now
         retry = max(0.0, wait + waiting.seconds - room)
         retry_ms = max(MIN_RETRY_MS, round(retry * MS_PER_SECOND))
-        if self.in_use < self.capacity:
+        if self.in_use < self.capacity and self.pacer.is_limited:
             return Refused(ResultCode.REQUEST_RATE_LIMITED, retry_ms)
         return Refused(ResultCode.REQUEST_OVERLOADED, retry_ms)
--- a/src/daisylink/serving/_placer.py
+++ b/src/daisylink/serving/_placer.py
@@ -9,8 +9,10 @@
 
 from typing import NamedTuple
 
+from daisylink.errors import ResultCode
 from daisylink.request import RequestPlan, SlotSearch
 from daisylink.serving._load_balancer import LoadBalancer
+from daisylink.serving._pool_answers import PROBE_SHARE, PoolAnswers
 from daisylink.serving._records import MemberRecord
 
 # Servers that a request asks for a free slot, in the own zone and in all.
@@ -24,8 +26,12 @@
 # Servers of which the one that is expected to be the fastest is asked. If all of them
 # were compared, every node would ask the same few.
 MAX_COMPARED_TO_ASK = 4
+# Age of a request that returns, as a share of its objective.
+RETURNING_AGE_SHARE = 0.05
 # Service time of a fast server, relative to the usual one.
 FAST_SERVER_TIME = 0.5
+# Time in which no attempt can succeed: it would end with an unknown outcome.
+MIN_ATTEMPT_SECONDS = 0.01
 MS_PER_SECOND = 1000
 
 
@@ -49,6 +55,8 @@
     def __init__(self, balancer: LoadBalancer):
         self.balancer = balancer
         self.declined_shares: dict[str, float] = {}
+        self.answers = PoolAnswers()
+        self.refused_at_once = 0
 
     def place(
         self, plan: RequestPlan, search: SlotSearch, now: float
@@ -75,6 +83,25 @@
         share = self.declined_shares.get(pool, 0.0)
         self.declined_shares[pool] = share + ANSWER_WEIGHT * (declined - share)
 
+    def record_served(self, plan: RequestPlan, may_wait: bool, now: float) -> None:
+        """Record a response of a server.
+
+        :param may_wait: whether the request could wait for a slot there.
+        """
+        if not may_wait:
+            self.record_answer(plan.pool, declined=False)
+        self.answers.record_served(plan.pool, plan.route, now)
+
+    def record_refused(self, plan: RequestPlan, code: ResultCode, now: float) -> bool:
+        """Record an attempt that was not run.
+
+        :returns: whether another attempt may help.
+        """
+        self.answers.record_refused(plan.pool, plan.route, code, now)
+        is_rejected = code is ResultCode.REQUEST_SHED_BY_SERVER
+        rejecting = self.answers.is_rejecting(plan.pool, plan.route, now)
+        return not (is_rejected and rejecting)
+
     def _draw_asking(self, pool: str) -> bool:
         """Return whether a new request asks."""
         free_share = 1 - self.declined_shares.get(pool, 0.0)
@@ -83,7 +110,31 @@
     def is_hopeless(self, plan: RequestPlan, now: float) -> bool:
         """Return whether even a fast server could not answer before the deadline."""
         usual = self.balancer.response_times.usual_seconds.get(plan.route, 0.0)
-        return now + usual * FAST_SERVER_TIME >= plan.deadline
+        needed = max(usual * FAST_SERVER_TIME, MIN_ATTEMPT_SECONDS)
+        return now + needed >= plan.deadline
+
+    def is_pool_full(self, plan: RequestPlan, search: SlotSearch, now: float) -> bool:
+        """Return whether the pool is unlikely to have room for a request.
+
+        A request that returns, and some of the new ones, ask one node all the same.
+
+        :param search: the servers that the request was sent to before.
+        """
+        answers = self.answers
+        if search.tried:
+            is_full = answers.is_full(plan.pool, plan.route, now)
+        elif self._is_returning(plan, now) or plan.is_call:
+            return False
+        else:
+            is_full = answers.is_hopeless(plan.pool, plan.route, now)
+            is_full = is_full and self.balancer.rng.random() >= PROBE_SHARE
+        self.refused_at_once += is_full
+        return is_full
+
+    def _is_returning(self, plan: RequestPlan, now: float) -> bool:
+        """Return whether a new request was refused before, by its age."""
+        seconds_left = plan.slo_deadline - now
+        return seconds_left < plan.slo_ms / MS_PER_SECOND * (1 - RETURNING_AGE_SHARE)
 
     def _choose_to_ask(
         self, plan: RequestPlan, search: SlotSearch, now: float
--- a/src/daisylink/serving/_waiting_queue.py
+++ b/src/daisylink/serving/_waiting_queue.py
@@ -4,9 +4,9 @@
 are calls that a running request waits for. Such calls go first: their parents hold a
 slot elsewhere. After them go short kinds of requests, weighted by their priority, which
 is the order of what a request earns for a second of a slot. Requests of a kind are
-served in the order in which their objectives end, which is that of their first attempts:
-one that returns goes before newer ones. A group that has had hardly any slots of late
-goes before all others.
+served in the order in which their objectives end, which is that of their first
+attempts: one that returns goes before newer ones. A group that has had hardly any slots
+of late goes before all others.
 """
 
 from bisect import insort
@@ -34,6 +34,7 @@
     :param seconds: expected service time.
     :param is_call: whether a request that holds a slot elsewhere waits for this one.
     :param tenant: name of the tenant, "" for none.
+    :param margin: seconds by which it should start early, as it may take longer.
     """
 
     ticket: Any
@@ -44,10 +45,11 @@
     seconds: float
     is_call: bool = False
     tenant: str = ""
+    margin: float = 0.0
 
     def is_late(self, now: float) -> bool:
         """Return whether the objective would be missed if it ran now."""
-        return now + self.seconds > self.slo_deadline
+        return now + self.seconds + self.margin > self.slo_deadline
 
     @property
     def group(self) -> "Group":
@@ -92,18 +94,26 @@
         """Add a request."""
         insort(self.groups.setdefault(request.group, []), request, key=_get_end)
 
-    def pop_first(self, slots: int, now: float) -> QueuedRequest:
-        """Remove and return the request that goes next.
+    def pop_first(
+        self,
+        slots: int,
+        now: float,
+        may_start: Callable[[Group], bool] = lambda _: True,
+    ) -> QueuedRequest | None:
+        """Remove and return the request that goes next, None if none may start.
 
         :param slots: slots of the server.
         :param now: seconds of the monotonic clock.
+        :param may_start: whether requests of a group may start.
         """
         count = len(self.groups)
-        if count == 1:
-            group = next(iter(self.groups))
-        else:
+        groups = [item for item in self.groups if may_start(item)]
+        if not groups:
+            return None
+        group = groups[0]
+        if len(groups) > 1:
             group = min(
-                self.groups,
+                groups,
                 key=lambda item: (
                     not self.shares.is_due(item, slots, count, now),
                     self._rank(item),
