--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -95,7 +95,7 @@
         """Return when :meth:`admit_waiting` is due, in monotonic seconds."""
         if not self.queued or self.in_use >= self.capacity:
             return float("inf")
-        if not self.pacer.is_limited and self.is_held_back:
+        if self.is_held_back:
             return float("inf")
         return self.pacer.turn_at
 
@@ -162,6 +162,7 @@
         if is_free:
             self._start(waiting, now)
             return Admitted()
+        self.is_held_back = self._can_start(now)
         wait = self._expected_wait(waiting, now)
         if now + wait + seconds >= deadline:
             return self._refuse(waiting, wait, now)
