--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -162,7 +162,7 @@
         if is_free:
             self._start(waiting, now)
             return Admitted()
-        self.is_held_back = self._can_start(now)
+        self.is_held_back = self._can_start(now) and not self._has_startable(now)
         wait = self._expected_wait(waiting, now)
         if now + wait + seconds >= deadline:
             return self._refuse(waiting, wait, now)
@@ -246,11 +246,13 @@
             return False
         if not self.reserve.may_start(kind, is_call, self.slots, now):
             return False
-        if not self.queued:
-            return True
-        # Those that wait are held back, unless calls have ended meanwhile.
+        return not self.queued or not self._has_startable(now)
+
+    def _has_startable(self, now: float) -> bool:
+        """Return whether a queued request may take a free slot."""
         may_start = self._may_start(now)
-        return self.is_held_back and not any(map(may_start, self.queue.groups))
+        is_late_startable = bool(self.late) and may_start(self.late[0].group)
+        return is_late_startable or any(map(may_start, self.queue.groups))
 
     def _may_start(self, now: float) -> Callable[[Group], bool]:
         """Return a test of whether the requests of a group may take a free slot."""
@@ -302,7 +304,7 @@
     def _queue_late(self, waiting: QueuedRequest, wait: float, now: float) -> Decision:
         """Queue a late request behind all others if it is likely to be served there."""
         ahead = sum(item.seconds for item in self.late) / self.slots
-        queued = sum(item.seconds for item in self.queue.requests) / self.slots
+        queued = sum(self.queue.seconds.values()) / self.slots
         slot_wait = self._expect_slot(waiting) + queued + ahead
         ends = now + max(slot_wait, self.expect_turn(now)) + waiting.seconds
         if ends >= waiting.deadline or not self._has_room_for_late():
@@ -350,10 +352,10 @@
 
     def _expected_wait(self, waiting: QueuedRequest, now: float) -> float:
         """Return the expected seconds until those ahead have run and it is the turn."""
-        ahead = self.queue.list_seconds_ahead(waiting, self.slots, now)
+        seconds, ahead = self.queue.sum_ahead(waiting, self.slots, now)
         slots = self.slots * self.queue.expect_share(waiting, self.slots, now)
-        slot_wait = self._expect_slot(waiting) + sum(ahead) / slots
-        return max(slot_wait, self.pacer.expect_wait(now, len(ahead)))
+        slot_wait = self._expect_slot(waiting) + seconds / slots
+        return max(slot_wait, self.pacer.expect_wait(now, ahead))
 
     def _expect_slot(self, waiting: QueuedRequest) -> float:
         """Return the expected seconds until a slot is free."""
--- a/src/daisylink/serving/_waiting_queue.py
+++ b/src/daisylink/serving/_waiting_queue.py
@@ -9,7 +9,7 @@
 of late goes before all others.
 """
 
-from bisect import insort
+from bisect import bisect_right, insort
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -80,6 +80,8 @@
     def __init__(self, get_service_time: Callable[[str], float]):
         self.get_service_time = get_service_time
         self.groups: dict[Group, list[QueuedRequest]] = {}
+        # Expected service time of each group's requests together.
+        self.seconds: dict[Group, float] = {}
         self.shares = SlotShares()
 
     def __len__(self) -> int:
@@ -92,7 +94,9 @@
 
     def push(self, request: QueuedRequest) -> None:
         """Add a request."""
-        insort(self.groups.setdefault(request.group, []), request, key=_get_end)
+        group = request.group
+        insort(self.groups.setdefault(group, []), request, key=_get_end)
+        self.seconds[group] = self.seconds.get(group, 0.0) + request.seconds
 
     def pop_first(
         self,
@@ -120,9 +124,7 @@
                     self.shares.count_slots(item, now),
                 ),
             )
-        request = self.groups[group].pop(0)
-        self._drop_if_empty(group)
-        return request
+        return self._take(group, 0)
 
     def displace(self, request: QueuedRequest) -> Any:
         """Remove the newest request of the last group if another one goes before it.
@@ -137,17 +139,14 @@
         is_older = last == request.group and request.slo_deadline < newest.slo_deadline
         if rank <= new_rank and not is_older:
             return None
-        ticket = self.groups[last].pop().ticket
-        self._drop_if_empty(last)
-        return ticket
+        return self._take(last, -1).ticket
 
     def remove(self, ticket: Any) -> bool:
         """Remove a request; return whether it was queued."""
         for group, waiting in self.groups.items():
             for index, request in enumerate(waiting):
                 if request.ticket is ticket:
-                    del waiting[index]
-                    self._drop_if_empty(group)
+                    self._take(group, index)
                     return True
         return False
 
@@ -155,27 +154,32 @@
         """Remove all requests and return their tickets."""
         tickets = [request.ticket for request in self.requests]
         self.groups.clear()
+        self.seconds.clear()
         return tickets
 
-    def list_seconds_ahead(
+    def sum_ahead(
         self, request: QueuedRequest, slots: int, now: float
-    ) -> list[float]:
-        """Return the expected service time of each that goes before a new request.
+    ) -> tuple[float, int]:
+        """Return the expected service time and number of those before a new request.
 
         :param slots: slots of the server.
         :param now: seconds of the monotonic clock.
         """
         own = request.group
         rank = self._rank(own)
-        ends = request.slo_deadline
         is_due = self.shares.is_due(own, slots, len(self.groups) + 1, now)
-        return [
-            item.seconds
-            for group, waiting in self.groups.items()
-            if group == own or (not is_due and self._rank(group) <= rank)
-            for item in waiting
-            if group != own or item.slo_deadline <= ends
-        ]
+        seconds, count = 0.0, 0
+        for group, waiting in self.groups.items():
+            if group == own:
+                # Groups are kept in order, so that a refusal need not look at each.
+                found = bisect_right(waiting, request.slo_deadline, key=_get_end)
+            elif not is_due and self._rank(group) <= rank:
+                found = len(waiting)
+            else:
+                continue
+            seconds += self.seconds[group] * found / len(waiting)
+            count += found
+        return seconds, count
 
     def expect_share(self, request: QueuedRequest, slots: int, now: float) -> float:
         """Return the share of the slots that is left by those that go before.
@@ -196,6 +200,12 @@
         weighted = self.get_service_time(group.kind) * TIME_FACTORS[group.priority]
         return not group.is_call, weighted, PRIORITIES.index(group.priority)
 
-    def _drop_if_empty(self, group: Group) -> None:
-        if not self.groups[group]:
+    def _take(self, group: Group, index: int) -> QueuedRequest:
+        """Remove and return a request of a group."""
+        request = self.groups[group].pop(index)
+        if self.groups[group]:
+            self.seconds[group] -= request.seconds
+        else:
             del self.groups[group]
+            del self.seconds[group]
+        return request
