--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -112,10 +112,12 @@
         if self.body.size > plan.body_limit:
             self.send_refusal(make_refusal(ResultCode.REQUEST_BODY_TOO_LARGE))
             return
-        self.timer = self.gateway.loop.call_later(
-            plan.deadline - now, self.sender.handle_deadline
-        )
         self.sender.begin(now)
+        if not self.done:
+            # A request that is refused at once needs no timer.
+            self.timer = self.gateway.loop.call_later(
+                plan.deadline - now, self.sender.handle_deadline
+            )
 
     def _plan_entering(self, version: Version | None, now: float) -> Any:
         """Plan a request that enters at this node, by its parent's if it is a call."""
--- a/src/daisylink/serving/_call_reserve.py
+++ b/src/daisylink/serving/_call_reserve.py
@@ -27,7 +27,6 @@
         self.get_service_time = get_service_time
         self.running: Counter[str] = Counter()
         self.calls = SlotShares()
-        self.held_back = 0
 
     def begin(self, kind: str, is_call: bool, seconds: float, now: float) -> None:
         """Count a request that takes a slot.
--- a/src/daisylink/sidecar/_gauges.py
+++ b/src/daisylink/sidecar/_gauges.py
@@ -60,6 +60,7 @@
         lambda: -1 if own_notice.limit is None else own_notice.limit,
         "Requests a second that the own backend server takes, -1 without a limit.",
     )
+    add_overload_gauges(metrics, sidecar.gateway)
     metrics.add_gauge(
         "daisylink.slots.in_use",
         lambda: admission.in_use,
@@ -70,3 +71,31 @@
         lambda: admission.queued,
         "Requests that wait for a slot.",
     )
+
+
+def add_overload_gauges(metrics: Metrics, gateway: Any) -> None:
+    """Register the gauges of the decisions under overload.
+
+    :param gateway: the :class:`~daisylink.serving.Gateway` that they read.
+    """
+    running = gateway.running
+    metrics.add_gauge(
+        "daisylink.calls.recognized",
+        lambda: running.calls,
+        "Calls of the own backend server that counted for their parent.",
+    )
+    metrics.add_gauge(
+        "daisylink.calls.orphaned",
+        lambda: running.orphans,
+        "Calls refused because their parent is past its deadline or was given up.",
+    )
+    metrics.add_gauge(
+        "daisylink.slots.late",
+        lambda: len(gateway.admission.late),
+        "Requests past their objective that wait for a slot nobody else wants.",
+    )
+    metrics.add_gauge(
+        "daisylink.pool.refused_at_once",
+        lambda: gateway.placer.refused_at_once,
+        "Requests not sent on because their pool has refused nearly all lately.",
+    )
