Expected share of the slots does not grow with the number of tenants

Cause: each queued request summed over the slot shares of all tenants' groups. Change: shares are also kept for each kind over all tenants; that sum uses them.

--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -267,7 +267,7 @@
     def _start(self, waiting: QueuedRequest, now: float) -> None:
         self.in_use += 1
         self.is_held_back = False
-        self.queue.shares.charge(waiting.group, waiting.seconds, now)
+        self.queue.charge(waiting, now)
         self.reserve.begin(waiting.kind, waiting.is_call, waiting.seconds, now)
         self.pacer.take(now)
 
--- a/src/daisylink/serving/_waiting_queue.py
+++ b/src/daisylink/serving/_waiting_queue.py
@@ -83,6 +83,8 @@
         # Expected service time of each group's requests together.
         self.seconds: dict[Group, float] = {}
         self.shares = SlotShares()
+        # Of all tenants together, so that a decision does not grow with their number.
+        self.kind_shares = SlotShares()
 
     def __len__(self) -> int:
         return sum(len(waiting) for waiting in self.groups.values())
@@ -126,6 +128,15 @@
             )
         return self._take(group, 0)
 
+    def charge(self, request: QueuedRequest, now: float) -> None:
+        """Count the slot that a request takes.
+
+        :param now: seconds of the monotonic clock.
+        """
+        group = request.group
+        self.shares.charge(group, request.seconds, now)
+        self.kind_shares.charge(group._replace(tenant=""), request.seconds, now)
+
     def displace(self, request: QueuedRequest) -> Any:
         """Remove the newest request of the last group if another one goes before it.
 
@@ -189,8 +200,8 @@
         """
         rank = self._rank(request.group)
         taken = sum(
-            self.shares.count_slots(group, now)
-            for group in self.shares.used
+            self.kind_shares.count_slots(group, now)
+            for group in self.kind_shares.used
             if self._rank(group) < rank
         )
         return max(MIN_EXPECTED_SHARE, 1 - taken / slots)
