Test of a call that is relayed: its parent's rank and end of objective arrive

Cause: the header between nodes was tested only on parsing. Change: two sidecars; the call enters at one and runs at the other.

--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -372,6 +372,27 @@
 
         self.run_machines(scenario)
 
+    def test_a_call_counts_for_its_parent_at_another_node(self):
+        """The server's node queued it by its own objective, as late."""
+
+        async def scenario(_store, first, second):
+            first.admission.open(AdmissionLimits(0, 9, 9))
+            now = first.sidecar.now()
+            parent = make_plan(now + 5, now + 5, priority=Priority.URGENT)
+            first.sidecar.gateway.running.begin(b"parent", parent)
+            plans = []
+            slots = second.sidecar.gateway.slots
+            try_admit = slots.try_admit
+            slots.try_admit = lambda *item: (plans.append(item[1]), try_admit(*item))[1]
+            self.assertEqual((await first.request("parent.1")).status, 200)
+            self.assertTrue(plans[0].is_call)
+            self.assertEqual(plans[0].priority, Priority.URGENT)
+            self.assertGreater(plans[0].slo_deadline, now + 4)
+            self.assertEqual((await first.request("other.1")).status, 200)
+            self.assertFalse(plans[1].is_call)
+
+        self.run_machines(scenario, count=2)
+
     def test_requests_that_run_are_known_and_forgotten(self):
         async def scenario(_store, machine):
             running = machine.sidecar.gateway.running
