--- a/src/daisylink/platform/_headers.py
+++ b/src/daisylink/platform/_headers.py
@@ -53,5 +53,6 @@
     proof=b"x-daisylink-response-seal",
     tenant=b"x-daisylink-tenant",
     callers_read_status_only=True,
+    call_separator=b".",
     read_notice=read_notice,
 )
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -26,6 +26,7 @@
 from daisylink.request._recording import build_replay
 from daisylink.request._response import ForwardedResponse
 from daisylink.request._sender import RequestSender
+from daisylink.version import Version
 
 MS_PER_SECOND = 1000
 
@@ -86,7 +87,7 @@
             self._start(is_first)
         except Exception:
             log.bind(request=self.head.request_id).exception("a request failed")
-            self.fail(ResultCode.REQUEST_ANSWER_LOST)
+            self._fail_after_error()
 
     def _start(self, is_first: bool) -> None:
         now = self.gateway.now()
@@ -98,7 +99,7 @@
                 self.gateway.notices.record_told_limit(self.head.told_limit)
         else:
             version = self.gateway.version
-            plan = plan_request(self.head, version, now, self.gateway.pick_target)
+            plan = self._plan_entering(version, now)
         may_begin = isinstance(plan, RequestPlan) and plan.idempotent
         if not is_first and (self.gateway.stopping or not may_begin):
             return
@@ -114,14 +115,16 @@
         if self.body.size > plan.body_limit:
             self.send_refusal(make_refusal(ResultCode.REQUEST_BODY_TOO_LARGE))
             return
-        self.timer = self.gateway.loop.call_later(
-            plan.deadline - now, self._handle_deadline
-        )
         if self.is_relay or not plan.tenant:
             self.sender.begin(now)
-            return
-        check = self.gateway.quota.check
-        self._apply_quota(check(plan.tenant, self._handle_quota))
+        else:
+            check = self.gateway.quota.check
+            self._apply_quota(check(plan.tenant, self._handle_quota))
+        if not self.done:
+            # A request that is refused at once needs no timer.
+            self.timer = self.gateway.loop.call_later(
+                plan.deadline - now, self._handle_deadline
+            )
 
     def _handle_quota(self, decision: Decision) -> None:
         """Handle the decision on the tenant's quota that was waited for."""
@@ -131,7 +134,13 @@
             self._apply_quota(decision)
         except Exception:
             log.bind(request=self.head.request_id).exception("a request failed")
-            self.fail(ResultCode.REQUEST_ANSWER_LOST)
+            self._fail_after_error()
+
+    def _fail_after_error(self) -> None:
+        """End a request that an unexpected error stopped."""
+        is_sent = self.sender.head_sent
+        lost, not_sent = ResultCode.REQUEST_ANSWER_LOST, ResultCode.REQUEST_NO_SERVER
+        self.fail(lost if is_sent else not_sent)
 
     def _apply_quota(self, decision: Decision) -> None:
         self.quota_number = 0
@@ -150,6 +159,17 @@
             return
         self.sender.handle_deadline()
 
+    def _plan_entering(self, version: Version | None, now: float) -> Any:
+        """Plan a request that enters at this node, by its parent's if it is a call."""
+        gateway = self.gateway
+        request_id = self.head.request_id
+        is_call = gateway.running.is_call(request_id)
+        ages = None if is_call else gateway.ages
+        plan = plan_request(self.head, version, now, gateway.pick_target, ages)
+        if isinstance(plan, Refusal) or not is_call:
+            return plan
+        return gateway.running.plan_call(request_id, plan, now)
+
     def handle_body(self, data: bytes) -> None:
         """Handle a piece of the request body."""
         if self.done:
--- a/src/daisylink/request/_head.py
+++ b/src/daisylink/request/_head.py
@@ -14,6 +14,8 @@
 WAIT_HEADER = b"daisylink-wait"
 TENANT_HEADER = b"daisylink-tenant"
 MAY_NOT_WAIT = b"no"
+CALL_HEADER = b"daisylink-call"
+IS_CALL = b"1"
 OWN_PREFIX = b"daisylink-"
 MAX_NUMBER_DIGITS = 9
 LIMIT_FIELDS = 3
@@ -59,6 +61,8 @@
         relayed to; nodes of earlier releases let each one wait.
     :param tenant: name of the tenant of a relayed request, "" for none; nodes of
         earlier releases state none.
+    :param is_call: whether a backend server makes the relayed request for one that it
+        runs; nodes of earlier releases do not say so.
     """
 
     method: bytes
@@ -74,6 +78,7 @@
     told_limit: "ToldLimit | None" = None
     may_wait: bool = True
     tenant: str = ""
+    is_call: bool = False
 
     @property
     def path(self) -> str:
@@ -140,6 +145,7 @@
     chunked = expects = has_connection_header = False
     may_wait = True
     tenant = ""
+    is_call = False
     forwarded: list[Header] = []
     for item in headers:
         name, value = item
@@ -174,6 +180,8 @@
             may_wait = value != MAY_NOT_WAIT
         elif name == TENANT_HEADER and is_relay:
             tenant = value.decode("utf-8", "replace")
+        elif name == CALL_HEADER and is_relay:
+            is_call = value == IS_CALL
     if host is None:
         raise RequestError("missing Host header")
     if is_relay and hop is None:
@@ -195,6 +203,7 @@
         told_limit,
         may_wait,
         tenant,
+        is_call,
     )
 
 
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -11,12 +11,14 @@
 from daisylink.quota import UnlimitedQuota
 from daisylink.request import (
     DEFAULT_HEADER_NAMES,
+    AgeEstimator,
     Exchange,
     Fingerprint,
     HeaderNames,
     Refusal,
     RequestPlan,
     RetryBudget,
+    RunningRequests,
     RunResult,
     SlotSearch,
 )
@@ -108,6 +110,8 @@
             lambda: loop.call_soon(self.on_local_server_changed),
         )
         self.header_names = header_names
+        self.ages = AgeEstimator()
+        self.running = RunningRequests(header_names.call_separator)
         self.claims_keys = claims_keys
         self.fixed_origin = origin
         self.retry_budget_settings = retry_budget_settings or RetryBudgetSettings()
