--- a/bench/quota_drill.py
+++ b/bench/quota_drill.py
@@ -30,6 +30,7 @@
     Portion,
     Refused,
     ShareHistory,
+    find_shard,
     rank_coordinators,
 )
 from daisylink.quota._bucket import Shares
@@ -238,7 +239,6 @@
     """Print messages a node a second, and the memory of a node, with many tenants."""
     tenants = make_tenants(number)
     for factor in (1.0, 8.0):
-        tracemalloc.start()
         fleet = make_fleet(None, nodes, tenants, seed)
         fleet.load(lambda t, f=factor: t.rate_per_s * USUAL * f, spread, 0.0, WARM)
         fleet.run(2.0)
@@ -260,7 +260,6 @@
             print(f"  {kind} sent a node a second {rate:.2f}")
         print(f"  sum {sum(rates.values()):.2f}; most lenders at a node {lenders}")
         print(f"  simulation: {busy / seconds * 1e3:.2f} ms of a core a node a second")
-        tracemalloc.stop()
     measure_memory(tenants)
 
 
@@ -276,8 +275,7 @@
         first.driver.check(tenant, lambda _decision: None)
     for number, tenant in enumerate(fleet.tenants):
         ask = SimpleNamespace(number=number, tenant=tenant)
-        for pool in first.driver.pools:
-            pool.handle_ask("other", ask, fleet.now)
+        first.driver.pools[find_shard(tenant)].handle_ask("other", ask, fleet.now)
     fleet.run(2.0)
     used = tracemalloc.get_traced_memory()[0] - before
     print(f"  memory of a node that holds all tenants: {used / 1e6:.2f} MB")
--- a/bench/quota_fleet.py
+++ b/bench/quota_fleet.py
@@ -74,9 +74,7 @@
         table = SimpleNamespace(own_record=own, records=records)
         transport = QuotaTransport(
             lambda node, message: fleet.send(self, node, message),
-            lambda delay, call, *args: fleet.call_later(
-                delay, lambda: self._run(start, call, args)
-            ),
+            self._call_later,
             fleet.run_task,
             SimpleNamespace(compare_and_swap=self._compare_and_swap),
         )
@@ -119,11 +117,18 @@
             else:
                 self.receive(*item)
 
-    def _run(self, start, call, args):
-        if start != self.starts or not self.is_up:
+    def _call_later(self, delay, call, *args):
+        start = self.starts
+        handle = self.fleet.call_later(
+            delay, lambda: self._run(start, handle, call, args)
+        )
+        return handle
+
+    def _run(self, start, handle, call, args):
+        if start != self.starts or not self.is_up or handle.is_cancelled:
             return
         if self.is_frozen:
-            self.held.append((start, call, args))
+            self.held.append((start, handle, call, args))
             return
         call(*args)
 
--- a/src/daisylink/quota/_node_quota.py
+++ b/src/daisylink/quota/_node_quota.py
@@ -16,8 +16,10 @@
 # Longest time for which a coordinator's refusal is believed.
 MAX_HOLD_SECONDS = 0.2
 # The same for a coordinator of another zone, which is asked only when the own one
-# refuses: all zones refuse under an excess, and asking them again gains little.
-MAX_AWAY_HOLD_SECONDS = 1.0
+# refuses: all zones refuse under an excess, and asking them again gains little. Each
+# refusal in a row doubles the time.
+MIN_AWAY_HOLD_SECONDS = 0.25
+MAX_AWAY_HOLD_SECONDS = 8.0
 # Retry time where nobody can be asked: a lease has ended by then.
 NO_COORDINATOR_SECONDS = 1.0
 MIN_RETRY_SECONDS = 0.005
@@ -64,11 +66,12 @@
     :ivar away_until: until when no coordinator of another zone is asked.
     """
 
-    __slots__ = ("away_until", "rate", "turn_at", "until")
+    __slots__ = ("away_seconds", "away_until", "rate", "turn_at", "until")
 
     def __init__(self):
         self.until = self.turn_at = self.away_until = float("-inf")
         self.rate = 0.0
+        self.away_seconds = MIN_AWAY_HOLD_SECONDS
 
 
 class NodeQuota:
@@ -109,6 +112,12 @@
         hold = self.holds.get(tenant)
         return hold is None or now >= hold.away_until
 
+    def handle_away_grant(self, tenant: str) -> None:
+        """Handle a token that a coordinator of another zone granted."""
+        hold = self.holds.get(tenant)
+        if hold is not None:
+            hold.away_seconds = MIN_AWAY_HOLD_SECONDS
+
     def handle_refusal(
         self, tenant: str, answer: QuotaAnswer, is_away: bool, now: float
     ) -> Refused:
@@ -120,7 +129,8 @@
         if hold is None:
             hold = self.holds[tenant] = Hold()
         if is_away:
-            hold.away_until = now + min(answer.retry, MAX_AWAY_HOLD_SECONDS)
+            hold.away_until = now + hold.away_seconds
+            hold.away_seconds = min(2 * hold.away_seconds, MAX_AWAY_HOLD_SECONDS)
             if now < hold.turn_at:
                 return Refused(self._limit_retry(hold.turn_at - now), "coordinator")
         else:
@@ -158,7 +168,7 @@
                     continue
             del self.buckets[name]
         for name, hold in list(self.holds.items()):
-            if now >= max(hold.until, hold.away_until):
+            if now >= max(hold.until, hold.away_until + MAX_AWAY_HOLD_SECONDS):
                 del self.holds[name]
 
     def _take(self, tenant: str, limit: Limit, now: float) -> bool:
--- a/src/daisylink/sidecar/_quota_requests.py
+++ b/src/daisylink/sidecar/_quota_requests.py
@@ -187,6 +187,8 @@
 
     def _handle_answer(self, request: PendingRequest, answer: QuotaAnswer) -> Decision:
         if answer.is_granted:
+            if request.is_away:
+                self.node_quota.handle_away_grant(request.tenant)
             return Admitted()
         now = self.now()
         refusal = self.node_quota.handle_refusal(
