--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from types import SimpleNamespace
 
 from bench.quota_fleet import QuotaFleet, find_bound, find_highest, make_tenants
 from daisylink.logs import configure_logging
@@ -20,6 +21,7 @@
 )
 from daisylink.quota._bucket import MAX_CHANGES, Shares
 from daisylink.quota._fleet_size import LEFT_SECONDS, LOST_SECONDS
+from daisylink.version import TenantTable
 
 BOUNDS = QuotaBounds()
 LARGE = Limit.from_quota(278.0, 278.0, BOUNDS)
@@ -262,6 +264,43 @@
         fleet = self.play(freeze)
         self.assertGreater(self.count_share(fleet, 11, 16), 0.8)
 
+    def test_a_lowered_quota_binds_one_window_after_it_is_in_force(self):
+        """Tokens and rates of the former quota must not outlast it."""
+        lowered = make_tenants(12, 30.0)
+        table = TenantTable.from_keys((tenant, ()) for tenant in lowered)
+
+        def lower(fleet):
+            for number, machine in enumerate(fleet.machines.values()):
+                driver = machine.driver
+                fleet.call_later(
+                    number / 30,
+                    lambda d=driver: d.set_version(SimpleNamespace(tenants=table)),
+                )
+
+        fleet = self.play(lower)
+        for tenant in lowered:
+            times = [at for at in fleet.admitted[tenant.name] if at >= 10.0]
+            highest = find_highest(times, 5.0)
+            self.assertLessEqual(highest, find_bound(tenant, BOUNDS))
+
+    def test_callers_that_move_to_another_zone_are_served(self):
+        """A zone has a third of the quota; without the others 0.858 were served."""
+        tenants = make_tenants(12, 150.0)
+        fleet = QuotaFleet(tenants, {"a": 10, "b": 10, "c": 10}, 3, stored=30)
+        fleet.start_all()
+
+        def choose(now):
+            moved = 0.68 if 8 <= now < 13 else 0.0
+            return {"a": 1 - moved, "b": 1 + moved, "c": 1}
+
+        fleet.load(lambda t: t.rate_per_s * 0.9, choose, 0.0, 13.0)
+        fleet.run(13.1)
+        served = offered = 0
+        for name, times in fleet.admitted.items():
+            served += sum(at >= 8 for at in times)
+            offered += sum(at >= 8 for at in fleet.arrivals[name])
+        self.assertGreaterEqual(served / offered, 0.95)
+
     def test_all_nodes_killed_and_started_again(self):
         def kill(fleet):
             for number, machine in enumerate(list(fleet.machines.values())):
