--- a/bench/quota_fleet.py
+++ b/bench/quota_fleet.py
@@ -14,7 +14,6 @@
 from daisylink.quota import (
     FLEET_SIZE_KEY,
     Admitted,
-    MustAsk,
     QuotaAnswer,
     QuotaAsk,
     QuotaBounds,
@@ -75,9 +74,7 @@
         table = SimpleNamespace(own_record=own, records=records)
         transport = QuotaTransport(
             lambda node, message: fleet.send(self, node, message),
-            lambda delay, call, *args: fleet.call_later(
-                delay, lambda: self._run(start, call, args)
-            ),
+            self._call_later,
             fleet.run_task,
             SimpleNamespace(compare_and_swap=self._compare_and_swap),
         )
@@ -120,11 +117,18 @@
             else:
                 self.receive(*item)
 
-    def _run(self, start, call, args):
-        if start != self.starts or not self.is_up:
+    def _call_later(self, delay, call, *args):
+        start = self.starts
+        handle = self.fleet.call_later(
+            delay, lambda: self._run(start, handle, call, args)
+        )
+        return handle
+
+    def _run(self, start, handle, call, args):
+        if start != self.starts or not self.is_up or handle.is_cancelled:
             return
         if self.is_frozen:
-            self.held.append((start, call, args))
+            self.held.append((start, handle, call, args))
             return
         call(*args)
 
@@ -172,7 +176,7 @@
             self.stored = Item(FLEET_SIZE_KEY, value, StoreRevision(1, 1))
         self.arrivals = defaultdict(list)
         self.admitted = defaultdict(list)
-        self.asked = 0
+        self.asks = defaultdict(int)
         for zone, number in zones.items():
             for index in range(number):
                 self.add_machine(f"{zone}{index}:7", zone)
@@ -284,6 +288,8 @@
 
     def send(self, machine, node, message):
         self.sent[type(message).__name__] += 1
+        if isinstance(message, QuotaAsk):
+            self.asks[message.tenant] += 1
         target = self.machines.get(node)
         is_cut = (machine.zone in self.cut) != (target.zone in self.cut)
         if is_cut or self.rng.random() < self.loss:
@@ -307,8 +313,6 @@
         decision = machine.driver.check(
             tenant, lambda later: self._record(tenant, later)
         )
-        if isinstance(decision, MustAsk):
-            self.asked += 1
         self._record(tenant, decision)
 
     def _record(self, tenant, decision):
--- a/src/daisylink/quota/_node_quota.py
+++ b/src/daisylink/quota/_node_quota.py
@@ -16,8 +16,10 @@
 # Longest time for which a coordinator's refusal is believed.
 MAX_HOLD_SECONDS = 0.2
 # The same for a coordinator of another zone, which is asked only when the own one
-# refuses: all zones refuse under an excess, and asking them again gains little.
-MAX_AWAY_HOLD_SECONDS = 1.0
+# refuses: all zones refuse under an excess, and asking them again gains little. Each
+# refusal in a row doubles the time.
+MIN_AWAY_HOLD_SECONDS = 0.25
+MAX_AWAY_HOLD_SECONDS = 8.0
 # Retry time where nobody can be asked: a lease has ended by then.
 NO_COORDINATOR_SECONDS = 1.0
 MIN_RETRY_SECONDS = 0.005
@@ -45,9 +47,12 @@
     """A coordinator is to be asked for a token.
 
     :param number: identifies the request; 0 while no message was sent.
+    :param is_held: whether the own zone's coordinator refuses the tenant for now, so
+        that only those of other zones are worth a message.
     """
 
     number: int = 0
+    is_held: bool = False
 
 
 Decision = Admitted | Refused | MustAsk
@@ -61,11 +66,12 @@
     :ivar away_until: until when no coordinator of another zone is asked.
     """
 
-    __slots__ = ("away_until", "rate", "turn_at", "until")
+    __slots__ = ("away_seconds", "away_until", "rate", "turn_at", "until")
 
     def __init__(self):
         self.until = self.turn_at = self.away_until = float("-inf")
         self.rate = 0.0
+        self.away_seconds = MIN_AWAY_HOLD_SECONDS
 
 
 class NodeQuota:
@@ -95,15 +101,23 @@
         if self._take(tenant, limit, now):
             return Admitted()
         hold = self.holds.get(tenant)
-        if hold is not None and now < hold.until:
-            return self._refuse_held(hold, now)
-        return MustAsk()
+        if hold is None or now >= hold.until:
+            return MustAsk()
+        if now >= hold.away_until:
+            return MustAsk(is_held=True)
+        return self.refuse_held(tenant, now)
 
     def may_ask_away(self, tenant: str, now: float) -> bool:
         """Return whether another zone's coordinator may be asked for the tenant."""
         hold = self.holds.get(tenant)
         return hold is None or now >= hold.away_until
 
+    def handle_away_grant(self, tenant: str) -> None:
+        """Handle a token that a coordinator of another zone granted."""
+        hold = self.holds.get(tenant)
+        if hold is not None:
+            hold.away_seconds = MIN_AWAY_HOLD_SECONDS
+
     def handle_refusal(
         self, tenant: str, answer: QuotaAnswer, is_away: bool, now: float
     ) -> Refused:
@@ -115,15 +129,24 @@
         if hold is None:
             hold = self.holds[tenant] = Hold()
         if is_away:
-            hold.away_until = now + min(answer.wait, MAX_AWAY_HOLD_SECONDS)
+            hold.away_until = now + hold.away_seconds
+            hold.away_seconds = min(2 * hold.away_seconds, MAX_AWAY_HOLD_SECONDS)
             if now < hold.turn_at:
                 return Refused(self._limit_retry(hold.turn_at - now), "coordinator")
         else:
-            hold.until = now + min(answer.wait, MAX_HOLD_SECONDS)
+            # The turn, not the first free token, which is another node's.
+            hold.until = now + min(answer.retry, MAX_HOLD_SECONDS)
         hold.rate = answer.rate
         hold.turn_at = now + answer.retry
         return Refused(self._limit_retry(answer.retry), "coordinator")
 
+    def refuse_held(self, tenant: str, now: float) -> Refused:
+        """Refuse a request without asking; each next one gets a later turn."""
+        hold = self.holds[tenant]
+        if hold.rate and hold.turn_at - now < MAX_RETRY_SECONDS:
+            hold.turn_at = max(hold.turn_at, now) + 1 / hold.rate
+        return Refused(self._limit_retry(hold.turn_at - now), "held")
+
     def decide_alone(self, tenant: str, limit: Limit, now: float) -> Decision:
         """Decide on a request that no coordinator answered."""
         if self._take(tenant, limit, now):
@@ -145,7 +168,7 @@
                     continue
             del self.buckets[name]
         for name, hold in list(self.holds.items()):
-            if now >= max(hold.until, hold.away_until):
+            if now >= max(hold.until, hold.away_until + MAX_AWAY_HOLD_SECONDS):
                 del self.holds[name]
 
     def _take(self, tenant: str, limit: Limit, now: float) -> bool:
@@ -155,12 +178,6 @@
         bucket.settle(self.histories[find_shard(tenant)], limit, now)
         return bucket.take()
 
-    def _refuse_held(self, hold: Hold, now: float) -> Refused:
-        """Refuse a request; each next one gets a later turn."""
-        if hold.rate and hold.turn_at - now < MAX_RETRY_SECONDS:
-            hold.turn_at = max(hold.turn_at, now) + 1 / hold.rate
-        return Refused(self._limit_retry(hold.turn_at - now), "held")
-
     def _limit_retry(self, retry: float) -> float:
         if retry >= MAX_RETRY_SECONDS:
             return MAX_RETRY_SECONDS * self.rng.uniform(*SPREAD)
