--- a/tests/sidecar_case.py
+++ b/tests/sidecar_case.py
@@ -108,11 +108,13 @@
         client.close()
         return response.status == 200
 
-    async def request(self, name, method="GET", deadline=800, path="/x/1"):
+    async def request(self, name, method="GET", deadline=800, path="/x/1", key=""):
         caller = CallerClient(str(self.addresses[0]))
         headers = {"X-Daisylink-Request-Id": name}
         if deadline:
             headers["X-Daisylink-Deadline-Ms"] = str(deadline)
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
         response = await caller.call(method, path, HOST, b"", headers)
         caller.close()
         return response
--- a/tests/test_quota_sidecar.py
+++ b/tests/test_quota_sidecar.py
@@ -7,12 +7,14 @@
 
 from daisylink.logs import configure_logging
 from daisylink.quota import Admitted, MustAsk, QuotaAsk, find_shard
-from daisylink.request import _exchange
 from daisylink.standin import CallerClient
 from tests.sidecar_case import HOST, SidecarTestCase
 from tests.test_platform import make_configuration
 
 
+KEY_HEADERS = {"Authorization": "Bearer key"}
+
+
 def make_tenant_configuration(rate=2.0, burst=2.0):
     document = msgspec.json.decode(make_configuration())
     spec = {"api_keys": ["key"], "rate_per_s": rate, "burst": burst}
@@ -23,20 +25,8 @@
 
 
 class QuotaTestCase(SidecarTestCase):
-    tenant = "t"
-
     def setUp(self):
         configure_logging("CRITICAL")
-        plan_request = _exchange.plan_request
-
-        def plan(*arguments):
-            found = plan_request(*arguments)
-            is_plan = hasattr(found, "pool")
-            return found._replace(tenant=self.tenant) if is_plan else found
-
-        patch = unittest.mock.patch.object(_exchange, "plan_request", plan)
-        patch.start()
-        self.addCleanup(patch.stop)
 
     async def wait_until_lent(self, *machines):
         await self.wait_for(
@@ -56,7 +46,7 @@
             responses = []
             for number in range(60):
                 machine = machines[number % len(machines)]
-                responses.append(await machine.request(f"q{number}"))
+                responses.append(await machine.request(f"q{number}", key="key"))
             refused = [r for r in responses if r.status == 429]
             admitted = sum(r.status == 200 for r in responses)
             self.assertEqual(len(refused) + admitted, len(responses))
@@ -83,7 +73,7 @@
 
             machine.sidecar.gateway.quota.check = check
             caller = CallerClient(str(machine.addresses[0]))
-            headers = {"X-Daisylink-Request-Id": "w"}
+            headers = {"X-Daisylink-Request-Id": "w"} | KEY_HEADERS
             call = caller.call("POST", "/x/1", HOST, b"body", headers)
             task = asyncio.get_running_loop().create_task(call)
             await self.wait_for(lambda: decided)
@@ -100,12 +90,12 @@
         async def scenario(_store, machine):
             quota = machine.sidecar.gateway.quota = unittest.mock.Mock()
             quota.check.return_value = MustAsk(9)
-            response = await machine.request("late", deadline=200)
+            response = await machine.request("late", deadline=200, key="key")
             self.assertEqual(response.status, 503)
             quota.cancel.assert_called_once_with(9)
             quota.cancel.reset_mock()
             caller = CallerClient(str(machine.addresses[0]))
-            call = caller.call("GET", "/x/1", HOST, b"", {})
+            call = caller.call("GET", "/x/1", HOST, b"", KEY_HEADERS)
             task = asyncio.get_running_loop().create_task(call)
             await self.wait_for(lambda: quota.check.call_count == 2)
             task.cancel()
@@ -123,7 +113,9 @@
             asker = second if coordinator == str(first.addresses[4]) else first
             for machine in (first, second):
                 machine.sidecar.datagrams.decoders.pop(QuotaAsk.__name__)
-            statuses = [(await asker.request(f"r{n}")).status for n in range(12)]
+            statuses = [
+                (await asker.request(f"r{n}", key="key")).status for n in range(12)
+            ]
             self.assertLessEqual(set(statuses), {200, 429})
             requests = asker.sidecar.quota.requests
             self.assertGreater(requests.counts["unanswered"], 0)
@@ -136,7 +128,7 @@
     def test_without_limits_no_datagram_is_sent(self):
         async def scenario(store, *machines):
             for machine in machines:
-                response = await machine.request("r")
+                response = await machine.request("r", key="key")
                 self.assertEqual(response.status, 200)
             await asyncio.sleep(1)
             for machine in machines:
