Servers' momentary load: read, used at admission, told to other nodes

Cause: servers state running, waiting, slots and slowness in X-Daisylink-Server-Load, and nothing read it. A service time that was measured while the machine was slowed made a server look slow for seconds, and a server that rejected requests after its start got as many as before.

Change: the adapter reads the header. A concurrency limit falls with rejections, and with failures while many requests fail.

--- a/src/daisylink/request/__init__.py
+++ b/src/daisylink/request/__init__.py
@@ -48,6 +48,7 @@
     DEFAULT_HEADER_NAMES,
     NO_NOTICE,
     HeaderNames,
+    ServerLoad,
     ServerNotice,
 )
 from daisylink.request._outcome import (
@@ -105,6 +106,7 @@
     "SlotSearch",
     "RetryBudget",
     "RunResult",
+    "ServerLoad",
     "ServerNotice",
     "ToldLimit",
     "Try",
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -12,7 +12,7 @@
 from daisylink.logs import get_logger
 from daisylink.request._body import RequestBody
 from daisylink.request._decision import RunResult
-from daisylink.request._head import LOAD_HEADER, RequestHead
+from daisylink.request._head import LOAD_HEADER, PACE_HEADER, RequestHead
 from daisylink.request._outcome import (
     Outcome,
     Refusal,
@@ -243,10 +243,12 @@
         if self.response.pending and not self.done:
             self.caller.write(self, self.response.drain())
 
-    def format_load_header(self) -> bytes:
-        """Return the header line that reports this node's load to the entry node."""
+    def format_load_headers(self) -> tuple[bytes, ...]:
+        """Return the header lines that report this node's load to the entry node."""
         kind = self.plan.route if self.plan is not None else ""
-        return LOAD_HEADER + b": " + self.gateway.format_load(kind)
+        load = LOAD_HEADER + b": " + self.gateway.format_load(kind)
+        pace = self.gateway.pace.format_header()
+        return (load,) if pace is None else (load, PACE_HEADER + b": " + pace)
 
     # End of the request
 
@@ -254,7 +256,7 @@
         """End the request and send the refusal to the caller."""
         close = not self.keeps_connection
         self.refusal = refusal
-        extra = (self.format_load_header(),) if self.is_relay else ()
+        extra = self.format_load_headers() if self.is_relay else ()
         status_only = self.gateway.header_names.callers_read_status_only
         data = encode_refusal(refusal, close, status_only, extra)
         if self.head.method == b"HEAD":
--- a/src/daisylink/request/_head.py
+++ b/src/daisylink/request/_head.py
@@ -10,6 +10,7 @@
 DEPTH_HEADER = b"daisylink-depth"
 HOP_HEADER = b"daisylink-hop"
 LOAD_HEADER = b"daisylink-load"
+PACE_HEADER = b"daisylink-pace"
 LIMIT_HEADER = b"daisylink-limit"
 WAIT_HEADER = b"daisylink-wait"
 MAY_NOT_WAIT = b"no"
--- a/src/daisylink/request/_header_names.py
+++ b/src/daisylink/request/_header_names.py
@@ -25,11 +25,32 @@
 NO_NOTICE = ServerNotice()
 
 
+class ServerLoad(NamedTuple):
+    """Load of a backend server at the moment of a response, as it states it.
+
+    :param running: requests that it runs.
+    :param waiting: requests that wait in the server itself.
+    :param slots: requests that it can run at once.
+    :param slowness: how long work takes on its machine at this moment, relative to the
+        usual time; None if it does not state it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float | None = None
+
+
 def read_no_notice(_headers: Iterable[tuple[bytes, bytes]]) -> ServerNotice:
     """Return that a response says nothing of its backend server."""
     return NO_NOTICE
 
 
+def read_no_load(_headers: Iterable[tuple[bytes, bytes]]) -> ServerLoad | None:
+    """Return that a response does not state the load of its backend server."""
+    return None
+
+
 class HeaderNames(NamedTuple):
     """Header names in lower case; an empty name means that the header is not used.
 
@@ -45,6 +66,8 @@
         ``Retry-After`` may have a fraction.
     :param read_notice: reads what a backend server says of itself from the headers of
         its response, pairs of lower-case name and value.
+    :param read_server_load: reads the load that a backend server states there, None if
+        it states none that is well-formed.
     """
 
     deadline: bytes
@@ -58,6 +81,9 @@
     read_notice: Callable[[Iterable[tuple[bytes, bytes]]], ServerNotice] = (
         read_no_notice
     )
+    read_server_load: Callable[[Iterable[tuple[bytes, bytes]]], ServerLoad | None] = (
+        read_no_load
+    )
 
     @property
     def consumed(self) -> frozenset[bytes]:
--- a/src/daisylink/request/_response.py
+++ b/src/daisylink/request/_response.py
@@ -8,6 +8,7 @@
 from daisylink.request._head import (
     LOAD_HEADER,
     OWN_PREFIX,
+    PACE_HEADER,
     Header,
     find_connection_headers,
 )
@@ -155,8 +156,17 @@
 
 def read_load(head: ResponseHead) -> bytes | None:
     """Return the value of the load header, or None without one."""
+    return _find_value(head, LOAD_HEADER)
+
+
+def read_pace(head: ResponseHead) -> bytes | None:
+    """Return the value of the pace header, or None without one."""
+    return _find_value(head, PACE_HEADER)
+
+
+def _find_value(head: ResponseHead, wanted: bytes) -> bytes | None:
     for name, value in head.headers:
-        if name == LOAD_HEADER:
+        if name == wanted:
             return value
     return None
 
--- a/src/daisylink/request/_response_reader.py
+++ b/src/daisylink/request/_response_reader.py
@@ -11,6 +11,7 @@
     is_replay,
     is_shed,
     read_load,
+    read_pace,
     read_refusal,
 )
 
@@ -35,9 +36,10 @@
     if head.status != HTTPStatus.MISDIRECTED_REQUEST:
         notice = header_names.read_notice(head.headers)
         gateway.notices.record_own(sender.server_record, notice)
+        gateway.pace.record_own(header_names.read_server_load(head.headers))
     shed = is_shed(head, header_names)
     failed = shed or head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-    gateway.record_server_outcome(failed)
+    gateway.record_server_outcome(failed, shed)
     if shed:
         return make_refusal(ResultCode.REQUEST_SHED_BY_SERVER)
     if not has_server_proof(head, header_names):
@@ -49,6 +51,7 @@
     gateway = sender.gateway
     load = read_load(head)
     if load is not None:
+        gateway.pace.record_peer(sender.target, read_pace(head))
         gateway.record_load(sender.target, load, sender.exchange.plan.route)
     sender.exchange.response.replayed = is_replay(head)
     refusal = read_refusal(head)
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -329,7 +329,7 @@
             exchange.keep_alive = False
         extra = []
         if exchange.is_relay:
-            extra.append(exchange.format_load_header())
+            extra += exchange.format_load_headers()
         if exchange.response.replayed:
             extra.append(REPLAY_HEADER + b": 1")
         if not exchange.keeps_connection:
--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -11,7 +11,9 @@
 
 from daisylink.errors import ResultCode
 from daisylink.request import Admitted, Decision, Queued, Refused
+from daisylink.serving._concurrency_limit import ConcurrencyLimit
 from daisylink.serving._pacer import Pacer
+from daisylink.serving._slowness import Slowness
 from daisylink.serving._waiting_queue import QueuedRequest, WaitingQueue
 from daisylink.version import Priority
 
@@ -59,11 +61,19 @@
         self.measured_at: dict[str, float] = {}
         self.closed: ResultCode | None = ResultCode.REQUEST_NO_SERVER
         self.pacer = Pacer()
+        self.slowness = Slowness()
+        self.concurrency = ConcurrencyLimit()
 
     @property
     def capacity(self) -> int:
         """Return the number of requests that may run at once."""
-        return min(self.limits.slots, self.limits.connections)
+        limits = self.limits
+        return min(limits.slots, limits.connections, self.concurrency.get(limits.slots))
+
+    @property
+    def is_limited(self) -> bool:
+        """Return whether fewer may run than the server has slots."""
+        return self.capacity < min(self.limits.slots, self.limits.connections)
 
     @property
     def slots(self) -> int:
@@ -135,7 +145,8 @@
         seconds = self.get_service_time(kind)
         seconds = seconds or self._assume_service(slo_deadline - now)
         waiting = QueuedRequest(ticket, kind, priority, deadline, slo_deadline, seconds)
-        wait = self._expected_wait(waiting, now)
+        total = self._expected_wait(waiting, now) + seconds
+        wait = self.slowness.expect_seconds(total, now) - seconds
         if now + wait + seconds >= deadline:
             return self._refuse(waiting, wait, now)
         if waiting.is_late(now + wait):
@@ -156,7 +167,8 @@
         :param kind: kind of the request that held it.
         :returns: the tickets that are admitted next.
         """
-        self._update_service_times(seconds, kind)
+        usual_seconds = seconds / self.slowness.average(now - seconds, now)
+        self._update_service_times(usual_seconds, kind)
         self.measured_at[kind] = now
         self.in_use -= 1
         return self.admit_waiting(now)
@@ -199,9 +211,16 @@
                 return
 
     def get_service_time(self, kind: str) -> float:
-        """Return the usual service time of a kind in seconds, 0 if none is known."""
+        """Return the usual service time of a kind in seconds, 0 if none is known.
+
+        It is the time that the server takes while its machine is not slowed.
+        """
         return self.service_times.get(kind, 0.0)
 
+    def expect_service(self, kind: str, now: float) -> float:
+        """Return the service time of a kind at the present slowness, 0 if unknown."""
+        return self.slowness.expect_seconds(self.get_service_time(kind), now)
+
     def _is_in_time(self, kind: str, slo_deadline: float, now: float) -> bool:
         """Return whether a request that starts now is expected to meet its objective.
 
@@ -209,7 +228,7 @@
         """
         if now - self.measured_at.get(kind, float("-inf")) > SERVICE_TIME_LIFETIME:
             return True
-        return now + self.get_service_time(kind) <= slo_deadline
+        return now + self.expect_service(kind, now) <= slo_deadline
 
     def _can_start(self, now: float) -> bool:
         return self.in_use < self.capacity and self.pacer.has_turn(now)
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -33,6 +33,7 @@
 from daisylink.serving._retry_budget import RetryBudgetSettings
 from daisylink.serving._server_health import ServerHealth
 from daisylink.serving._server_notices import ServerNotices
+from daisylink.serving._server_pace import ServerPace
 from daisylink.serving._slot_dispatcher import SlotDispatcher
 from daisylink.serving._splitter import Splitter
 from daisylink.version import CallerLimits, RouteEntry, RouteTarget, Version
@@ -90,6 +91,9 @@
         self.lost_requests: list[Fingerprint] = []
         self.probes: set[asyncio.Task] = set()
         self.admission = Admission()
+        self.pace = ServerPace(
+            self.admission, balancer.response_times, local_server, self.now
+        )
         self.slots = SlotDispatcher(self.admission, loop, self.now)
         self.notices = ServerNotices(
             balancer,
@@ -192,6 +196,7 @@
         """Open or close admission according to the node's own record."""
         own_record = self.own_record
         self.notices.update_own_start()
+        self.pace.expect_start(own_record.server_start)
         if own_record.server is ServerState.SERVING and self.is_serving:
             self.admission.open(self._find_limits(own_record))
             return
@@ -205,9 +210,11 @@
         self.local_server.record_unreachable()
         self.on_local_server_changed()
 
-    def record_server_outcome(self, failed: bool) -> None:
+    def record_server_outcome(self, failed: bool, rejected: bool = False) -> None:
         """Record how the local backend server answered a request."""
-        self.server_health.record(failed, self.now())
+        now = self.now()
+        self.server_health.record(failed, now)
+        self.pace.record_outcome(failed, rejected, self.server_health.is_unwell(now))
 
     def record_server_lost(self, fingerprint: Fingerprint) -> None:
         """Record a request whose connection the local backend server dropped.
@@ -307,6 +314,7 @@
         self.balancer.response_times.record_report(
             self.own_record.node, self._own_load(), now, seconds, kind
         )
+        self.pace.share_own(self.own_record.node)
 
     def record_answered(self, exchange: Exchange) -> None:
         """Count a request that got a backend server's response."""
--- a/src/daisylink/serving/_local_server.py
+++ b/src/daisylink/serving/_local_server.py
@@ -96,6 +96,7 @@
         self.awaits_departures = awaits_departures
         self.announcement: Announcement | None = None
         self.expires = float("inf")
+        self.cold_until = float("-inf")
         self.returns: deque[float] = deque()
         self.kept_out_until = float("-inf")
         self.failed = False
@@ -152,6 +153,7 @@
         self.announcement = announcement
         self.failed = False
         self.expires = now + self.settings.lease.total_seconds()
+        self.cold_until = now + announcement.cold_left.total_seconds()
         if is_return and announcement.state is ServerState.SERVING:
             self._count_return(now)
         return AnnouncementResult.APPLIED
--- a/src/daisylink/serving/_response_times.py
+++ b/src/daisylink/serving/_response_times.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 
 from daisylink.serving._records import MemberRecord
+from daisylink.serving._slowness import Slowness
 
 LOAD_LIFETIME_SECONDS = 1.0
 # A server that nobody used for so long counts as an average one and is tried again.
@@ -40,9 +41,21 @@
     :param load: running and queued requests per slot.
     :param at: when the report arrived, in seconds of the monotonic clock.
     :param in_flight: requests of this node that were in flight there at that time.
+    :param slowness: what the node has told of its machine's slowness, None for nothing.
+    :param is_cold: whether its server says that it is still slow after its start.
+    :param limit: requests that its server is given at once, 0 for its slots.
     """
 
-    __slots__ = ("at", "in_flight", "load", "mean_seconds", "service_times")
+    __slots__ = (
+        "at",
+        "in_flight",
+        "is_cold",
+        "limit",
+        "load",
+        "mean_seconds",
+        "service_times",
+        "slowness",
+    )
 
     def __init__(self):
         self.load = 0.0
@@ -50,6 +63,9 @@
         self.in_flight = 0
         self.mean_seconds = 0.0
         self.service_times: dict[str, ServiceTime] = {}
+        self.slowness: Slowness | None = None
+        self.is_cold = False
+        self.limit = 0
 
 
 class ResponseTimes:
@@ -78,11 +94,35 @@
         report.mean_seconds = _move(report.mean_seconds, seconds)
         if len(self.usual_seconds) >= MAX_KINDS:
             self.usual_seconds.clear()
-        self.usual_seconds[kind] = _move(self.usual_seconds.get(kind, 0.0), seconds)
+        if not report.is_cold or kind not in self.usual_seconds:
+            usual = self.usual_seconds.get(kind, 0.0)
+            self.usual_seconds[kind] = _move(usual, seconds)
         if len(report.service_times) >= MAX_KINDS:
             report.service_times.clear()
         report.service_times[kind] = ServiceTime(seconds, now)
 
+    def record_pace(self, node: str, is_cold: bool = False, limit: int = 0) -> None:
+        """Record the pace of a node's server, which its next report relies on.
+
+        :param is_cold: whether it says that it is still slow after its start.
+        :param limit: requests that it is given at once, 0 for its slots.
+        """
+        report = self.reports.setdefault(node, NodeReport())
+        report.is_cold = is_cold
+        report.limit = limit
+
+    def record_slowness(self, node: str, slowness: float, at: float) -> None:
+        """Record how slow a node's machine is.
+
+        :param slowness: relative to its usual time.
+        :param at: when its server stated it, in seconds of the monotonic clock.
+        """
+        report = self.reports.setdefault(node, NodeReport())
+        if report.slowness is None:
+            report.slowness = Slowness()
+        if at >= report.slowness.at:
+            report.slowness.record(slowness, at)
+
     def forget(self, node: str) -> None:
         """Forget the report of a node that is no longer a member."""
         self.reports.pop(node, None)
@@ -103,9 +143,9 @@
 
         :param slots: slots of a server whose record states none.
         """
-        slots = max(1, record.slots or slots)
-        in_flight = self.in_flight.get(record.node, 0)
         report = self.reports.get(record.node)
+        slots = _count_slots(record, slots, report)
+        in_flight = self.in_flight.get(record.node, 0)
         if report is None:
             return in_flight / slots
         freshness = max(0.0, 1 - (now - report.at) / LOAD_LIFETIME_SECONDS)
@@ -117,13 +157,15 @@
     ) -> float:
         """Return the expected wait and service time of a request at a node."""
         service = self._estimate_service(record.node, kind, now)
-        slots = max(1, record.slots or slots)
+        report = self.reports.get(record.node)
+        slots = _count_slots(record, slots, report)
         excess = self.estimate_load(record, slots, now) + 1 / slots - 1
-        if excess <= 0:
+        if excess > 0:
+            mean = (report.mean_seconds if report is not None else 0.0) or service
+            service += excess * mean
+        if report is None or report.slowness is None:
             return service
-        report = self.reports.get(record.node)
-        mean = (report.mean_seconds if report is not None else 0.0) or service
-        return service + excess * mean
+        return report.slowness.expect_seconds(service, now)
 
     def _estimate_service(self, node: str, kind: str, now: float) -> float:
         usual = self.usual_seconds.get(kind, DEFAULT_SERVICE_SECONDS)
@@ -135,6 +177,12 @@
         return usual + (known.seconds - usual) * freshness
 
 
+def _count_slots(record: MemberRecord, slots: int, report: NodeReport | None) -> int:
+    """Return the requests that a node's server runs at once, at least 1."""
+    slots = max(1, record.slots or slots)
+    return min(slots, report.limit) if report is not None and report.limit else slots
+
+
 def _move(mean: float, value: float) -> float:
     """Return a moving mean after one more value; the first value sets it."""
     return mean + MEAN_WEIGHT * (value - mean) if mean else value
