Concurrency limit: only rejections begin a reduction; rejected runs measure nothing

Cause: a third of a service's requests that fail because of a service that they call lowered the limit of every server; and the 10 ms of a rejected request counted as a service time, so that a server that rejects looked fast.

Change: rejections lower the limit, failures only within 1 s of a rejection, and a request that is rejected alone lifts it for 2 s. A request that did not run is no measurement.

--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -112,7 +112,9 @@
         if self.suspect is not None:
             self.gateway.end_suspect(self.suspect, is_answered)
             self.suspect = None
-        self.gateway.slots.free_slot(self.acquired_at, self.exchange.plan.route)
+        has_run = result is not RunResult.NOT_RUN
+        kind = self.exchange.plan.route
+        self.gateway.slots.free_slot(self.acquired_at, kind, has_run)
 
     def _check_quarantine(self) -> bool:
         """Return whether quarantine lets the request run now.
--- a/src/daisylink/request/_response_reader.py
+++ b/src/daisylink/request/_response_reader.py
@@ -15,6 +15,10 @@
     read_refusal,
 )
 
+# With these a server states that it did not run the request, with or without the
+# header that lets it run elsewhere.
+REJECTING_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+
 
 def find_refusal(sender: Any, head: ResponseHead) -> Refusal | None:
     """Return the refusal that a response stands for, None to pass it on.
@@ -39,7 +43,8 @@
         gateway.pace.record_own(header_names.read_server_load(head.headers))
     shed = is_shed(head, header_names)
     failed = shed or head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-    gateway.record_server_outcome(failed, shed)
+    rejected = shed or head.status in REJECTING_STATUSES
+    gateway.record_server_outcome(failed, rejected)
     if shed:
         return make_refusal(ResultCode.REQUEST_SHED_BY_SERVER)
     if not has_server_proof(head, header_names):
--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -159,17 +159,22 @@
         self.queue.push(waiting)
         return Queued(displaced, deadline - seconds)
 
-    def release(self, seconds: float, now: float, kind: str = "") -> list[Any]:
+    def release(
+        self, seconds: float, now: float, kind: str = "", has_run: bool = True
+    ) -> list[Any]:
         """Release a slot.
 
         :param seconds: how long the request held the slot.
         :param now: seconds of the monotonic clock.
         :param kind: kind of the request that held it.
+        :param has_run: whether the server ran it. The short time of a request that it
+            rejected would make the server look fast.
         :returns: the tickets that are admitted next.
         """
-        usual_seconds = seconds / self.slowness.average(now - seconds, now)
-        self._update_service_times(usual_seconds, kind)
-        self.measured_at[kind] = now
+        if has_run:
+            usual_seconds = seconds / self.slowness.average(now - seconds, now)
+            self._update_service_times(usual_seconds, kind)
+            self.measured_at[kind] = now
         self.in_use -= 1
         return self.admit_waiting(now)
 
--- a/src/daisylink/serving/_concurrency_limit.py
+++ b/src/daisylink/serving/_concurrency_limit.py
@@ -1,29 +1,48 @@
 """How many requests a backend server that has just started or failed is given at once.
 
-It is designed for servers that reject or fail requests while they start if they get as
+It is designed for servers that reject and fail requests while they start if they get as
 many as their slots allow, and run fewer without fault. The limit falls with rejections
-and failures and rises with each answer that is neither. Slowness does not lower it: a
-server that is slow for each slot answers no more requests with fewer of them.
+and rises with answers. Two signals do not lower it, because fewer requests would not
+help: slowness, as a server that is slow for each slot answers no more requests with
+fewer of them, and failures of a server that rejects nothing, as requests also fail
+because of services that they call.
 """
 
-# Part of the limit that is kept after a failure.
+from enum import Enum
+
+# Part of the limit that is kept after a rejection.
 KEPT_SHARE = 0.5
+# Failures count so long after a rejection.
+REJECTING_SECONDS = 1.0
 # Requests that were sent before a reduction fail after it. They say nothing new.
 SETTLE_SECONDS = 0.1
 # Rise with each answer without a fault, divided by the limit: one for each round.
 RISE = 1.0
 MIN_LIMIT = 1.0
-# A request that fails while no other one runs does not fail because of too many: for
-# this time no failure lowers the limit.
+# A request that is rejected while no other one runs is not rejected because of too
+# many: for this time nothing lowers the limit.
 UNRELATED_SECONDS = 2.0
 
 
+class ServerOutcome(Enum):
+    """How the backend server answered a request.
+
+    ``FAILED`` includes a connection that it dropped; a request that was ``REJECTED``
+    did not run.
+    """
+
+    ANSWERED = "answered"
+    REJECTED = "rejected"
+    FAILED = "failed"
+
+
 class ConcurrencyLimit:
-    """The limit for one start of the local backend server; none until it fails."""
+    """The limit for one start of the local backend server; none until it rejects."""
 
     def __init__(self):
         self.value = float("inf")
         self.reduced_at = float("-inf")
+        self.rejected_at = float("-inf")
         self.unrelated_until = float("-inf")
         # Whether no other request ran when the last one ended.
         self.was_alone = False
@@ -32,18 +51,22 @@
         """Return the requests that may run at once, at most the server's slots."""
         return slots if self.value >= slots else int(self.value)
 
-    def record(self, failed: bool, running: int, now: float) -> None:
+    def record(self, outcome: ServerOutcome, running: int, now: float) -> None:
         """Record how the server answered a request.
 
-        :param failed: whether it rejected the request, failed or did not answer.
         :param running: requests that it ran, with this one.
         :param now: seconds of the monotonic clock.
         """
-        ran_alone = self.observe(running)
-        if not failed:
-            if self.value < running + 1:
-                self.value += RISE / self.value
-            return
+        ran_alone = self._observe(running)
+        match outcome:
+            case ServerOutcome.ANSWERED:
+                if self.value < running + 1:
+                    self.value += RISE / self.value
+                return
+            case ServerOutcome.REJECTED:
+                self.rejected_at = now
+            case ServerOutcome.FAILED if now - self.rejected_at > REJECTING_SECONDS:
+                return
         if now - self.reduced_at < SETTLE_SECONDS or now < self.unrelated_until:
             return
         if ran_alone:
@@ -53,7 +76,12 @@
         self.reduced_at = now
         self.value = max(MIN_LIMIT, min(self.value, running) * KEPT_SHARE)
 
-    def observe(self, running: int) -> bool:
+    def reset(self) -> None:
+        """Begin anew with another start of the server."""
+        self.value = float("inf")
+        self.reduced_at = self.rejected_at = self.unrelated_until = float("-inf")
+
+    def _observe(self, running: int) -> bool:
         """Note the end of a request; return whether it certainly ran alone.
 
         One that ends alone may have begun beside others, unless the one before has
@@ -63,8 +91,3 @@
         """
         was_alone, self.was_alone = self.was_alone, running <= MIN_LIMIT
         return was_alone and self.was_alone
-
-    def reset(self) -> None:
-        """Begin anew with another start of the server."""
-        self.value = float("inf")
-        self.reduced_at = self.unrelated_until = float("-inf")
--- a/src/daisylink/serving/_server_pace.py
+++ b/src/daisylink/serving/_server_pace.py
@@ -12,6 +12,7 @@
 from daisylink.logs import get_logger
 from daisylink.request import ServerLoad
 from daisylink.serving._admission import Admission
+from daisylink.serving._concurrency_limit import ServerOutcome
 from daisylink.serving._local_server import LocalServer
 from daisylink.serving._own_server_notice import NO_START
 from daisylink.serving._records import ServerStart
@@ -99,27 +100,24 @@
         if load is not None and load.slowness is not None:
             self.admission.slowness.record(load.slowness, self.now())
 
-    def record_outcome(self, failed: bool, rejected: bool, is_unwell: bool) -> None:
+    def record_outcome(self, failed: bool, rejected: bool) -> None:
         """Record how the local backend server answered a request.
 
-        A failure counts only while many requests fail: some fail for reasons of their
-        own.
-
-        :param rejected: whether the server did not run it.
-        :param is_unwell: whether many of the recent requests failed.
+        :param failed: whether it rejected the request, failed or did not answer.
+        :param rejected: whether it did not run it.
         """
+        outcome = ServerOutcome.FAILED if failed else ServerOutcome.ANSWERED
+        if rejected:
+            outcome = ServerOutcome.REJECTED
         admission = self.admission
-        if failed and not (rejected or is_unwell):
-            admission.concurrency.observe(admission.in_use)
-            return
         before = admission.capacity
-        admission.concurrency.record(failed, admission.in_use, self.now())
+        admission.concurrency.record(outcome, admission.in_use, self.now())
         if admission.capacity < before:
             log.bind(
                 instance=self.start.instance,
                 limit=admission.capacity,
                 previous=before,
-                reason="rejected" if rejected else "failed",
+                reason=outcome.value,
             ).info("server is given fewer requests")
         elif before < admission.capacity and not admission.is_limited:
             log.bind(instance=self.start.instance, limit=admission.capacity).info(
--- a/src/daisylink/serving/_slot_dispatcher.py
+++ b/src/daisylink/serving/_slot_dispatcher.py
@@ -44,14 +44,15 @@
         self._schedule_turn()
         return decision
 
-    def free_slot(self, acquired_at: float, kind: str) -> None:
+    def free_slot(self, acquired_at: float, kind: str, has_run: bool = True) -> None:
         """Release a slot and run the queued requests that get it.
 
         :param acquired_at: when it was acquired, in seconds of the monotonic clock.
         :param kind: kind of the request that held it.
+        :param has_run: whether the server ran it.
         """
         now = self.now()
-        self._run(self.admission.release(now - acquired_at, now, kind))
+        self._run(self.admission.release(now - acquired_at, now, kind, has_run))
 
     def set_rate(self, rate: float | None) -> None:
         """Limit the requests a second, or end the limit with None."""
--- a/src/daisylink/sidecar/_gauges.py
+++ b/src/daisylink/sidecar/_gauges.py
@@ -70,3 +70,13 @@
         lambda: admission.queued,
         "Requests that wait for a slot.",
     )
+    metrics.add_gauge(
+        "daisylink.server.slowness",
+        lambda: admission.slowness.get(sidecar.now()),
+        "Slowness of the own backend server's machine, 1 as usual or unknown.",
+    )
+    metrics.add_gauge(
+        "daisylink.server.concurrency",
+        lambda: admission.capacity,
+        "Requests that the own backend server is given at once.",
+    )
