--- a/bench/pace_start.py
+++ b/bench/pace_start.py
@@ -31,8 +31,8 @@
 class Reactive(ConcurrencyLimit):
     """The rule of :class:`ConcurrencyLimit`: no limit before the first failure."""
 
-    def restart(self, _now):
-        self.reset()
+    def restart(self, now):
+        self.reset(now)
 
 
 class Doubling(FromOne):
@@ -42,13 +42,13 @@
         super().__init__()
         self.has_failed = False
 
-    def record(self, outcome, running, now):
+    def record(self, outcome, running, now, many_fail=True):
         is_answered = outcome is ServerOutcome.ANSWERED
         self.has_failed = self.has_failed or not is_answered
         if not self.has_failed:
             self.value += 1
         else:
-            super().record(outcome, running, now)
+            super().record(outcome, running, now, many_fail)
 
 
 class Unlimited:
@@ -62,7 +62,7 @@
     def get(self, slots):
         return slots
 
-    def record(self, outcome, running, now):
+    def record(self, outcome, running, now, many_fail=True):
         pass
 
 
@@ -90,7 +90,7 @@
     def get(self, slots):
         return slots if self.value >= slots else int(self.value)
 
-    def record(self, outcome, running, now, ratio=1.0):
+    def record(self, outcome, running, now, _many_fail=True, ratio=1.0):
         if self.value == float("inf"):
             self.value = float(SLOTS)
         gradient = max(0.5, min(1.0, 1 / max(ratio, 0.01)))
@@ -226,7 +226,8 @@
         node = self.nodes[request.node]
         node.health.record(True, now)
         outcome = ServerOutcome.REJECTED if rejects else ServerOutcome.FAILED
-        node.admission.concurrency.record(outcome, node.admission.in_use, now)
+        unwell = node.health.is_unwell(now)
+        node.admission.concurrency.record(outcome, node.admission.in_use, now, unwell)
         admitted = node.admission.release(
             now - began_at, now, request.plan.route, has_run=not rejects
         )
--- a/src/daisylink/serving/_concurrency_limit.py
+++ b/src/daisylink/serving/_concurrency_limit.py
@@ -4,16 +4,17 @@
 many as their slots allow, and run fewer without fault. The limit falls with rejections
 and rises with answers. Two signals do not lower it, because fewer requests would not
 help: slowness, as a server that is slow for each slot answers no more requests with
-fewer of them, and failures of a server that rejects nothing, as requests also fail
-because of services that they call.
+fewer of them, and failures of a server that rejects nothing and has not just started,
+as requests also fail because of services that they call.
 """
 
 from enum import Enum
 
 # Part of the limit that is kept after a rejection.
 KEPT_SHARE = 0.5
-# Failures count so long after a rejection.
+# Failures count so long after a rejection, and so long after a start.
 REJECTING_SECONDS = 1.0
+STARTING_SECONDS = 5.0
 # Requests that were sent before a reduction fail after it. They say nothing new.
 SETTLE_SECONDS = 0.1
 # Rise with each answer without a fault, divided by the limit: one for each round.
@@ -42,7 +43,7 @@
     def __init__(self):
         self.value = float("inf")
         self.reduced_at = float("-inf")
-        self.rejected_at = float("-inf")
+        self.failures_count_until = float("-inf")
         self.unrelated_until = float("-inf")
         # Whether no other request ran when the last one ended.
         self.was_alone = False
@@ -51,11 +52,15 @@
         """Return the requests that may run at once, at most the server's slots."""
         return slots if self.value >= slots else int(self.value)
 
-    def record(self, outcome: ServerOutcome, running: int, now: float) -> None:
+    def record(
+        self, outcome: ServerOutcome, running: int, now: float, many_fail: bool = True
+    ) -> None:
         """Record how the server answered a request.
 
         :param running: requests that it ran, with this one.
         :param now: seconds of the monotonic clock.
+        :param many_fail: whether a large share of the recent requests failed; a few
+            fail for reasons of their own.
         """
         ran_alone = self._observe(running)
         match outcome:
@@ -64,8 +69,11 @@
                     self.value += RISE / self.value
                 return
             case ServerOutcome.REJECTED:
-                self.rejected_at = now
-            case ServerOutcome.FAILED if now - self.rejected_at > REJECTING_SECONDS:
+                until = now + REJECTING_SECONDS
+                self.failures_count_until = max(self.failures_count_until, until)
+            case ServerOutcome.FAILED if (
+                not many_fail or now > self.failures_count_until
+            ):
                 return
         if now - self.reduced_at < SETTLE_SECONDS or now < self.unrelated_until:
             return
@@ -76,10 +84,14 @@
         self.reduced_at = now
         self.value = max(MIN_LIMIT, min(self.value, running) * KEPT_SHARE)
 
-    def reset(self) -> None:
-        """Begin anew with another start of the server."""
+    def reset(self, now: float) -> None:
+        """Begin anew with another start of the server.
+
+        :param now: seconds of the monotonic clock.
+        """
         self.value = float("inf")
-        self.reduced_at = self.rejected_at = self.unrelated_until = float("-inf")
+        self.reduced_at = self.unrelated_until = float("-inf")
+        self.failures_count_until = now + STARTING_SECONDS
 
     def _observe(self, running: int) -> bool:
         """Note the end of a request; return whether it certainly ran alone.
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -212,8 +212,9 @@
 
     def record_server_outcome(self, failed: bool, rejected: bool = False) -> None:
         """Record how the local backend server answered a request."""
-        self.server_health.record(failed, self.now())
-        self.pace.record_outcome(failed, rejected)
+        now = self.now()
+        self.server_health.record(failed, now)
+        self.pace.record_outcome(failed, rejected, self.server_health.is_unwell(now))
 
     def record_server_lost(self, fingerprint: Fingerprint) -> None:
         """Record a request whose connection the local backend server dropped.
--- a/src/daisylink/serving/_server_pace.py
+++ b/src/daisylink/serving/_server_pace.py
@@ -93,25 +93,26 @@
         """Note which start of the local server runs now; another one has no limit."""
         if start not in (self.start, NO_START):
             self.start = start
-            self.admission.concurrency.reset()
+            self.admission.concurrency.reset(self.now())
 
     def record_own(self, load: ServerLoad | None) -> None:
         """Record what the local backend server states in a response."""
         if load is not None and load.slowness is not None:
             self.admission.slowness.record(load.slowness, self.now())
 
-    def record_outcome(self, failed: bool, rejected: bool) -> None:
+    def record_outcome(self, failed: bool, rejected: bool, many_fail: bool) -> None:
         """Record how the local backend server answered a request.
 
         :param failed: whether it rejected the request, failed or did not answer.
         :param rejected: whether it did not run it.
+        :param many_fail: whether a large share of the recent requests failed.
         """
         outcome = ServerOutcome.FAILED if failed else ServerOutcome.ANSWERED
         if rejected:
             outcome = ServerOutcome.REJECTED
         admission = self.admission
         before = admission.capacity
-        admission.concurrency.record(outcome, admission.in_use, self.now())
+        admission.concurrency.record(outcome, admission.in_use, self.now(), many_fail)
         if admission.capacity < before:
             log.bind(
                 instance=self.start.instance,
--- a/tests/test_server_load.py
+++ b/tests/test_server_load.py
@@ -71,6 +71,13 @@
             self.run_one(0.25, now)
         self.assertAlmostEqual(self.admission.get_service_time("view"), 0.1, delta=0.03)
 
+    def test_a_server_that_rejects_requests_does_not_look_fast(self):
+        self.run_one(0.1, 1.0)
+        for number in range(40):
+            self.admission.in_use += 1
+            self.admission.release(0.01, 1.0 + number, "view", has_run=False)
+        self.assertEqual(self.admission.get_service_time("view"), 0.1)
+
     def test_an_old_figure_counts_as_unknown(self):
         slowness = Slowness()
         slowness.record(2.5, 1.0)
@@ -142,6 +149,17 @@
         self.limit.record(FAILED, 2, 5.2)
         self.assertEqual(self.limit.get(SLOTS), 1)
 
+    def test_failures_after_a_start_count_though_the_server_rejects_nothing(self):
+        """A server that failed what flooded it failed 0.3 of a service's requests."""
+        self.limit.reset(0.0)
+        self.limit.record(FAILED, 4, 1.0, many_fail=False)
+        self.assertEqual(self.limit.get(SLOTS), SLOTS)
+        self.limit.record(FAILED, 4, 1.0)
+        self.assertEqual(self.limit.get(SLOTS), 2)
+        self.limit.reset(10.0)
+        self.limit.record(FAILED, 4, 15.1)
+        self.assertEqual(self.limit.get(SLOTS), SLOTS)
+
     def test_rejections_that_fewer_requests_do_not_avoid_end_it(self):
         for number in range(30):
             self.limit.record(REJECTED, self.limit.get(SLOTS), number * 0.15)
@@ -194,15 +212,15 @@
 
     def test_failures_without_rejections_do_not_lower_the_limit(self):
         self.admission.in_use = 4
-        self.pace.record_outcome(failed=True, rejected=False)
+        self.pace.record_outcome(failed=True, rejected=False, many_fail=True)
         self.assertFalse(self.admission.is_limited)
-        self.pace.record_outcome(failed=True, rejected=True)
+        self.pace.record_outcome(failed=True, rejected=True, many_fail=False)
         self.assertEqual(self.admission.capacity, 2)
 
     def test_another_start_of_the_server_begins_without_a_limit(self):
         self.pace.expect_start(ServerStart("i", 1))
         self.admission.in_use = 4
-        self.pace.record_outcome(failed=True, rejected=True)
+        self.pace.record_outcome(failed=True, rejected=True, many_fail=False)
         for start in (ServerStart("i", 1), ServerStart("", 0), ServerStart("i", 1)):
             self.pace.expect_start(start)
             self.assertTrue(self.admission.is_limited)
