A misdirected response is no sign of a flooded server

Cause: a 421 counts as a request that was not run, so the answer of another server at the address lowered the concurrency limit of the one that was meant.

Change: such a response does not count as a rejection for the limit.

--- a/src/daisylink/request/_response_reader.py
+++ b/src/daisylink/request/_response_reader.py
@@ -37,14 +37,15 @@
     gateway = sender.gateway
     header_names = gateway.header_names
     # A server that was not meant says nothing of the one that was.
-    if head.status != HTTPStatus.MISDIRECTED_REQUEST:
+    is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
+    if not is_misdirected:
         notice = header_names.read_notice(head.headers)
         gateway.notices.record_own(sender.server_record, notice)
         gateway.pace.record_own(header_names.read_server_load(head.headers))
     shed = is_shed(head, header_names)
     failed = shed or head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-    rejected = shed or head.status in REJECTING_STATUSES
-    gateway.record_server_outcome(failed, rejected)
+    is_rejecting = shed or head.status in REJECTING_STATUSES
+    gateway.record_server_outcome(failed, is_rejecting and not is_misdirected)
     if shed:
         return make_refusal(ResultCode.REQUEST_SHED_BY_SERVER)
     if not has_server_proof(head, header_names):
--- a/tests/test_server_load.py
+++ b/tests/test_server_load.py
@@ -325,6 +325,24 @@
 
         self.run_machines(scenario)
 
+    def test_a_server_that_was_not_meant_does_not_lower_the_limit(self):
+        """Another server had taken the address; its answer is no sign of a flood."""
+
+        async def scenario(_store, machine):
+            NamingServer(
+                machine,
+                "X-Daisylink-Server-Load: 1,0,5,250\r\n",
+                "421 Misdirected Request",
+            )
+            machine.admission.in_use = 3
+            await machine.request("r1")
+            machine.admission.in_use = 0
+            self.assertFalse(machine.admission.is_limited)
+            now = machine.sidecar.gateway.now()
+            self.assertFalse(machine.admission.slowness.is_known(now))
+
+        self.run_machines(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
