--- a/src/daisylink/request/__init__.py
+++ b/src/daisylink/request/__init__.py
@@ -49,6 +49,7 @@
     DEFAULT_HEADER_NAMES,
     NO_NOTICE,
     HeaderNames,
+    ServerLoad,
     ServerNotice,
 )
 from daisylink.request._outcome import (
@@ -111,6 +112,7 @@
     "RetryBudget",
     "RunningRequests",
     "RunResult",
+    "ServerLoad",
     "ServerNotice",
     "ToldLimit",
     "Try",
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -134,7 +134,9 @@
         if self.is_sent:
             request_id = self.exchange.head.request_id
             self.gateway.running.end(request_id, is_answered, self.gateway.now())
-        self.gateway.slots.free_slot(self.acquired_at, self.exchange.plan.route)
+        has_run = result is not RunResult.NOT_RUN
+        kind = self.exchange.plan.route
+        self.gateway.slots.free_slot(self.acquired_at, kind, has_run)
 
     def _send(self) -> None:
         self.is_sent = True
--- a/src/daisylink/request/_response_reader.py
+++ b/src/daisylink/request/_response_reader.py
@@ -11,9 +11,14 @@
     is_replay,
     is_shed,
     read_load,
+    read_pace,
     read_refusal,
 )
 
+# With these a server states that it did not run the request, with or without the
+# header that lets it run elsewhere.
+REJECTING_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+
 
 def find_refusal(sender: Any, head: ResponseHead) -> Refusal | None:
     """Return the refusal that a response stands for, None to pass it on.
@@ -32,13 +37,16 @@
     gateway = sender.gateway
     header_names = gateway.header_names
     # A server that was not meant says nothing of the one that was.
-    if head.status != HTTPStatus.MISDIRECTED_REQUEST:
+    is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
+    if not is_misdirected:
         notice = header_names.read_notice(head.headers)
         gateway.notices.record_own(sender.server_record, notice)
+        gateway.pace.record_own(header_names.read_server_load(head.headers))
     shed = is_shed(head, header_names)
     failed = shed or head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-    gateway.record_server_outcome(failed)
-    if not shed and head.status != HTTPStatus.MISDIRECTED_REQUEST:
+    is_rejecting = shed or head.status in REJECTING_STATUSES
+    gateway.record_server_outcome(failed, is_rejecting and not is_misdirected)
+    if not shed and not is_misdirected:
         sender.local_run.record_response(failed)
     elif not shed:
         sender.local_run.sent_at = None
@@ -53,6 +61,7 @@
     gateway = sender.gateway
     load = read_load(head)
     if load is not None:
+        gateway.pace.record_peer(sender.target, read_pace(head))
         gateway.record_load(sender.target, load, sender.exchange.plan.route)
     sender.exchange.response.replayed = is_replay(head)
     refusal = read_refusal(head)
--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -13,7 +13,9 @@
 from daisylink.errors import ResultCode
 from daisylink.request import Admitted, Decision, Queued, Refused
 from daisylink.serving._call_reserve import CallReserve
+from daisylink.serving._concurrency_limit import ConcurrencyLimit
 from daisylink.serving._pacer import Pacer
+from daisylink.serving._slowness import Slowness
 from daisylink.serving._waiting_queue import Group, QueuedRequest, WaitingQueue
 from daisylink.version import Priority
 
@@ -69,11 +71,19 @@
         self.pacer = Pacer()
         # Whether a free slot is kept from all that wait.
         self.is_held_back = False
+        self.slowness = Slowness()
+        self.concurrency = ConcurrencyLimit()
 
     @property
     def capacity(self) -> int:
         """Return the number of requests that may run at once."""
-        return min(self.limits.slots, self.limits.connections)
+        limits = self.limits
+        return min(limits.slots, limits.connections, self.concurrency.get(limits.slots))
+
+    @property
+    def is_limited(self) -> bool:
+        """Return whether fewer may run than the server has slots."""
+        return self.capacity < min(self.limits.slots, self.limits.connections)
 
     @property
     def slots(self) -> int:
@@ -163,7 +173,8 @@
             self._start(waiting, now)
             return Admitted()
         self.is_held_back = self._can_start(now) and not self._has_startable(now)
-        wait = self._expected_wait(waiting, now)
+        total = self._expected_wait(waiting, now) + seconds
+        wait = self.slowness.expect_seconds(total, now) - seconds
         if now + wait + seconds >= deadline:
             return self._refuse(waiting, wait, now)
         if waiting.is_late(now + wait):
@@ -176,16 +187,22 @@
         self.queue.push(waiting)
         return Queued(displaced, deadline - seconds)
 
-    def release(self, seconds: float, now: float, kind: str = "") -> list[Any]:
+    def release(
+        self, seconds: float, now: float, kind: str = "", has_run: bool = True
+    ) -> list[Any]:
         """Release a slot.
 
         :param seconds: how long the request held the slot.
         :param now: seconds of the monotonic clock.
         :param kind: kind of the request that held it.
+        :param has_run: whether the server ran it. The short time of a request that it
+            rejected would make the server look fast.
         :returns: the tickets that are admitted next.
         """
-        self._update_service_times(seconds, kind)
-        self.measured_at[kind] = now
+        if has_run:
+            usual_seconds = seconds / self.slowness.average(now - seconds, now)
+            self._update_service_times(usual_seconds, kind)
+            self.measured_at[kind] = now
         self.in_use -= 1
         self.reserve.end(kind)
         return self.admit_waiting(now)
@@ -228,9 +245,16 @@
                 return
 
     def get_service_time(self, kind: str) -> float:
-        """Return the usual service time of a kind in seconds, 0 if none is known."""
+        """Return the usual service time of a kind in seconds, 0 if none is known.
+
+        It is the time that the server takes while its machine is not slowed.
+        """
         return self.service_times.get(kind, 0.0)
 
+    def expect_service(self, kind: str, now: float) -> float:
+        """Return the service time of a kind at the present slowness, 0 if unknown."""
+        return self.slowness.expect_seconds(self.get_service_time(kind), now)
+
     def _is_in_time(self, kind: str, slo_deadline: float, now: float) -> bool:
         """Return whether a request that starts now is expected to meet its objective.
 
@@ -238,7 +262,7 @@
         """
         if now - self.measured_at.get(kind, float("-inf")) > SERVICE_TIME_LIFETIME:
             return True
-        return now + self.get_service_time(kind) <= slo_deadline
+        return now + self.expect_service(kind, now) <= slo_deadline
 
     def _can_take_free_slot(self, kind: str, is_call: bool, now: float) -> bool:
         """Return whether a new request can start now without going before others."""
--- a/src/daisylink/sidecar/_gauges.py
+++ b/src/daisylink/sidecar/_gauges.py
@@ -120,3 +120,14 @@
         lambda: gateway.placer.refused_at_once,
         "Requests not sent on because their pool has refused nearly all lately.",
     )
+    admission = gateway.admission
+    metrics.add_gauge(
+        "daisylink.server.slowness",
+        lambda: admission.slowness.get(gateway.now()),
+        "Slowness of the own backend server's machine, 1 as usual or unknown.",
+    )
+    metrics.add_gauge(
+        "daisylink.server.concurrency",
+        lambda: admission.capacity,
+        "Requests that the own backend server is given at once.",
+    )
--- a/tests/test_quota_sidecar.py
+++ b/tests/test_quota_sidecar.py
@@ -11,7 +11,6 @@
 from tests.sidecar_case import HOST, SidecarTestCase
 from tests.test_platform import make_configuration
 
-
 KEY_HEADERS = {"Authorization": "Bearer key"}
 
 
