Quotas and rollouts: one test of a full bucket and of slow responses

A reader met the same rule twice: when a bucket is full (node and pool), which run times are slow (judge and its old kinds), and the clock that counts suspended time (rollout driver and Clock.boot). Each now stands once. "Away" and "own" become "remote" and "local" for coordinators, SPREAD becomes RETRY_JITTER, and variables with two meanings (is_late, pending) and attributes without units are named or described. No behaviour, constant or text on the wire changes.

--- a/specs/quota.py
+++ b/specs/quota.py
@@ -4,9 +4,9 @@
 cut-off zone or a lost message; a coordinator may have stated any time up to now, in a
 reply that arrives now. The node and one coordinator are killed and start again. The
 quota is lowered, and the holders learn of it one after another, in runs without a
-restart. A share gives as many
-tokens in a tick as its depth, and a lease lasts for two ticks. What cannot have an
-effect any more, as a message whose lease would have ended, is left out of the state.
+restart. A share gives as many tokens in a tick as its depth, and a lease lasts for two
+ticks. What cannot have an effect any more, as a message whose lease would have ended,
+is left out of the state.
 
 The excess is the level of a bucket that each request fills by one and that leaks at the
 quota's rate: while it stays within the depth, every window is within its bound.
--- a/src/daisylink/quota/_bucket.py
+++ b/src/daisylink/quota/_bucket.py
@@ -45,7 +45,7 @@
         return fraction if self.portion is Portion.LENT else 0.0
 
 
-class Change(NamedTuple):
+class ShareChange(NamedTuple):
     """The shares that a holder has from a moment on.
 
     :param at: seconds of the holder's clock.
@@ -66,12 +66,12 @@
     """
 
     def __init__(self, at: float):
-        self.changes: deque[Change] = deque([Change(at, ())], MAX_CHANGES)
+        self.changes: deque[ShareChange] = deque([ShareChange(at, ())], MAX_CHANGES)
         # Position of the oldest change among all that there have been.
         self.oldest = 0
 
     @property
-    def current(self) -> Change:
+    def current(self) -> ShareChange:
         """Return the shares that the holder has now."""
         return self.changes[-1]
 
@@ -81,9 +81,9 @@
             return
         if len(self.changes) == MAX_CHANGES:
             self.oldest += 1
-        self.changes.append(Change(max(at, self.current.at), shares))
+        self.changes.append(ShareChange(max(at, self.current.at), shares))
 
-    def find_since(self, position: int) -> tuple[int, list[Change]]:
+    def find_since(self, position: int) -> tuple[int, list[ShareChange]]:
         """Return the changes from a position on, and the position of the first."""
         position = max(position, self.oldest)
         skipped = position - self.oldest
@@ -128,6 +128,11 @@
         self.tokens -= 1
         return True
 
+    def is_full(self, history: ShareHistory, limit: Limit, now: float) -> bool:
+        """Return whether the bucket, with the tokens due until now, is at its depth."""
+        self.settle(history, limit, now)
+        return self.tokens >= limit.find_depth(history.current.find_fraction(limit))
+
     def find_wait(self, history: ShareHistory, limit: Limit) -> float:
         """Return the seconds until there is a token, infinity if there will be none."""
         fraction = history.current.find_fraction(limit)
--- a/src/daisylink/quota/_directory.py
+++ b/src/daisylink/quota/_directory.py
@@ -45,11 +45,11 @@
         """Record a coordinator that did not answer."""
         self.silent_until[node] = now + SILENT_SECONDS
 
-    def find_own(self, shard: int, now: float) -> str:
+    def find_local(self, shard: int, now: float) -> str:
         """Return the coordinator of the own zone, "" if it does not answer."""
         return self._find(self.zone, shard, now)
 
-    def find_away(self, shard: int, now: float) -> str:
+    def find_remote(self, shard: int, now: float) -> str:
         """Return the coordinator of another zone, "" if it does not answer."""
         zones = [zone for zone in self.zones if zone != self.zone]
         return self._find(self.rng.choice(zones), shard, now) if zones else ""
--- a/src/daisylink/quota/_fleet_size.py
+++ b/src/daisylink/quota/_fleet_size.py
@@ -14,9 +14,10 @@
 
 FLEET_SIZE_KEY = "daisylink/fleet-size"
 # A zone that is cut off for longer may exceed its quotas by the share of its nodes.
-LOST_SECONDS = 600.0
+LOST_NODE_SECONDS = 600.0
 # A node that left has no requests any more after this time.
-LEFT_SECONDS = 5.0
+LEFT_NODE_SECONDS = 5.0
+# The stored size is written again if it is wrong by more than this share.
 WRITE_RATIO = 0.05
 WRITE_INTERVAL_SECONDS = 5.0
 # A starting node that makes the fleet larger uses its share once the others know it,
@@ -44,6 +45,7 @@
         self.started_at = started_at
         self.stored = 0
         self.revision: Any = None
+        # When each node is no longer counted; infinity for members.
         self.nodes: dict[str, float] = {}
         self.current: frozenset[str] = frozenset()
         self.left: set[str] = set()
@@ -51,7 +53,7 @@
         self.unseen = 0
         self.is_started = False
         self.next_write_at = float("-inf")
-        self.pending = False
+        self.is_write_pending = False
 
     @property
     def size(self) -> int:
@@ -64,7 +66,7 @@
         new = current - self.nodes.keys()
         self.unseen = max(0, self.unseen - len(new))
         for node in self.current - current:
-            hold = LEFT_SECONDS if node in self.left else LOST_SECONDS
+            hold = LEFT_NODE_SECONDS if node in self.left else LOST_NODE_SECONDS
             self.nodes[node] = now + hold
         for node in current:
             self.nodes[node] = float("inf")
@@ -111,19 +113,19 @@
             if now >= until:
                 del self.nodes[node]
                 self.left.discard(node)
-        if now >= self.started_at + LOST_SECONDS:
+        if now >= self.started_at + LOST_NODE_SECONDS:
             self.unseen = 0
-        if self.pending or not is_writer or now < self.next_write_at:
+        if self.is_write_pending or not is_writer or now < self.next_write_at:
             return None
         if not self.is_started or not self.nodes:
             return None
         wanted = len(self.nodes) + self.unseen
         if abs(wanted - self.stored) <= self.stored * WRITE_RATIO:
             return None
-        self.pending = True
+        self.is_write_pending = True
         self.next_write_at = now + WRITE_INTERVAL_SECONDS
         return WriteFleetSize(msgspec.json.encode(wanted), self.revision)
 
     def handle_written(self) -> None:
         """Handle the end of a write; the key itself comes by the change feed."""
-        self.pending = False
+        self.is_write_pending = False
--- a/src/daisylink/quota/_node_quota.py
+++ b/src/daisylink/quota/_node_quota.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from daisylink.quota._bucket import Bucket, Portion, ShareHistory, Shares
@@ -18,13 +19,13 @@
 # The same for a coordinator of another zone, which is asked only when the own one
 # refuses: all zones refuse under an excess, and asking them again gains little. Each
 # refusal in a row doubles the time.
-MIN_AWAY_HOLD_SECONDS = 0.25
-MAX_AWAY_HOLD_SECONDS = 8.0
+MIN_REMOTE_HOLD_SECONDS = 0.25
+MAX_REMOTE_HOLD_SECONDS = 8.0
 # Retry time where nobody can be asked: a lease has ended by then.
 NO_COORDINATOR_SECONDS = 1.0
 MIN_RETRY_SECONDS = 0.005
 # Retry times that reach the maximum are spread over its upper half.
-SPREAD = (0.5, 1.0)
+RETRY_JITTER = (0.5, 1.0)
 
 
 class Admitted(NamedTuple):
@@ -63,20 +64,24 @@
 
     :ivar until: when a token is due, or the refusal is believed no longer.
     :ivar turn_at: when there is a token for the next request that is refused.
-    :ivar away_until: until when no coordinator of another zone is asked.
+    :ivar rate: tokens a second of the coordinator that refused, 0 if unknown.
+    :ivar remote_until: until when no coordinator of another zone is asked.
+    :ivar remote_seconds: how long the next refusal of another zone's is believed.
     """
 
-    __slots__ = ("away_seconds", "away_until", "rate", "turn_at", "until")
+    __slots__ = ("remote_seconds", "remote_until", "rate", "turn_at", "until")
 
     def __init__(self):
-        self.until = self.turn_at = self.away_until = float("-inf")
+        self.until = self.turn_at = self.remote_until = float("-inf")
         self.rate = 0.0
-        self.away_seconds = MIN_AWAY_HOLD_SECONDS
+        self.remote_seconds = MIN_REMOTE_HOLD_SECONDS
 
 
 class NodeQuota:
     """This node's shares, and what coordinators said.
 
+    Times are in seconds of the clock of ``now``.
+
     :param rng: spreads retry times.
     :param now: seconds of a clock that counts while the machine is suspended.
     """
@@ -103,34 +108,34 @@
         hold = self.holds.get(tenant)
         if hold is None or now >= hold.until:
             return MustAsk()
-        if now >= hold.away_until:
+        if now >= hold.remote_until:
             return MustAsk(is_held=True)
         return self.refuse_held(tenant, now)
 
-    def may_ask_away(self, tenant: str, now: float) -> bool:
+    def may_ask_remote(self, tenant: str, now: float) -> bool:
         """Return whether another zone's coordinator may be asked for the tenant."""
         hold = self.holds.get(tenant)
-        return hold is None or now >= hold.away_until
+        return hold is None or now >= hold.remote_until
 
-    def handle_away_grant(self, tenant: str) -> None:
+    def handle_remote_grant(self, tenant: str) -> None:
         """Handle a token that a coordinator of another zone granted."""
         hold = self.holds.get(tenant)
         if hold is not None:
-            hold.away_seconds = MIN_AWAY_HOLD_SECONDS
+            hold.remote_seconds = MIN_REMOTE_HOLD_SECONDS
 
     def handle_refusal(
-        self, tenant: str, answer: QuotaAnswer, is_away: bool, now: float
+        self, tenant: str, answer: QuotaAnswer, is_remote: bool, now: float
     ) -> Refused:
         """Handle a coordinator's refusal.
 
-        :param is_away: whether it is a coordinator of another zone.
+        :param is_remote: whether it is a coordinator of another zone.
         """
         hold = self.holds.get(tenant)
         if hold is None:
             hold = self.holds[tenant] = Hold()
-        if is_away:
-            hold.away_until = now + hold.away_seconds
-            hold.away_seconds = min(2 * hold.away_seconds, MAX_AWAY_HOLD_SECONDS)
+        if is_remote:
+            hold.remote_until = now + hold.remote_seconds
+            hold.remote_seconds = min(2 * hold.remote_seconds, MAX_REMOTE_HOLD_SECONDS)
             if now < hold.turn_at:
                 return Refused(self._limit_retry(hold.turn_at - now), "coordinator")
         else:
@@ -156,19 +161,20 @@
         wait = min(wait, NO_COORDINATOR_SECONDS)
         return Refused(self._limit_retry(wait), "own")
 
-    def forget_idle(self, find_limit, now: float) -> None:
-        """Forget the tenants with full buckets, and refusals that hold no longer."""
+    def forget_idle(
+        self, find_limit: Callable[[str], Limit | None], now: float
+    ) -> None:
+        """Forget the tenants with full buckets, and refusals that hold no longer.
+
+        :param find_limit: returns a tenant's limit, None if the tenant is not known.
+        """
         for name, bucket in list(self.buckets.items()):
             limit = find_limit(name)
-            if limit is not None:
-                history = self.histories[find_shard(name)]
-                bucket.settle(history, limit, now)
-                fraction = history.current.find_fraction(limit)
-                if bucket.tokens < limit.find_depth(fraction):
-                    continue
-            del self.buckets[name]
+            history = self.histories[find_shard(name)]
+            if limit is None or bucket.is_full(history, limit, now):
+                del self.buckets[name]
         for name, hold in list(self.holds.items()):
-            if now >= max(hold.until, hold.away_until + MAX_AWAY_HOLD_SECONDS):
+            if now >= max(hold.until, hold.remote_until + MAX_REMOTE_HOLD_SECONDS):
                 del self.holds[name]
 
     def _take(self, tenant: str, limit: Limit, now: float) -> bool:
@@ -180,5 +186,5 @@
 
     def _limit_retry(self, retry: float) -> float:
         if retry >= MAX_RETRY_SECONDS:
-            return MAX_RETRY_SECONDS * self.rng.uniform(*SPREAD)
+            return MAX_RETRY_SECONDS * self.rng.uniform(*RETRY_JITTER)
         return max(retry, MIN_RETRY_SECONDS)
--- a/src/daisylink/quota/_pool.py
+++ b/src/daisylink/quota/_pool.py
@@ -24,6 +24,7 @@
 class Lease(NamedTuple):
     """A share that is lent.
 
+    :param ends_at: when the lease ends, in seconds of the coordinator's clock.
     :param size: fleet size that the lender stated.
     """
 
@@ -110,16 +111,12 @@
         self.next_end = min(ends, default=float("inf"))
 
     def forget_idle(self, now: float) -> None:
-        """Forget the tenants with full buckets, which a new bucket is not beyond."""
+        """Forget the tenants with full buckets; a new bucket holds no more tokens."""
         self.expire(now)
         for name, tenant in list(self.tenants.items()):
             limit = self.find_limit(name)
-            if limit is not None:
-                tenant.settle(self.history, limit, now)
-                fraction = self.history.current.find_fraction(limit)
-                if tenant.tokens < limit.find_depth(fraction):
-                    continue
-            del self.tenants[name]
+            if limit is None or tenant.is_full(self.history, limit, now):
+                del self.tenants[name]
 
     def _update_shares(self, at: float) -> None:
         sizes = Counter(lease.size for lease in self.leases.values())
--- a/src/daisylink/quota/_ranking.py
+++ b/src/daisylink/quota/_ranking.py
@@ -16,7 +16,11 @@
 
 
 def rank_coordinators(nodes: Iterable[str], shard: int) -> list[str]:
-    """Return a zone's nodes in the order in which they coordinate a shard."""
+    """Return nodes by their rank for a shard: the first that responds coordinates it.
+
+    Each node has a weight that is a hash of its name and the shard (rendezvous
+    hashing), so that a member that comes or goes moves only its own shards.
+    """
     return sorted(nodes, key=lambda node: _find_weight(node, shard), reverse=True)
 
 
--- a/src/daisylink/rollout/_controller.py
+++ b/src/daisylink/rollout/_controller.py
@@ -105,12 +105,13 @@
         self.exposure = Exposure(exposure_settings, state.granted)
         self.judge = Judge()
         self.reports: dict[str, tuple[EvidenceReport, float]] = {}
+        # Evidence of each server by kind that the judge has, and its total responses.
         self.counted: dict[str, dict[str, KindCounts]] = {}
         self.totals: dict[str, dict[str, int]] = {}
         self.first_new_at = float("inf")
         if state.observed_from >= 0:
             self.first_new_at = started_at + state.observed_from
-        self.chosen_at_admitted = 0
+        self.admitted_at_choice = 0
         self.step_at = now
         self.is_successor = now - started_at > SUCCESSOR_SECONDS
 
@@ -171,7 +172,7 @@
             case _:
                 found = self._decide_finish(servers, now)
         is_same = found is None or found.step is state.step
-        if is_same and now >= self._find_end(state.step):
+        if is_same and now >= self._find_decision_time(state.step):
             return self._decide_late(servers, now)
         if found is None or found == state:
             return None
@@ -275,11 +276,11 @@
     def _is_good(self, now: float) -> bool:
         settings = self.settings
         # A controller that took over has had less time to collect.
-        is_late = self.is_successor and self._must_finish(now)
-        self.judge.note_enough(now, is_late)
-        if self.judge.is_doubtful or self.judge.list_missing(is_late):
+        needs_fewer = self.is_successor and self._must_finish(now)
+        self.judge.note_enough(now, needs_fewer)
+        if self.judge.is_doubtful or self.judge.list_missing(needs_fewer):
             return False
-        if not self.judge.has_awaited(now):
+        if not self.judge.has_waited_for_slow(now):
             return False
         if now - self.started_at < settings.min_elapsed_share * self.state.duration:
             return False
@@ -288,7 +289,7 @@
         observe = settings.short_observe if is_late else settings.observe
         return now - self.first_new_at >= observe
 
-    def _find_end(self, step: Step) -> float:
+    def _find_decision_time(self, step: Step) -> float:
         """Return when a rollout that is still at a step is decided."""
         settings = self.settings
         is_finishing = step is Step.FINISH
@@ -339,13 +340,13 @@
         current = self.state.canaries
         admitted = sum(report.admitted for report in present.values())
         if current and all(node in present for node in current):
-            used = admitted - self.chosen_at_admitted
+            used = admitted - self.admitted_at_choice
             if used < REQUESTS_PER_CANARY * len(current):
                 return current
         found.sort(key=lambda item: (item[1].is_cold, item[1].admitted, item[0].node))
         chosen = [server.node for server, _ in found]
         slots = found[0][0].slots or DEFAULT_SLOTS if found else DEFAULT_SLOTS
-        self.chosen_at_admitted = admitted
+        self.admitted_at_choice = admitted
         return tuple(sorted(chosen[: self._count_canaries(slots, now)]))
 
     def _count_canaries(self, slots: int, now: float) -> int:
--- a/src/daisylink/rollout/_judge.py
+++ b/src/daisylink/rollout/_judge.py
@@ -11,6 +11,7 @@
 """
 
 import math
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from daisylink.rollout._evidence import Counts, KindCounts, bucket_seconds
@@ -71,8 +72,23 @@
         return f"{self.sign} of kind {self.kind!r}, sum {self.total:.1f}"
 
 
+def _count_slow(times: Mapping[int, float], median: float) -> float:
+    """Return how many responses are slow.
+
+    :param times: number of responses by bucket of their run times.
+    :param median: the old servers' usual run time, in seconds.
+    """
+    limit = median * SLOW_FACTOR
+    return sum(
+        count for bucket, count in times.items() if bucket_seconds(bucket) > limit
+    )
+
+
 class _OldKind:
-    """Responses of the old servers to one kind, in all and recently, by weight."""
+    """Responses of the old servers to one kind of request.
+
+    Counts are weights, as :meth:`age` makes earlier responses count less.
+    """
 
     def __init__(self):
         self.responses = 0.0
@@ -105,23 +121,19 @@
                 return bucket_seconds(bucket)
         return 0.0
 
-    def count_slow(self, limit: float) -> float:
-        return sum(
-            count
-            for bucket, count in self.times.items()
-            if bucket_seconds(bucket) > limit
-        )
-
 
 class Judge:
     """Evidence of one rollout."""
 
     def __init__(self):
+        # Old servers' responses by kind, all and those of the last seconds.
         self.old: dict[str, _OldKind] = {}
         self.recent: dict[str, _OldKind] = {}
         self.aged_at = float("-inf")
         self.usual: dict[str, float] = {}
+        # Sums by kind and sign, ``failures`` or ``slow``.
         self.sums: dict[tuple[str, str], float] = {}
+        # Bad responses and all responses that the sums count.
         self.bad: dict[tuple[str, str], int] = {}
         self.judged: dict[tuple[str, str], int] = {}
         self.responses: dict[str, int] = {}
@@ -147,11 +159,7 @@
                 continue
             timed = sum(found.times.values())
             self.timed[kind] = self.timed.get(kind, 0) + timed
-            slow = sum(
-                count
-                for bucket, count in found.times.items()
-                if bucket_seconds(bucket) > median * SLOW_FACTOR
-            )
+            slow = _count_slow(found.times, median)
             self._add(kind, "slow", self._slow_rate(kind, median), slow, timed)
 
     @property
@@ -205,8 +213,8 @@
             for sign, rate in rates.items()
         )
 
-    def has_awaited(self, now: float) -> bool:
-        """Return whether slow responses to the requests needed are known too."""
+    def has_waited_for_slow(self, now: float) -> bool:
+        """Return whether slow responses to the requests needed had time to arrive."""
         return all(
             now - since >= self._find_pending_seconds(kind)
             for kind, since in self.enough_at.items()
@@ -275,8 +283,7 @@
 
     def _slow_rate(self, kind: str, median: float) -> float:
         rates = [
-            group[kind].count_slow(median * SLOW_FACTOR)
-            / max(MIN_RECENT, group[kind].timed)
+            _count_slow(group[kind].times, median) / max(MIN_RECENT, group[kind].timed)
             for group in (self.old, self.recent)
             if kind in group
         ]
--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -68,7 +68,7 @@
     on_strikes: Callable[[tuple[Strike, ...]], None]
     on_member_removed: Callable[[str], None]
     on_own_departures: Callable[[Item], None]
-    on_fleet_size: Callable[[Item], None] = lambda _item: None
+    on_fleet_size: Callable[[Item], None] = ignore_item
     on_rollout_item: Callable[[Item], None] = ignore_item
 
 
--- a/src/daisylink/sidecar/_quota_requests.py
+++ b/src/daisylink/sidecar/_quota_requests.py
@@ -46,13 +46,13 @@
 class PendingRequest:
     """A request that waits for a coordinator's answer."""
 
-    __slots__ = ("asks", "is_away", "on_decision", "target", "tenant", "timer")
+    __slots__ = ("asks", "is_remote", "on_decision", "target", "tenant", "timer")
 
     def __init__(self, tenant: str, on_decision: Callable[[Decision], None]):
         self.tenant = tenant
         self.on_decision = on_decision
         self.target = ""
-        self.is_away = False
+        self.is_remote = False
         self.asks = 0
         self.timer: asyncio.TimerHandle | None = None
 
@@ -130,26 +130,26 @@
         :param is_held: whether the own zone's refuses the tenant for now.
         """
         if is_held:
-            if self._choose_away(request):
+            if self._choose_remote(request):
                 return self._send_ask(request)
             return self.node_quota.refuse_held(request.tenant, self.now())
         request.target = self._find_coordinator(request.tenant)
         if not request.target:
-            self._choose_away(request)
+            self._choose_remote(request)
         return self._send_ask(request)
 
-    def _choose_away(self, request: PendingRequest) -> bool:
+    def _choose_remote(self, request: PendingRequest) -> bool:
         """Choose a coordinator of another zone, which may have tokens left.
 
         :returns: whether there is one.
         """
         now = self.now()
-        if not self.node_quota.may_ask_away(request.tenant, now):
+        if not self.node_quota.may_ask_remote(request.tenant, now):
             return False
-        node = self.directory.find_away(find_shard(request.tenant), now)
+        node = self.directory.find_remote(find_shard(request.tenant), now)
         if node:
             request.target = node
-            request.is_away = True
+            request.is_remote = True
         return bool(node)
 
     def _send_ask(self, request: PendingRequest) -> Decision:
@@ -171,14 +171,14 @@
         if request.asks == MAX_ASKS:
             del self.pending[number]
             self.counts["unanswered"] += 1
-            if request.is_away:
+            if request.is_remote:
                 self.directory.record_silent(request.target, self.now())
             self._end(request, self._decide_alone(request))
             return
         request.asks += 1
-        if request.asks == MAX_ASKS and not request.is_away:
+        if request.asks == MAX_ASKS and not request.is_remote:
             # The coordinator may be gone; a second token taken there is lost.
-            self._choose_away(request)
+            self._choose_remote(request)
         self.counts["asked"] += 1
         self.transport.send(request.target, QuotaAsk(number, request.tenant))
         request.timer = self.transport.call_later(
@@ -187,14 +187,14 @@
 
     def _handle_answer(self, request: PendingRequest, answer: QuotaAnswer) -> Decision:
         if answer.is_granted:
-            if request.is_away:
-                self.node_quota.handle_away_grant(request.tenant)
+            if request.is_remote:
+                self.node_quota.handle_remote_grant(request.tenant)
             return Admitted()
         now = self.now()
         refusal = self.node_quota.handle_refusal(
-            request.tenant, answer, request.is_away, now
+            request.tenant, answer, request.is_remote, now
         )
-        if request.is_away or not self._choose_away(request):
+        if request.is_remote or not self._choose_remote(request):
             return refusal
         return self._send_ask(request)
 
@@ -224,4 +224,4 @@
         if self.has_share:
             return ""
         # A node that has just started borrows before it lends.
-        return self.directory.find_own(shard, self.now())
+        return self.directory.find_local(shard, self.now())
--- a/src/daisylink/sidecar/_rollout_driver.py
+++ b/src/daisylink/sidecar/_rollout_driver.py
@@ -1,13 +1,12 @@
 """The I/O of rollouts: the keys that are read, and the reports between nodes."""
 
 import asyncio
-import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 import msgspec
 
-from daisylink.clock import Clock, SystemClock
+from daisylink.clock import Clock
 from daisylink.errors import NodeError
 from daisylink.logs import get_logger
 from daisylink.registry import Item, MemberTable
@@ -30,13 +29,6 @@
 log = get_logger("rollout")
 
 
-def choose_boot_clock(clock: Clock) -> Callable[[], float]:
-    """Return a clock that also counts while the machine is suspended."""
-    if isinstance(clock, SystemClock) and hasattr(time, "CLOCK_BOOTTIME"):
-        return lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
-    return clock.monotonic
-
-
 class RolloutDriver:
     """Connects rollouts to the store, to other nodes and to the gateway.
 
@@ -59,7 +51,7 @@
     ):
         self.gateway = gateway
         self.gate = gateway.version_gate
-        self.gate.now = choose_boot_clock(clock)
+        self.gate.now = clock.boot
         self.table = gateway.balancer.rollouts
         self.members = members
         self.fleet_sync = fleet_sync
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -20,7 +20,7 @@
     ShareHistory,
 )
 from daisylink.quota._bucket import MAX_CHANGES, Shares
-from daisylink.quota._fleet_size import LEFT_SECONDS, LOST_SECONDS
+from daisylink.quota._fleet_size import LEFT_NODE_SECONDS, LOST_NODE_SECONDS
 from daisylink.version import TenantTable
 
 BOUNDS = QuotaBounds()
@@ -170,9 +170,9 @@
         size.set_members(["a", "b", "c", "d"], 0.0)
         size.record_left("b")
         size.set_members(["a"], 10.0)
-        size.tick(10.0 + LEFT_SECONDS, False)
+        size.tick(10.0 + LEFT_NODE_SECONDS, False)
         self.assertEqual(size.size, 3)
-        size.tick(10.0 + LOST_SECONDS, False)
+        size.tick(10.0 + LOST_NODE_SECONDS, False)
         self.assertEqual(size.size, 1)
 
     def test_a_process_that_starts_while_a_zone_is_cut_off_does_not_forget_it(self):
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -216,8 +216,8 @@
         self.judge.note_enough(2.0, is_late=False)
         self.assertEqual(self.judge.list_missing(), [])
         pending = 8 * self.judge.find_usual("r")
-        self.assertFalse(self.judge.has_awaited(2.0 + pending))
-        self.assertTrue(self.judge.has_awaited(2.0 + pending + 0.31))
+        self.assertFalse(self.judge.has_waited_for_slow(2.0 + pending))
+        self.assertTrue(self.judge.has_waited_for_slow(2.0 + pending + 0.31))
 
     def test_slow_responses_of_a_cold_server_do_not_count(self):
         counter = EvidenceCounter()
