--- a/bench/quota_drill.py
+++ b/bench/quota_drill.py
@@ -35,9 +35,12 @@
 )
 from daisylink.quota._bucket import Shares
 
+# Usual rate of a tenant, as a part of its quota.
 USUAL = 1 / 1.6
 ZONES = ("a", "b", "c")
+# End of the warm-up, begin and end of the faults, end of a run; in simulated seconds.
 WARM, BEGIN, END, LAST = 8.0, 12.0, 17.0, 26.0
+# Part of a zone's callers that move to another zone.
 MOVED = 0.68
 COUNTER_OUTAGE_SECONDS = 3.0
 
@@ -87,7 +90,7 @@
         return home.share.check(tenant, None)
 
 
-def make_fleet(way, nodes, tenants, seed):
+def make_fleet(strategy, nodes, tenants, seed):
     sizes = {zone: nodes // 3 + (i < nodes % 3) for i, zone in enumerate(ZONES)}
     fleet = QuotaFleet(tenants, sizes, seed, stored=nodes)
     fleet.limits = {
@@ -95,17 +98,17 @@
     }
     fleet.counter = None
     fleet.start_all()
-    if way is not None:
+    if strategy is not None:
         for machine in fleet.machines.values():
-            replace(fleet, machine, way)
+            use_strategy(fleet, machine, strategy)
     return fleet
 
 
-def replace(fleet, machine, way):
-    """Let a node decide in a simpler way."""
-    if way is not None:
+def use_strategy(fleet, machine, strategy):
+    """Let a node decide by another strategy."""
+    if strategy is not None:
         machine.driver.close()
-        machine.driver.check = way(fleet, machine).check
+        machine.driver.check = strategy(fleet, machine).check
 
 
 def spread(_now):
@@ -119,40 +122,40 @@
     return spread(now)
 
 
-def do_nothing(_fleet, _way):
+def do_nothing(_fleet, _strategy):
     pass
 
 
-def cut_zone(fleet, _way):
+def cut_zone(fleet, _strategy):
     fleet.call_later(BEGIN, lambda: fleet.cut_off("c"))
     fleet.call_later(END, lambda: fleet.rejoin("c"))
 
 
-def kill_coordinators(fleet, way):
+def kill_coordinators(fleet, strategy):
     names = {
         rank_coordinators([m.name for m in fleet.by_zone(zone)], shard)[0]
         for zone in ZONES
         for shard in range(4)
     }
     names.add(next(iter(fleet.machines)))
-    restart(fleet, [fleet.machines[name] for name in sorted(names)], way, 4.0)
+    restart(fleet, [fleet.machines[name] for name in sorted(names)], strategy, 4.0)
 
 
-def kill_all(fleet, way):
-    restart(fleet, list(fleet.machines.values()), way, 1.0)
+def kill_all(fleet, strategy):
+    restart(fleet, list(fleet.machines.values()), strategy, 1.0)
 
 
-def restart(fleet, machines, way, seconds):
+def restart(fleet, machines, strategy, seconds):
     def start(machine):
         fleet.start(machine)
-        replace(fleet, machine, way)
+        use_strategy(fleet, machine, strategy)
 
     for machine in machines:
         fleet.call_later(BEGIN, lambda m=machine: fleet.kill(m))
         fleet.call_later(BEGIN + seconds, lambda m=machine: start(m))
 
 
-def scale_out(fleet, way):
+def scale_out(fleet, strategy):
     number = round(len(fleet.machines) * 0.3)
 
     def start():
@@ -160,11 +163,12 @@
             zone = ZONES[index % 3]
             machine = fleet.add_machine(f"{zone}new{index}:7", zone)
             fleet.start(machine)
-            replace(fleet, machine, way)
+            use_strategy(fleet, machine, strategy)
 
     fleet.call_later(BEGIN, start)
 
 
+# Load relative to the usual rate, weights of the zones by time, and faults.
 SCENARIOS = {
     "calm": (1.0, spread, do_nothing),
     "at the quota": (1.6, spread, do_nothing),
@@ -179,15 +183,15 @@
     "all killed, 8 times": (8.0, spread, kill_all),
     "scale-out, 8 times": (8.0, spread, scale_out),
 }
-WAYS = {"lending": None, "fixed share": FixedShare, "one counter": OneCounter}
+STRATEGIES = {"lending": None, "fixed share": FixedShare, "one counter": OneCounter}
 
 
-def play(name, way, nodes, tenants, seed):
-    """Play a scenario; return the fleet."""
-    factor, choose_zone, trouble = SCENARIOS[name]
-    fleet = make_fleet(way, nodes, tenants, seed)
+def simulate(name, strategy, nodes, tenants, seed):
+    """Run a scenario in simulated time; return the fleet."""
+    factor, choose_zone, inject_faults = SCENARIOS[name]
+    fleet = make_fleet(strategy, nodes, tenants, seed)
     fleet.load(lambda t: t.rate_per_s * USUAL * factor, choose_zone, 0.0, LAST)
-    trouble(fleet, way)
+    inject_faults(fleet, strategy)
     fleet.run(LAST)
     return fleet
 
@@ -228,8 +232,8 @@
     print("| case | way | served | worst of >= 50 | small | window/bound |")
     print("| --- | --- | --- | --- | --- | --- |")
     for name in [only] if only else SCENARIOS:
-        for label, way in WAYS.items():
-            fleet = play(name, way, nodes, make_tenants(), seed)
+        for label, strategy in STRATEGIES.items():
+            fleet = simulate(name, strategy, nodes, make_tenants(), seed)
             row = " | ".join(f"{figure:.3f}" for figure in measure(fleet))
             print(f"| {name} | {label} | {row} |")
             sys.stdout.flush()
--- a/bench/quota_fleet.py
+++ b/bench/quota_fleet.py
@@ -25,9 +25,12 @@
 from daisylink.sidecar._quota_requests import QuotaTransport
 from daisylink.version import Tenant, TenantTable
 
+# Least delay of a datagram in a zone and between zones, in seconds; twice that at most.
 ZONE_DELAY = 0.0005
 CROSS_DELAY = 0.001
+# Time until a node learns of a change on the store.
 WATCH_SECONDS = (0.1, 0.8)
+# Time until the record of a killed or cut-off node expires.
 EXPIRY_SECONDS = 3.0
 
 
--- a/src/daisylink/sidecar/_rollout_controller.py
+++ b/src/daisylink/sidecar/_rollout_controller.py
@@ -282,6 +282,15 @@
             or previous.target != state.target
             or state.is_ended
         )
+        puts = self._make_puts(service, state, is_new_status)
+        if is_new_status or previous.step is not state.step:
+            _log_step(service, state, rollout)
+        self.writing.add(service)
+        self.spawn(self._store(service, state, puts))
+
+    def _make_puts(
+        self, service: str, state: RolloutState, is_new_status: bool
+    ) -> list[Put]:
         puts = []
         if is_new_status:
             status = state.step.value if state.is_ended else STATUS_RUNNING
@@ -289,22 +298,7 @@
             puts.append(Put(self.formats.status_key(service), value))
         # The state is the last key, as the store answers with the last revision.
         puts.append(Put(state_key(service), msgspec.json.encode(state)))
-        if previous is None or previous.step is not state.step or is_new_status:
-            judge = rollout.judge if rollout is not None else None
-            log.bind(
-                service=service,
-                target=state.target,
-                step=state.step.value,
-                share=state.share,
-                reason=state.reason,
-                elapsed=state.elapsed,
-                granted=state.granted,
-                requests=rollout.requests if rollout is not None else 0,
-                responses=sum(judge.responses.values()) if judge is not None else 0,
-                suspicion=round(judge.suspicion.total, 1) if judge is not None else 0,
-            ).info("rollout step decided")
-        self.writing.add(service)
-        self.spawn(self._store(service, state, puts))
+        return puts
 
     async def _store(self, service: str, state: RolloutState, puts: list[Put]) -> None:
         key = state_key(service)
@@ -339,3 +333,21 @@
         log.bind(service=service, code=int(error.code)).warning(
             "{}: {}", text, error.message
         )
+
+
+def _log_step(
+    service: str, state: RolloutState, rollout: ServiceRollout | None
+) -> None:
+    judge = rollout.judge if rollout is not None else None
+    log.bind(
+        service=service,
+        target=state.target,
+        step=state.step.value,
+        share=state.share,
+        reason=state.reason,
+        elapsed=state.elapsed,
+        granted=state.granted,
+        requests=rollout.requests if rollout is not None else 0,
+        responses=sum(judge.responses.values()) if judge is not None else 0,
+        suspicion=round(judge.suspicion.total, 1) if judge is not None else 0,
+    ).info("rollout step decided")
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -10,9 +10,7 @@
 import msgspec
 
 from daisylink.clock import Clock, SystemClock
-from daisylink.errors import (
-    SettingError,
-)
+from daisylink.errors import SettingError
 from daisylink.http_server import WebRequest, WebResponse
 from daisylink.logs import get_logger
 from daisylink.registry import (
