Quotas and rollouts: descriptions follow what the code does

Refused.decided_by named a value that is never set, on_decision did not say that another MustAsk may follow, and the bound on kinds spoke of one datagram although a report is sent in parts. The responses that a verdict needs of a kind are found in a function of their own, and QuotaRequests._end, after which a request may go on, is _deliver.

--- a/bench/quota_drill.py
+++ b/bench/quota_drill.py
@@ -24,6 +24,7 @@
 )
 from daisylink.logs import configure_logging
 from daisylink.quota import (
+    SHARDS,
     Admitted,
     Bucket,
     Limit,
@@ -135,7 +136,7 @@
     names = {
         rank_coordinators([m.name for m in fleet.by_zone(zone)], shard)[0]
         for zone in ZONES
-        for shard in range(4)
+        for shard in range(SHARDS)
     }
     names.add(next(iter(fleet.machines)))
     restart(fleet, [fleet.machines[name] for name in sorted(names)], strategy, 4.0)
--- a/src/daisylink/quota/_node_quota.py
+++ b/src/daisylink/quota/_node_quota.py
@@ -36,8 +36,8 @@
     """A request is beyond its tenant's quota.
 
     :param retry: seconds until a similar one is expected to be admitted.
-    :param decided_by: ``own`` (nobody could be asked), ``held`` (an earlier refusal
-        still holds), ``coordinator`` or ``timeout``.
+    :param decided_by: ``own`` (no coordinator could be asked, or none answered),
+        ``held`` (an earlier refusal still holds) or ``coordinator``.
     """
 
     retry: float
@@ -48,8 +48,8 @@
     """A coordinator is to be asked for a token.
 
     :param number: identifies the request; 0 while no message was sent.
-    :param is_held: whether the own zone's coordinator refuses the tenant for now, so
-        that only those of other zones are worth a message.
+    :param is_held: whether a refusal of the own zone's coordinator still holds, so
+        that only coordinators of other zones are worth a message.
     """
 
     number: int = 0
@@ -60,16 +60,18 @@
 
 
 class Hold:
-    """What a coordinator's last refusal of a tenant said.
+    """What coordinators' last refusals of a tenant said.
 
-    :ivar until: when a token is due, or the refusal is believed no longer.
+    Times are in seconds of the node's clock.
+
+    :ivar until: until when the own zone's coordinator is not asked.
     :ivar turn_at: when there is a token for the next request that is refused.
     :ivar rate: tokens a second of the coordinator that refused, 0 if unknown.
     :ivar remote_until: until when no coordinator of another zone is asked.
-    :ivar remote_seconds: how long the next refusal of another zone's is believed.
+    :ivar remote_seconds: how long another zone's next refusal is believed.
     """
 
-    __slots__ = ("remote_seconds", "remote_until", "rate", "turn_at", "until")
+    __slots__ = ("rate", "remote_seconds", "remote_until", "turn_at", "until")
 
     def __init__(self):
         self.until = self.turn_at = self.remote_until = float("-inf")
--- a/src/daisylink/rollout/_evidence.py
+++ b/src/daisylink/rollout/_evidence.py
@@ -13,11 +13,11 @@
 BUCKET_RATIO = 1.25
 FIRST_BUCKET_SECONDS = 0.001
 MAX_BUCKET = 55
-# A report has to fit one datagram; further kinds are counted together.
+# Bounds the datagrams of a report; further kinds are counted together.
 MAX_KINDS = 10
 OTHER_KINDS = "*"
-# A run that its caller gave up would have taken longer; it is counted with twice the
-# time that it had.
+# A run that its caller gave up would have taken longer than the time that it had, so
+# that this multiple of that time is counted.
 GIVEN_UP_FACTOR = 2.0
 # Connections that break together are one crash, not so many bad requests.
 MAX_LOST_AT_ONCE = 2
--- a/src/daisylink/rollout/_judge.py
+++ b/src/daisylink/rollout/_judge.py
@@ -41,7 +41,8 @@
 MIN_RECENT = 20.0
 # How often the recent responses lose weight and the usual times are computed again.
 AGE_SECONDS = 0.25
-# Responses that a good verdict needs of a kind, and of a rarer one.
+# Responses that a good verdict needs of a kind, of a rare one, and of a rare one when
+# little time is left.
 ENOUGH_RESPONSES = 14
 ENOUGH_RARE_RESPONSES = 10
 ENOUGH_LATE_RESPONSES = 4
@@ -51,6 +52,8 @@
 BAD_FACTOR = 8.0
 MAX_PENDING_SECONDS = 2.0
 REPORT_SECONDS = 0.3
+# Share of the old servers' responses from which a kind is common, and below which a
+# good verdict needs no response of it.
 COMMON_SHARE = 0.06
 RARE_SHARE = 0.01
 # Share of all requests that kinds sent to the canaries more often may have together.
@@ -84,6 +87,17 @@
     )
 
 
+def _count_enough(share: float, is_late: bool) -> int:
+    """Return how many responses a good verdict needs of a kind.
+
+    :param share: share of the kind in the old servers' responses.
+    :param is_late: whether little time is left.
+    """
+    if share >= COMMON_SHARE:
+        return ENOUGH_RESPONSES
+    return ENOUGH_LATE_RESPONSES if is_late else ENOUGH_RARE_RESPONSES
+
+
 class _OldKind:
     """Responses of the old servers to one kind of request.
 
@@ -183,8 +197,8 @@
     def list_missing(self, is_late: bool = False) -> list[str]:
         """Return the kinds of which a good verdict needs more responses.
 
-        :param is_late: whether little time is left, so that few have to do of a kind
-            that is rare.
+        :param is_late: whether little time is left, so that fewer responses of a rare
+            kind are enough.
         """
         total = sum(kind.responses for kind in self.old.values())
         missing = []
@@ -192,9 +206,7 @@
             share = old.responses / max(1.0, total)
             if share < RARE_SHARE:
                 continue
-            is_common = share >= COMMON_SHARE
-            rare = ENOUGH_LATE_RESPONSES if is_late else ENOUGH_RARE_RESPONSES
-            enough = ENOUGH_RESPONSES if is_common else rare
+            enough = _count_enough(share, is_late)
             has_times = self.timed.get(kind, 0) >= enough or not self.find_usual(kind)
             is_seen = self.responses.get(kind, 0) >= enough and has_times
             if not is_seen or self._has_high_rate(kind):
--- a/src/daisylink/sidecar/_quota_driver.py
+++ b/src/daisylink/sidecar/_quota_driver.py
@@ -135,7 +135,9 @@
         """Decide on a request of a tenant.
 
         :param on_decision: called later with the decision if the result is
-            :class:`MustAsk`, unless :meth:`cancel` is called first.
+            :class:`MustAsk`, unless :meth:`cancel` is called first. The decision is
+            :class:`MustAsk` once more, with another number, if a coordinator of
+            another zone is asked next.
         """
         if self.are_members_outdated:
             self._update_members()
--- a/src/daisylink/sidecar/_quota_requests.py
+++ b/src/daisylink/sidecar/_quota_requests.py
@@ -99,7 +99,9 @@
         """Decide on a request of a tenant.
 
         :param on_decision: called later with the decision if the result is
-            :class:`MustAsk`, unless :meth:`cancel` is called first.
+            :class:`MustAsk`, unless :meth:`cancel` is called first. The decision is
+            :class:`MustAsk` once more, with another number, if a coordinator of
+            another zone is asked next.
         """
         limit = self.limits.find(tenant)
         if limit is None:
@@ -122,7 +124,7 @@
             self.counts["late"] += 1
             return
         self.cancel(message.number)
-        self._end(request, self._handle_answer(request, message))
+        self._deliver(request, self._handle_answer(request, message))
 
     def _ask(self, request: PendingRequest, is_held: bool) -> Decision:
         """Ask a coordinator, the own zone's first.
@@ -173,7 +175,7 @@
             self.counts["unanswered"] += 1
             if request.is_remote:
                 self.directory.record_silent(request.target, self.now())
-            self._end(request, self._decide_alone(request))
+            self._deliver(request, self._decide_alone(request))
             return
         request.asks += 1
         if request.asks == MAX_ASKS and not request.is_remote:
@@ -204,7 +206,7 @@
             return Admitted()
         return self.node_quota.decide_alone(request.tenant, limit, self.now())
 
-    def _end(self, request: PendingRequest, decision: Decision) -> None:
+    def _deliver(self, request: PendingRequest, decision: Decision) -> None:
         request.on_decision(self._count(request.tenant, decision))
 
     def _count(self, tenant: str, decision: Decision) -> Decision:
