--- a/src/daisylink/rollout/_judge.py
+++ b/src/daisylink/rollout/_judge.py
@@ -11,6 +11,7 @@
 """
 
 import math
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from daisylink.rollout._evidence import Counts, KindCounts, bucket_seconds
@@ -40,7 +41,8 @@
 MIN_RECENT = 20.0
 # How often the recent responses lose weight and the usual times are computed again.
 AGE_SECONDS = 0.25
-# Responses that a good verdict needs of a kind, and of a rarer one.
+# Responses that a good verdict needs of a kind, of a rare one, and of a rare one when
+# little time is left.
 ENOUGH_RESPONSES = 14
 ENOUGH_RARE_RESPONSES = 10
 ENOUGH_LATE_RESPONSES = 4
@@ -50,6 +52,8 @@
 BAD_FACTOR = 8.0
 MAX_PENDING_SECONDS = 2.0
 REPORT_SECONDS = 0.3
+# Share of the old servers' responses from which a kind is common, and below which a
+# good verdict needs no response of it.
 COMMON_SHARE = 0.06
 RARE_SHARE = 0.01
 # Share of all requests that kinds sent to the canaries more often may have together.
@@ -71,8 +75,34 @@
         return f"{self.sign} of kind {self.kind!r}, sum {self.total:.1f}"
 
 
+def _count_slow(times: Mapping[int, float], median: float) -> float:
+    """Return how many responses are slow.
+
+    :param times: number of responses by bucket of their run times.
+    :param median: the old servers' usual run time, in seconds.
+    """
+    limit = median * SLOW_FACTOR
+    return sum(
+        count for bucket, count in times.items() if bucket_seconds(bucket) > limit
+    )
+
+
+def _count_enough(share: float, is_late: bool) -> int:
+    """Return how many responses a good verdict needs of a kind.
+
+    :param share: share of the kind in the old servers' responses.
+    :param is_late: whether little time is left.
+    """
+    if share >= COMMON_SHARE:
+        return ENOUGH_RESPONSES
+    return ENOUGH_LATE_RESPONSES if is_late else ENOUGH_RARE_RESPONSES
+
+
 class _OldKind:
-    """Responses of the old servers to one kind, in all and recently, by weight."""
+    """Responses of the old servers to one kind of request.
+
+    Counts are weights, as :meth:`age` makes earlier responses count less.
+    """
 
     def __init__(self):
         self.responses = 0.0
@@ -105,23 +135,19 @@
                 return bucket_seconds(bucket)
         return 0.0
 
-    def count_slow(self, limit: float) -> float:
-        return sum(
-            count
-            for bucket, count in self.times.items()
-            if bucket_seconds(bucket) > limit
-        )
-
 
 class Judge:
     """Evidence of one rollout."""
 
     def __init__(self):
+        # Old servers' responses by kind, all and those of the last seconds.
         self.old: dict[str, _OldKind] = {}
         self.recent: dict[str, _OldKind] = {}
         self.aged_at = float("-inf")
         self.usual: dict[str, float] = {}
+        # Sums by kind and sign, ``failures`` or ``slow``.
         self.sums: dict[tuple[str, str], float] = {}
+        # Bad responses and all responses that the sums count.
         self.bad: dict[tuple[str, str], int] = {}
         self.judged: dict[tuple[str, str], int] = {}
         self.responses: dict[str, int] = {}
@@ -147,11 +173,7 @@
                 continue
             timed = sum(found.times.values())
             self.timed[kind] = self.timed.get(kind, 0) + timed
-            slow = sum(
-                count
-                for bucket, count in found.times.items()
-                if bucket_seconds(bucket) > median * SLOW_FACTOR
-            )
+            slow = _count_slow(found.times, median)
             self._add(kind, "slow", self._slow_rate(kind, median), slow, timed)
 
     @property
@@ -175,8 +197,8 @@
     def list_missing(self, is_late: bool = False) -> list[str]:
         """Return the kinds of which a good verdict needs more responses.
 
-        :param is_late: whether little time is left, so that few have to do of a kind
-            that is rare.
+        :param is_late: whether little time is left, so that fewer responses of a rare
+            kind are enough.
         """
         total = sum(kind.responses for kind in self.old.values())
         missing = []
@@ -184,9 +206,7 @@
             share = old.responses / max(1.0, total)
             if share < RARE_SHARE:
                 continue
-            is_common = share >= COMMON_SHARE
-            rare = ENOUGH_LATE_RESPONSES if is_late else ENOUGH_RARE_RESPONSES
-            enough = ENOUGH_RESPONSES if is_common else rare
+            enough = _count_enough(share, is_late)
             has_times = self.timed.get(kind, 0) >= enough or not self.find_usual(kind)
             is_seen = self.responses.get(kind, 0) >= enough and has_times
             if not is_seen or self._has_high_rate(kind):
@@ -205,8 +225,8 @@
             for sign, rate in rates.items()
         )
 
-    def has_awaited(self, now: float) -> bool:
-        """Return whether slow responses to the requests needed are known too."""
+    def has_waited_for_slow(self, now: float) -> bool:
+        """Return whether slow responses to the requests needed had time to arrive."""
         return all(
             now - since >= self._find_pending_seconds(kind)
             for kind, since in self.enough_at.items()
@@ -275,8 +295,7 @@
 
     def _slow_rate(self, kind: str, median: float) -> float:
         rates = [
-            group[kind].count_slow(median * SLOW_FACTOR)
-            / max(MIN_RECENT, group[kind].timed)
+            _count_slow(group[kind].times, median) / max(MIN_RECENT, group[kind].timed)
             for group in (self.old, self.recent)
             if kind in group
         ]
