Quotas: a start lends at once; rollout steps keep the key they were decided under

A former process at the address may have lent a part only; the other part is free, and a new loan to the same coordinator counts once.

A step was written with the controller's key as read when the write began; a takeover in between let a step of the older controller land. The conditions are now those of the decision.

--- a/src/daisylink/quota/_fleet_size.py
+++ b/src/daisylink/quota/_fleet_size.py
@@ -97,13 +97,18 @@
     def find_share_size(self, now: float) -> int:
         """Return the size for this node's share, 0 while it may not use one."""
         if not self.is_started:
-            if now < self.started_at + LEASE_SECONDS + CLOCK_MARGIN_SECONDS:
-                # A former process at this address may have lent the share.
-                return 0
             is_known = 0 < len(self.current) <= self.stored
             self.is_started = is_known or now >= self.started_at + START_SECONDS
         return self.size if self.is_started else 0
 
+    def may_use_lent_part(self, now: float) -> bool:
+        """Return whether the part of the share that is lent to others is free here.
+
+        A former process at this address may have lent it until its lease ends. The new
+        process lends it at once: the same coordinator counts it once.
+        """
+        return now >= self.started_at + LEASE_SECONDS + CLOCK_MARGIN_SECONDS
+
     def tick(self, now: float, is_writer: bool) -> WriteFleetSize | None:
         """Return a write that is due.
 
--- a/src/daisylink/sidecar/_quota_driver.py
+++ b/src/daisylink/sidecar/_quota_driver.py
@@ -207,7 +207,7 @@
             self._forget(now)
 
     def _update_share(self, loan: Loan, now: float) -> None:
-        is_lent = bool(loan.coordinator)
+        is_lent = bool(loan.coordinator) or not self.fleet_size.may_use_lent_part(now)
         self.node_quota.set_share(loan.shard, self.share_size, is_lent, now)
 
     def _update_size(self, now: float) -> None:
--- a/src/daisylink/sidecar/_rollout_controller.py
+++ b/src/daisylink/sidecar/_rollout_controller.py
@@ -286,7 +286,13 @@
         if is_new_status or previous.step is not state.step:
             _log_step(service, state, rollout)
         self.writing.add(service)
-        self.spawn(self._store(service, state, puts))
+        # Read now: a step that was decided under this key must not be written under
+        # the key of a later controller.
+        conditions = {
+            CONTROLLER_KEY: self.key_revision,
+            state_key(service): self.revisions.get(service, NO_REVISION),
+        }
+        self.spawn(self._store(service, state, conditions, puts))
 
     def _make_puts(
         self, service: str, state: RolloutState, is_new_status: bool
@@ -300,12 +306,13 @@
         puts.append(Put(state_key(service), msgspec.json.encode(state)))
         return puts
 
-    async def _store(self, service: str, state: RolloutState, puts: list[Put]) -> None:
-        key = state_key(service)
-        conditions = {
-            CONTROLLER_KEY: self.key_revision,
-            key: self.revisions.get(service, NO_REVISION),
-        }
+    async def _store(
+        self,
+        service: str,
+        state: RolloutState,
+        conditions: dict[str, StoreRevision],
+        puts: list[Put],
+    ) -> None:
         try:
             revision = await self.store.transact(conditions, puts)
         except PlatformError as error:
