Check of a configuration: usual names, no private members across modules

_draft.py reached eight underscored names of _configuration.py through an aliased module, and said 'entry' for what the decoder called 'resource'. They are now public within the package, documented, and imported by name. Surroundings, which does not say that it is input of a review, is ReviewContext. The route that hides another one was 'winner' of a table 'places'. No message or stored name changed.

--- a/src/daisylink/commands/_configuration_check.py
+++ b/src/daisylink/commands/_configuration_check.py
@@ -10,7 +10,7 @@
 from daisylink.http_client import HttpClient
 from daisylink.registry import LeaseStore
 from daisylink.serving import MemberRecord
-from daisylink.version import Draft, Review, Surroundings, Version, review_draft
+from daisylink.version import Draft, Review, ReviewContext, Version, review_draft
 
 MEMBERS_PATH = "/v1/members"
 CALL_TIMEOUT_SECONDS = 2.0
@@ -56,7 +56,7 @@
     in_force = _decode_base(base, configuration_format) if base is not None else None
     servers = await _count_servers(node) if node else None
     draft = configuration_format.read_draft(data)
-    return review_draft(draft, Surroundings(in_force, servers))
+    return review_draft(draft, ReviewContext(in_force, servers))
 
 
 def describe_review(review: Review) -> dict[str, Any]:
--- a/src/daisylink/platform/_configuration.py
+++ b/src/daisylink/platform/_configuration.py
@@ -33,7 +33,7 @@
     name: str = ""
 
 
-class _Resource(msgspec.Struct):
+class ConfigurationEntry(msgspec.Struct):
     """One entry of the configuration.
 
     :param resource_type: routes, services, tenants or limits; others are ignored.
@@ -44,7 +44,12 @@
     spec: msgspec.Raw
 
 
-class _Document(msgspec.Struct):
+class ConfigurationDocument(msgspec.Struct):
+    """A configuration whose entries are not yet decoded.
+
+    :param version: ``r`` and the number.
+    """
+
     version: str
     resources: list[msgspec.Raw]
 
@@ -83,7 +88,9 @@
     max_conns: int = 64
 
 
-class _Limits(msgspec.Struct):
+class CallerLimitsSpec(msgspec.Struct):
+    """Limits for callers; times are durations such as ``10s``."""
+
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 64 * 1024 * 1024
     header_timeout: str = "10s"
@@ -98,7 +105,7 @@
     """
 
     def __init__(self):
-        self.limits = _Limits()
+        self.limits = CallerLimitsSpec()
         self.routes: dict[bytes, Route] = {}
         self.version: Version | None = None
         self.tenant_decoder = TenantDecoder()
@@ -109,12 +116,14 @@
         :raises VersionError: if it is damaged or a route names an unknown service.
         """
         try:
-            return self._build(msgspec.json.decode(data, type=_Document), data)
+            return self._build(
+                msgspec.json.decode(data, type=ConfigurationDocument), data
+            )
         except (msgspec.MsgspecError, ValueError) as error:
             message = f"configuration: {error}"
             raise VersionError(message, ResultCode.VERSION_CORRUPT) from error
 
-    def _build(self, document: _Document, data: bytes) -> Version:
+    def _build(self, document: ConfigurationDocument, data: bytes) -> Version:
         rows = [bytes(row) for row in document.resources]
         tenant_rows = [
             row for row in rows if not self._knows(row) and is_tenant_row(row)
@@ -122,14 +131,14 @@
         tenants = self.tenant_decoder.decode(tenant_rows)
         skipped = frozenset(tenant_rows)
         rows = [row for row in rows if row not in skipped]
-        resources = {row: _decode_resource(row) for row in rows if not self._knows(row)}
-        limits = _find_limits(resources.values())
+        resources = {row: decode_entry(row) for row in rows if not self._knows(row)}
+        limits = find_limits(resources.values())
         if limits != self.limits:
             # Each route carries the limit of its requests' bodies.
             self.routes = {}
-            resources = {row: _decode_resource(row) for row in rows}
+            resources = {row: decode_entry(row) for row in rows}
         routes = self._convert_routes(rows, resources, limits)
-        services = _decode_services(resources.values())
+        services = decode_services(resources.values())
         content = Content.from_rows(
             [Pool(name, 0, service.max_conns, 0) for name, service in services],
             [Service(name, name, 0, 0, SLO_PERCENT) for name, _ in services],
@@ -137,7 +146,7 @@
         )
         number = parse_version(document.version)
         stamp = VersionStamp(number, hashlib.sha256(data).digest(), datetime.now(UTC))
-        caller_limits = _convert_limits(limits)
+        caller_limits = convert_limits(limits)
         self.version = build_version(
             stamp, content, caller_limits, self.version, tenants
         )
@@ -149,7 +158,10 @@
         return row in self.routes
 
     def _convert_routes(
-        self, rows: list[bytes], resources: dict[bytes, _Resource], limits: _Limits
+        self,
+        rows: list[bytes],
+        resources: dict[bytes, ConfigurationEntry],
+        limits: CallerLimitsSpec,
     ) -> dict[bytes, Route]:
         """Return the configuration's routes by their bytes."""
         routes = {}
@@ -158,7 +170,7 @@
             if resource is None:
                 routes[row] = self.routes[row]
             elif resource.resource_type == "routes":
-                routes[row] = _convert_route(resource, limits)
+                routes[row] = convert_route(resource, limits)
         return routes
 
 
@@ -170,20 +182,26 @@
     return ConfigurationDecoder().decode(data)
 
 
-def _decode_resource(row: bytes) -> _Resource:
-    return msgspec.json.decode(row, type=_Resource)
+def decode_entry(row: bytes) -> ConfigurationEntry:
+    """Return an entry without decoding its ``spec``.
+
+    :raises ValueError: if its type, metadata or spec is missing or malformed.
+    """
+    return msgspec.json.decode(row, type=ConfigurationEntry)
 
 
-def _find_limits(resources: Iterable[_Resource]) -> _Limits:
+def find_limits(resources: Iterable[ConfigurationEntry]) -> CallerLimitsSpec:
     """Return the limits of a configuration, the last ones if it has several."""
-    limits = _Limits()
+    limits = CallerLimitsSpec()
     for resource in resources:
         if resource.resource_type == "limits":
-            limits = msgspec.json.decode(resource.spec, type=_Limits)
+            limits = msgspec.json.decode(resource.spec, type=CallerLimitsSpec)
     return limits
 
 
-def _decode_services(resources: Iterable[_Resource]) -> list[tuple[str, _Service]]:
+def decode_services(
+    resources: Iterable[ConfigurationEntry],
+) -> list[tuple[str, _Service]]:
     """Return the services of a configuration with their names."""
     return [
         (resource.metadata.name, msgspec.json.decode(resource.spec, type=_Service))
@@ -192,7 +210,11 @@
     ]
 
 
-def _convert_route(resource: _Resource, limits: _Limits) -> Route:
+def convert_route(resource: ConfigurationEntry, limits: CallerLimitsSpec) -> Route:
+    """Return the route of an entry.
+
+    :raises ValueError: if its ``spec`` cannot be decoded or names no service.
+    """
     name = resource.metadata.name
     route = msgspec.json.decode(resource.spec, type=_Route)
     shares = tuple(
@@ -217,7 +239,11 @@
     )
 
 
-def _convert_limits(limits: _Limits) -> CallerLimits:
+def convert_limits(limits: CallerLimitsSpec) -> CallerLimits:
+    """Return the limits with times in seconds.
+
+    :raises ValueError: if a time cannot be parsed.
+    """
     return CallerLimits(
         limits.max_header_bytes,
         parse_duration(limits.header_timeout).total_seconds(),
--- a/src/daisylink/platform/_draft.py
+++ b/src/daisylink/platform/_draft.py
@@ -1,12 +1,23 @@
-"""Reads a configuration entry by entry, with the decoder's rules, to report all faults.
+"""Decodes each entry of a configuration on its own, to report all faults.
 
-The decoder stops at the first fault; :func:`read_draft` collects them.
+Uses the functions of the decoder, which stops at the first fault.
 """
 
 import msgspec
 
 from daisylink.errors import ResultCode, VersionError
-from daisylink.platform import _configuration as configuration
+from daisylink.platform._configuration import (
+    SLO_PERCENT,
+    CallerLimitsSpec,
+    ConfigurationDocument,
+    ConfigurationEntry,
+    convert_limits,
+    convert_route,
+    decode_configuration,
+    decode_entry,
+    decode_services,
+    find_limits,
+)
 from daisylink.platform._tenants import is_tenant_row, name_row, read_tenant
 from daisylink.version import Draft, Finding, Service, Severity
 
@@ -16,7 +27,7 @@
 def read_draft(data: bytes) -> Draft:
     """Return the entries of a configuration, and the faults of damaged ones."""
     try:
-        document = msgspec.json.decode(data, type=configuration._Document)
+        document = msgspec.json.decode(data, type=ConfigurationDocument)
     except (msgspec.MsgspecError, UnicodeError) as error:
         return Draft(
             findings=(_make_error(ResultCode.CONFIG_UNREADABLE, "", "", error),)
@@ -26,7 +37,7 @@
         reader.add(bytes(row))
     version = None
     try:
-        version = configuration.decode_configuration(data)
+        version = decode_configuration(data)
     except VersionError as error:
         if not reader.findings and error.code is not ResultCode.VERSION_NOT_CLOSED:
             code = ResultCode.CONFIG_UNREADABLE
@@ -56,26 +67,26 @@
             if kind == "tenant":
                 self.tenants.append(read_tenant(row))
                 return
-            resource = configuration._decode_resource(row)
+            resource = decode_entry(row)
             kind = KINDS.get(resource.resource_type, kind)
             self._convert(kind, resource)
         except ValueError as error:
             code = ResultCode.CONFIG_ENTRY
             self.findings.append(_make_error(code, kind, name_row(row), error))
 
-    def _convert(self, kind: str, resource: configuration._Resource) -> None:
+    def _convert(self, kind: str, resource: ConfigurationEntry) -> None:
         match kind:
             case "route":
                 # The limits do not matter to the findings.
-                limits = configuration._Limits()
-                self.routes.append(configuration._convert_route(resource, limits))
+                limits = CallerLimitsSpec()
+                self.routes.append(convert_route(resource, limits))
             case "service":
-                ((name, _),) = configuration._decode_services([resource])
-                percent = configuration.SLO_PERCENT
+                ((name, _),) = decode_services([resource])
+                percent = SLO_PERCENT
                 self.services.append(Service(name, name, 0, 0, percent))
             case "limits":
-                limits = configuration._find_limits([resource])
-                configuration._convert_limits(limits)
+                limits = find_limits([resource])
+                convert_limits(limits)
 
 
 def _make_error(code: ResultCode, kind: str, name: str, error: object) -> Finding:
--- a/src/daisylink/version/__init__.py
+++ b/src/daisylink/version/__init__.py
@@ -40,8 +40,8 @@
     Draft,
     Finding,
     Review,
+    ReviewContext,
     Severity,
-    Surroundings,
     review_draft,
 )
 from daisylink.version._routes import RouteEntry, RouteTable, RouteTarget
@@ -97,7 +97,7 @@
     "Service",
     "Severity",
     "SheetFault",
-    "Surroundings",
+    "ReviewContext",
     "Tenant",
     "TenantTable",
     "InvalidSheetError",
--- a/src/daisylink/version/_review.py
+++ b/src/daisylink/version/_review.py
@@ -44,6 +44,8 @@
 class Draft(NamedTuple):
     """The entries of a configuration that can be read, and the faults of the others.
 
+    :param tenants: each tenant with its API keys.
+    :param findings: faults of the entries that cannot be read.
     :param version: what nodes would put in force, None if they would refuse it.
     """
 
@@ -54,7 +56,7 @@
     version: Version | None = None
 
 
-class Surroundings(NamedTuple):
+class ReviewContext(NamedTuple):
     """What a draft is compared with.
 
     :param in_force: the version in force, None if not known.
@@ -79,26 +81,26 @@
         return any(item.severity is Severity.ERROR for item in self.findings)
 
 
-NOTHING_KNOWN = Surroundings()
+EMPTY_CONTEXT = ReviewContext()
 
 
-def review_draft(draft: Draft, surroundings: Surroundings = NOTHING_KNOWN) -> Review:
+def review_draft(draft: Draft, context: ReviewContext = EMPTY_CONTEXT) -> Review:
     """Review a draft; errors come first, otherwise in the order of the entries."""
     findings = [
         *draft.findings,
         *_find_duplicates(draft),
         *_find_dangling(draft),
         *_find_unused(draft),
-        *_check_servers(draft, surroundings.servers),
+        *_check_servers(draft, context.servers),
         *_check_keys(draft),
-        *_check_route_limits(draft, surroundings),
+        *_check_route_limits(draft, context),
         *_check_quotas(draft),
-        *_check_number(draft, surroundings.in_force),
+        *_check_number(draft, context.in_force),
     ]
     findings.sort(key=lambda item: item.severity is not Severity.ERROR)
     changes: list[str] = []
-    if draft.version is not None and surroundings.in_force is not None:
-        changes = describe_changes(surroundings.in_force, draft.version)
+    if draft.version is not None and context.in_force is not None:
+        changes = describe_changes(context.in_force, draft.version)
     return Review(tuple(findings), tuple(changes))
 
 
@@ -145,12 +147,13 @@
     ):
         for name in _repeated(names):
             yield _error(code, kind, name, "the name is used more than once")
-    places: dict[tuple[str, str], str] = {}
+    # Names of routes by host and prefix.
+    used_names: dict[tuple[str, str], str] = {}
     # In the order in which a route table is filled: the last one stays.
     for route in sorted(draft.routes, key=lambda route: route.name, reverse=True):
-        winner = places.setdefault((route.host, route.prefix), route.name)
-        if winner != route.name:
-            message = f"route {winner} has the same host and prefix and hides it"
+        used = used_names.setdefault((route.host, route.prefix), route.name)
+        if used != route.name:
+            message = f"route {used} has the same host and prefix and hides it"
             yield _error(code, "route", route.name, message)
 
 
@@ -214,7 +217,7 @@
         yield _error(ResultCode.CONFIG_SHARED_KEY, "tenant", name, message)
 
 
-def _check_route_limits(draft: Draft, surroundings: Surroundings) -> Iterator[Finding]:
+def _check_route_limits(draft: Draft, context: ReviewContext) -> Iterator[Finding]:
     code = ResultCode.CONFIG_LIMITS
     for route in draft.routes:
         if route.deadline_ms <= 0:
@@ -227,11 +230,11 @@
             )
             yield _warning(code, "route", route.name, message)
         attempts = route.max_attempts
-        if attempts > surroundings.max_attempts:
-            message = f"{attempts} attempts, the budget is {surroundings.max_attempts}"
+        if attempts > context.max_attempts:
+            message = f"{attempts} attempts, the budget is {context.max_attempts}"
             yield _warning(code, "route", route.name, message)
-        if surroundings.servers is not None:
-            servers = surroundings.servers
+        if context.servers is not None:
+            servers = context.servers
             count = sum(servers.get(name, 0) for name in _list_services(route))
             if attempts > count > 0:
                 message = f"{attempts} attempts, but only {count} servers"
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -20,7 +20,7 @@
     decode_configuration,
     read_draft,
 )
-from daisylink.version import Severity, Surroundings, review_draft
+from daisylink.version import ReviewContext, Severity, review_draft
 from tests.sidecar_case import SidecarTestCase
 from tests.test_platform import make_configuration
 from tests.test_tenants import KEY, OTHER_KEY, make_tenant, make_tenants_configuration
@@ -45,13 +45,13 @@
     return make_entry("routes", name, **{**usual, "timeout": "1s", **spec})
 
 
-def review(data, **surroundings):
-    return review_draft(read_draft(data), Surroundings(**surroundings))
+def review(data, **context):
+    return review_draft(read_draft(data), ReviewContext(**context))
 
 
 class FindingTests(unittest.TestCase):
-    def check(self, data, code, severity, name="", **surroundings):
-        found = review(data, **surroundings).findings
+    def check(self, data, code, severity, name="", **context):
+        found = review(data, **context).findings
         places = [(item.code, item.severity, item.name) for item in found]
         self.assertIn((code, severity, name), places)
 
