Scenarios of the rollout drill in a module of their own

Its scenarios are now bench/rollout_scenarios.py, with the parameters that had no description. A server's 'speed' multiplied its run times, so a higher one was slower; it is 'slowness'.

--- a/bench/rollout_drill.py
+++ b/bench/rollout_drill.py
@@ -13,10 +13,11 @@
 import itertools
 import random
 from collections import Counter
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import msgspec
 
+from bench.rollout_scenarios import BAD, GOOD, SERVERS
 from daisylink.rollout import (
     EvidenceReply,
     EvidenceReport,
@@ -30,7 +31,6 @@
 )
 
 SERVICE = "s"
-SERVERS = 24
 SLOTS = 4
 RATE = 350.0
 DEADLINE_SECONDS = 2.0
@@ -52,43 +52,17 @@
 ROLLBACK_SECONDS = 5.0
 
 
-@dataclass(frozen=True)
-class Scenario:
-    """What happens in a run.
-
-    :param bad: ``fail``, ``slow`` or "" for a good version.
-    :param onset: seconds after its start at which a server becomes bad.
-    :param bad_kind: the only kind that is bad, "" for all.
-    :param only_loaded: whether it is bad only with nearly all slots in use.
-    :param grey: what a tenth of the old servers do, ``fail`` or ``slow``.
-    :param load: requests, relative to the usual ones.
-    :param start_spread: seconds over which the new servers start, one by one.
-    :param started: new servers that ever start.
-    :param kill_at: seconds after the order at which the controller is killed.
-    """
-
-    bad: str = ""
-    onset: float = 0.0
-    bad_share: float = 0.5
-    bad_kind: str = ""
-    only_loaded: bool = False
-    grey: str = ""
-    load: float = 1.0
-    start_spread: float = 1.0
-    started: int = SERVERS
-    kill_at: float = float("inf")
-    loss: float = 0.0
-    duration: float = 12.0
-    speed_spread: float = 2.0
-
-
 @dataclass
 class Server:
-    """A server and the node beside it."""
+    """A server and the node beside it.
+
+    :param slowness: factor of the run times.
+    :param is_grey: whether it is one of the old servers that fail or are slow.
+    """
 
     name: str
     version: str
-    speed: float
+    slowness: float
     starts_at: float
     gate: VersionGate
     table: RolloutTable
@@ -97,6 +71,7 @@
     revision: int = 0
 
     def __post_init__(self):
+        # Kind, run time in seconds and deadline of each waiting request.
         self.queue = []
 
 
@@ -128,10 +103,10 @@
         self.in_flight_at_end = 0
 
     def _add(self, name, version, starts_at, spread, is_grey=False):
-        speed = spread ** self.rng.uniform(-0.5, 0.5)
+        slowness = spread ** self.rng.uniform(-0.5, 0.5)
         table = RolloutTable(self.rng)
         gate = VersionGate(name, table, lambda: self.now)
-        server = Server(name, version, speed, starts_at, gate, table, is_grey)
+        server = Server(name, version, slowness, starts_at, gate, table, is_grey)
         self.servers[name] = server
 
     def at(self, time, call, *args):
@@ -201,7 +176,7 @@
         server.running += 1
         if server.version == "v2":
             self.new_times.append(self.now)
-        seconds *= server.speed * self.rng.lognormvariate(-0.06, 0.35)
+        seconds *= server.slowness * self.rng.lognormvariate(-0.06, 0.35)
         failed, slower, is_bad = self.find_fault(server, kind)
         seconds *= slower
         left = deadline - self.now
@@ -355,39 +330,6 @@
         return self.ended_at is not None and self.ended_at <= self.limit_at
 
 
-GOOD = {
-    "calm": Scenario(),
-    "16 s": Scenario(duration=16.0),
-    "old servers fail": Scenario(grey="fail"),
-    "old servers slow": Scenario(grey="slow"),
-    "1.5 times capacity": Scenario(load=2.7),
-    "speeds differ 3 times": Scenario(speed_spread=3.0),
-    "starts over 4 s": Scenario(start_spread=4.0),
-    "2 % lost": Scenario(loss=0.02),
-    "3 never start": Scenario(started=21),
-    "killed at 3 s": Scenario(kill_at=3.0),
-    "killed at 5 s": Scenario(kill_at=5.0),
-    "killed at 5 s of 16 s": Scenario(kill_at=5.0, duration=16.0),
-}
-BAD = {}
-for _bad in ("fail", "slow"):
-    _base = Scenario(bad=_bad)
-    BAD |= {
-        f"{_bad} at once": _base,
-        f"{_bad} after 2 s": replace(_base, onset=2.0),
-        f"{_bad} after 5 s": replace(_base, onset=5.0),
-        f"{_bad} on kind a": replace(_base, bad_kind="a"),
-        f"{_bad} on kind c": replace(_base, bad_kind="c"),
-        f"{_bad} on kind d": replace(_base, bad_kind="d"),
-        f"{_bad} on kind e": replace(_base, bad_kind="e"),
-        f"{_bad} loaded": replace(_base, only_loaded=True),
-        f"{_bad}, 2 % lost": replace(_base, loss=0.02),
-        f"{_bad}, killed at 2 s": replace(_base, kill_at=2.0),
-        f"{_bad} after 2 s, killed at 4 s": replace(_base, onset=2.0, kill_at=4.0),
-        f"{_bad}, overload": replace(_base, load=2.7),
-    }
-
-
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--seeds", type=int, default=20)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,7 +3,8 @@
 import random
 import unittest
 
-from bench.rollout_drill import BAD, GOOD, SERVICE, Drill
+from bench.rollout_drill import SERVICE, Drill
+from bench.rollout_scenarios import BAD, GOOD
 from daisylink.errors import NodeError
 from daisylink.platform import decode_order, encode_status
 from daisylink.registry import Item, StoreRevision
