--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -4,7 +4,8 @@
 import unittest
 from types import SimpleNamespace
 
-from bench.burst import BURST_FROM, BURST_SECONDS, LOADS, Simulation
+from bench.burst_fleet import Simulation
+from bench.burst_loads import BURST_FROM, BURST_SECONDS, LOADS
 from daisylink.errors import ResultCode
 from daisylink.request import (
     Admitted,
@@ -24,7 +25,6 @@
     SlotSearch,
     Try,
     encode_refusal,
-    make_refusal,
     parse_head,
 )
 from daisylink.request._retry_after import choose_retry_ms
@@ -32,7 +32,6 @@
 from daisylink.serving._admission import Admission, AdmissionLimits
 from daisylink.serving._pool_answers import MIN_ANSWERS
 from daisylink.version import Priority
-from tests.sidecar_case import SidecarTestCase
 from tests.test_placement import make_placer
 
 BEFORE, AFTER = int(BURST_FROM), int(BURST_FROM + BURST_SECONDS)
@@ -355,64 +354,3 @@
         sender = SimpleNamespace(gateway=gateway, exchange=exchange, is_relay=True)
         SlotWait(sender)._limit(0.8)
         self.assertAlmostEqual(timers[0], 0.8 - ANSWER_SECONDS)
-
-
-class NodeTests(SidecarTestCase):
-    def test_a_call_is_refused_when_its_parent_is_gone(self):
-        """The server of a request that was given up went on to call others."""
-
-        async def scenario(_store, machine):
-            running = machine.sidecar.gateway.running
-            running.begin(b"parent", make_plan(deadline=1e9, slo_deadline=1e9))
-            self.assertEqual((await machine.request("parent.1")).status, 200)
-            self.assertEqual(running.calls, 1)
-            running.end(b"parent", False, machine.sidecar.now())
-            self.assertEqual((await machine.request("parent.2")).status, 503)
-            self.assertEqual(len(machine.server.runs), 1)
-
-        self.run_machines(scenario)
-
-    def test_a_call_counts_for_its_parent_at_another_node(self):
-        """The server's node queued it by its own objective, as late."""
-
-        async def scenario(_store, first, second):
-            first.admission.open(AdmissionLimits(0, 9, 9))
-            now = first.sidecar.now()
-            parent = make_plan(now + 5, now + 5, priority=Priority.URGENT)
-            first.sidecar.gateway.running.begin(b"parent", parent)
-            plans = []
-            slots = second.sidecar.gateway.slots
-            try_admit = slots.try_admit
-            slots.try_admit = lambda *item: (plans.append(item[1]), try_admit(*item))[1]
-            self.assertEqual((await first.request("parent.1")).status, 200)
-            self.assertTrue(plans[0].is_call)
-            self.assertEqual(plans[0].priority, Priority.URGENT)
-            self.assertGreater(plans[0].slo_deadline, now + 4)
-            self.assertEqual((await first.request("other.1")).status, 200)
-            self.assertFalse(plans[1].is_call)
-
-        self.run_machines(scenario, count=2)
-
-    def test_requests_that_run_are_known_and_forgotten(self):
-        async def scenario(_store, machine):
-            running = machine.sidecar.gateway.running
-            seen = []
-            begin = running.begin
-            running.begin = lambda *item: (seen.append(item[0]), begin(*item))
-            self.assertEqual((await machine.request("one")).status, 200)
-            self.assertEqual(seen, [b"one"])
-            self.assertEqual((running.runs, running.abandoned), ({}, {}))
-
-        self.run_machines(scenario)
-
-    def test_an_unexpected_error_before_an_attempt_does_not_tell_of_a_lost_answer(self):
-        async def scenario(_store, machine):
-            def fail(*_):
-                raise RuntimeError("test")
-
-            machine.sidecar.gateway.place = fail
-            response = await machine.request("one")
-            self.assertEqual(response.status, make_refusal(5008).status)
-            self.assertEqual(machine.server.runs, [])
-
-        self.run_machines(scenario)
