Quota drill: constants with their reason and unit

WARM, BEGIN, END, LAST, USUAL and MOVED had neither; 50 and 2.0 stood in the code. lost_at was when the counter was last seen up, and is seen_up_at; spread and move, which return weights of zones, are weigh_evenly and weigh_moving. A list of two sums is two variables.

--- a/bench/quota_drill.py
+++ b/bench/quota_drill.py
@@ -35,10 +35,19 @@
 )
 from daisylink.quota._bucket import Shares
 
-USUAL = 1 / 1.6
+# Usual demand in quotas: HARD-LOAD.md gives tenants 1.6 times their usual rate.
+USUAL_DEMAND = 1 / 1.6
 ZONES = ("a", "b", "c")
-WARM, BEGIN, END, LAST = 8.0, 12.0, 17.0, 26.0
-MOVED = 0.68
+# Seconds since the start of the fleet. Trouble begins at TROUBLE_FROM; what is served
+# counts from then to TROUBLE_UNTIL, and windows over the whole run.
+COST_FROM, COST_UNTIL = 2.0, 8.0
+TROUBLE_FROM, TROUBLE_UNTIL = 12.0, 17.0
+RUN_SECONDS = 26.0
+# Share of one zone's callers that move to another zone.
+MOVED_SHARE = 0.68
+# The worst share served is that of tenants with at least so many requests due; the
+# smaller ones are taken together.
+MIN_DUE = 50
 COUNTER_OUTAGE_SECONDS = 3.0
 
 
@@ -71,16 +80,19 @@
         home = fleet.counter
         if home is None or not home.machine.is_up:
             up = [m for m in fleet.machines.values() if m.is_up]
-            if home is not None and fleet.now < home.lost_at + COUNTER_OUTAGE_SECONDS:
+            if (
+                home is not None
+                and fleet.now < home.seen_up_at + COUNTER_OUTAGE_SECONDS
+            ):
                 return Refused(0.0, "own")
             home = fleet.counter = SimpleNamespace(
                 machine=up[0],
                 share=FixedShare(fleet, up[0]),
-                lost_at=fleet.now,
+                seen_up_at=fleet.now,
             )
             home.share.history = ShareHistory(fleet.now)
             home.share.history.set_shares((Shares(1, 1, Portion.WHOLE),), fleet.now)
-        home.lost_at = fleet.now
+        home.seen_up_at = fleet.now
         is_cut = (home.machine.zone in fleet.cut) != (self.machine.zone in fleet.cut)
         if is_cut or fleet.rng.random() < fleet.loss:
             return Refused(0.0, "own")
@@ -108,15 +120,16 @@
         machine.driver.check = way(fleet, machine).check
 
 
-def spread(_now):
+def weigh_evenly(_now):
+    """Return the weight of each zone in the entries of requests: all the same."""
     return dict.fromkeys(ZONES, 1.0)
 
 
-def move(now):
+def weigh_moving(now):
     """Most callers of one zone move to another one for 5 s, and back."""
-    if BEGIN <= now < END:
-        return {"a": 1 - MOVED, "b": 1 + MOVED, "c": 1.0}
-    return spread(now)
+    if TROUBLE_FROM <= now < TROUBLE_UNTIL:
+        return {"a": 1 - MOVED_SHARE, "b": 1 + MOVED_SHARE, "c": 1.0}
+    return weigh_evenly(now)
 
 
 def do_nothing(_fleet, _way):
@@ -124,8 +137,8 @@
 
 
 def cut_zone(fleet, _way):
-    fleet.call_later(BEGIN, lambda: fleet.cut_off("c"))
-    fleet.call_later(END, lambda: fleet.rejoin("c"))
+    fleet.call_later(TROUBLE_FROM, lambda: fleet.cut_off("c"))
+    fleet.call_later(TROUBLE_UNTIL, lambda: fleet.rejoin("c"))
 
 
 def kill_coordinators(fleet, way):
@@ -148,8 +161,8 @@
         replace(fleet, machine, way)
 
     for machine in machines:
-        fleet.call_later(BEGIN, lambda m=machine: fleet.kill(m))
-        fleet.call_later(BEGIN + seconds, lambda m=machine: start(m))
+        fleet.call_later(TROUBLE_FROM, lambda m=machine: fleet.kill(m))
+        fleet.call_later(TROUBLE_FROM + seconds, lambda m=machine: start(m))
 
 
 def scale_out(fleet, way):
@@ -162,56 +175,63 @@
             fleet.start(machine)
             replace(fleet, machine, way)
 
-    fleet.call_later(BEGIN, start)
+    fleet.call_later(TROUBLE_FROM, start)
 
 
+# Demand relative to the usual one, weights of the zones, and what goes wrong.
 SCENARIOS = {
-    "calm": (1.0, spread, do_nothing),
-    "at the quota": (1.6, spread, do_nothing),
-    "8 times": (8.0, spread, do_nothing),
-    "callers move": (1.0, move, do_nothing),
-    "callers move, at the quota": (1.6, move, do_nothing),
-    "callers move, 8 times": (8.0, move, do_nothing),
-    "zone cut off": (1.0, spread, cut_zone),
-    "zone cut off, 8 times": (8.0, spread, cut_zone),
-    "coordinators killed": (1.0, spread, kill_coordinators),
-    "all killed": (1.0, spread, kill_all),
-    "all killed, 8 times": (8.0, spread, kill_all),
-    "scale-out, 8 times": (8.0, spread, scale_out),
+    "calm": (1.0, weigh_evenly, do_nothing),
+    "at the quota": (1.6, weigh_evenly, do_nothing),
+    "8 times": (8.0, weigh_evenly, do_nothing),
+    "callers move": (1.0, weigh_moving, do_nothing),
+    "callers move, at the quota": (1.6, weigh_moving, do_nothing),
+    "callers move, 8 times": (8.0, weigh_moving, do_nothing),
+    "zone cut off": (1.0, weigh_evenly, cut_zone),
+    "zone cut off, 8 times": (8.0, weigh_evenly, cut_zone),
+    "coordinators killed": (1.0, weigh_evenly, kill_coordinators),
+    "all killed": (1.0, weigh_evenly, kill_all),
+    "all killed, 8 times": (8.0, weigh_evenly, kill_all),
+    "scale-out, 8 times": (8.0, weigh_evenly, scale_out),
 }
 WAYS = {"lending": None, "fixed share": FixedShare, "one counter": OneCounter}
 
 
-def play(name, way, nodes, tenants, seed):
-    """Play a scenario; return the fleet."""
+def run_scenario(name, way, nodes, tenants, seed):
+    """Run a scenario; return the fleet."""
     factor, choose_zone, trouble = SCENARIOS[name]
     fleet = make_fleet(way, nodes, tenants, seed)
-    fleet.load(lambda t: t.rate_per_s * USUAL * factor, choose_zone, 0.0, LAST)
+    fleet.load(
+        lambda t: t.rate_per_s * USUAL_DEMAND * factor, choose_zone, 0.0, RUN_SECONDS
+    )
     trouble(fleet, way)
-    fleet.run(LAST)
+    fleet.run(RUN_SECONDS)
     return fleet
 
 
 def measure(fleet):
-    """Return shares served, of all and of the worst tenant, and the worst window."""
+    """Return three shares served and the worst window.
+
+    The shares are those of all tenants, of the worst one with at least :data:`MIN_DUE`
+    requests due, and of the smaller ones; the window is relative to its bound.
+    """
     owed = served = 0
-    worst, worst_small, over = 1.0, [0, 0], 0.0
+    worst, over = 1.0, 0.0
+    small_due = small_served = 0
     for name, tenant in fleet.tenants.items():
         times = fleet.admitted[name]
         window = fleet.bounds.window.total_seconds()
         highest = find_highest(times, window)
         over = max(over, highest / find_bound(tenant, fleet.bounds))
-        due = count_owed(tenant, fleet.arrivals[name], BEGIN, END)
-        got = sum(BEGIN <= at < END for at in times)
+        due = count_owed(tenant, fleet.arrivals[name], TROUBLE_FROM, TROUBLE_UNTIL)
+        got = sum(TROUBLE_FROM <= at < TROUBLE_UNTIL for at in times)
         owed += due
         served += min(due, got)
-        if due >= 50:
+        if due >= MIN_DUE:
             worst = min(worst, got / due)
         else:
-            worst_small[0] += due
-            worst_small[1] += min(got, due)
-    small = worst_small[1] / max(1, worst_small[0])
-    return served / max(1, owed), worst, small, over
+            small_due += due
+            small_served += min(due, got)
+    return served / max(1, owed), worst, small_served / max(1, small_due), over
 
 
 def main(
@@ -229,7 +249,7 @@
     print("| --- | --- | --- | --- | --- | --- |")
     for name in [only] if only else SCENARIOS:
         for label, way in WAYS.items():
-            fleet = play(name, way, nodes, make_tenants(), seed)
+            fleet = run_scenario(name, way, nodes, make_tenants(), seed)
             row = " | ".join(f"{figure:.3f}" for figure in measure(fleet))
             print(f"| {name} | {label} | {row} |")
             sys.stdout.flush()
@@ -240,13 +260,18 @@
     tenants = make_tenants(number)
     for factor in (1.0, 8.0):
         fleet = make_fleet(None, nodes, tenants, seed)
-        fleet.load(lambda t, f=factor: t.rate_per_s * USUAL * f, spread, 0.0, WARM)
-        fleet.run(2.0)
+        fleet.load(
+            lambda t, f=factor: t.rate_per_s * USUAL_DEMAND * f,
+            weigh_evenly,
+            0.0,
+            COST_UNTIL,
+        )
+        fleet.run(COST_FROM)
         before, offered = dict(fleet.sent), sum(map(len, fleet.arrivals.values()))
         busy = time.process_time()
-        fleet.run(WARM)
+        fleet.run(COST_UNTIL)
         busy = time.process_time() - busy
-        seconds = (WARM - 2.0) * nodes
+        seconds = (COST_UNTIL - COST_FROM) * nodes
         offered = sum(map(len, fleet.arrivals.values())) - offered
         rates = {k: (n - before.get(k, 0)) / seconds for k, n in fleet.sent.items()}
         coordinator = max(
