--- a/bench/pace.py
+++ b/bench/pace.py
@@ -28,8 +28,11 @@
 
 POOL = "p"
 NODES, SERVERS, ZONES, SLOTS, QUEUE = 68, 36, 3, 5, 256
+# Lasting speeds of the servers in turn, work a second in each slot.
 SPEEDS = (0.55, 1.2)
+# Part of the time in which a machine is slowed, for how long, and by which factor.
 SLOWED_SHARE, SLOWED_SECONDS, SLOWNESS = 0.15, 0.6, 2.5
+# Amplitude of the demand relative to its mean, and its period.
 SWING, SWING_SECONDS = 0.55, 15.0
 WARM_UP_SECONDS = 5.0
 LOADS = (0.7, 0.85, 1.0, 1.2, 1.4)
@@ -46,7 +49,7 @@
     """What the nodes do with the servers' figures.
 
     :param admits: the server's node admits by the present slowness.
-    :param tells: it tells the other nodes.
+    :param tells: it tells the other nodes the present slowness and its limit.
     :param asks: whether requests ask for a free slot first.
     """
 
@@ -58,7 +61,8 @@
 class Machine:
     """A server and the machine under it.
 
-    :param speed: lasting speed of the server.
+    :param speed: lasting speed of the server, work a second in each slot.
+    :param seconds: time for which moments of slowness are drawn.
     """
 
     def __init__(self, speed, seconds, rng):
--- a/bench/pace_start.py
+++ b/bench/pace_start.py
@@ -67,7 +67,7 @@
 
 
 class Ramp(Unlimited):
-    """A fixed ramp of 3 s."""
+    """Grows from 1 to all slots in :data:`COLD_SECONDS`, whatever the responses."""
 
     now = staticmethod(lambda: 0.0)
 
@@ -82,7 +82,10 @@
 
 
 class Gradient(Unlimited):
-    """The limit times usual time over present time, plus one, smoothed."""
+    """The limit times usual time over present time, plus one, smoothed.
+
+    ``ratio`` is the present time over the usual one, corrected by the slowness.
+    """
 
     def restart(self, _now):
         self.value = 1.0
