Split the gateway, sender and admission where readers stumbled

The gateway (412 lines) computed, encoded and decoded the load header among its I/O; this is serving/_load_report.py now, without I/O. The sender (401 lines) decided inside _try whether an attempt is of use; _find_obstacle decides, _try_pool sends. The sets of result codes moved to _outcome, the lines added to a response to Exchange.format_response_headers. try_admit was too long; _queue_or_refuse holds its second half, and the estimates that need no state are in serving/_service_estimates.py. Slowness.average no longer repeats its last step, LocalRun.end computes has_run once.

is_hopeless had two meanings: Placer.cannot_meet_deadline and PoolAnswers.is_exhausted. is_worth_the_way is is_remote_worthwhile, expect_start is record_start, KEPT_SHARE and RISE are DECREASE_FACTOR and INCREASE. Comments that justified code by a measurement state the reason. Values of constants, wire formats and log lines are unchanged. The server's health is also read while admission is closed; reading only ages its counts.

Tests and bench/burst.py follow the renames; no check changed.

--- a/bench/burst.py
+++ b/bench/burst.py
@@ -259,7 +259,7 @@
             self.give_up(request, action.refusal, now)
             return
         entry, plan = request.entry, request.plan
-        if entry.placer.is_hopeless(plan, now):
+        if entry.placer.cannot_meet_deadline(plan, now):
             event = DeadlinePassed(may_have_run=False)
             self.perform(request, request.attempts.handle(event, now), now)
             return
--- a/src/daisylink/request/_authorization.py
+++ b/src/daisylink/request/_authorization.py
@@ -64,5 +64,5 @@
     kept = [item for item in head.headers if item[0] != AUTHORIZATION_HEADER]
     if len(kept) == len(head.headers):
         return head
-    # Twice as fast as _replace, for each request with a key.
+    # Runs for each request with a key, for which _replace is too slow.
     return RequestHead._make((*head[:HEADERS_INDEX], tuple(kept), *head[NEXT_INDEX:]))
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -23,7 +23,7 @@
     make_refusal,
 )
 from daisylink.request._plan import RequestPlan, plan_relayed, plan_request
-from daisylink.request._recording import build_replay
+from daisylink.request._recording import REPLAY_HEADER, build_replay
 from daisylink.request._response import ForwardedResponse
 from daisylink.request._sender import RequestSender
 from daisylink.version import Version
@@ -138,9 +138,10 @@
 
     def _fail_after_error(self) -> None:
         """End a request that an unexpected error stopped."""
-        is_sent = self.sender.head_sent
-        lost, not_sent = ResultCode.REQUEST_ANSWER_LOST, ResultCode.REQUEST_NO_SERVER
-        self.fail(lost if is_sent else not_sent)
+        if self.sender.head_sent:
+            self.fail(ResultCode.REQUEST_ANSWER_LOST)
+        else:
+            self.fail(ResultCode.REQUEST_NO_SERVER)
 
     def _apply_quota(self, decision: Decision) -> None:
         self.quota_number = 0
@@ -309,6 +310,15 @@
         pace = self.gateway.pace.format_header()
         return (load,) if pace is None else (load, PACE_HEADER + b": " + pace)
 
+    def format_response_headers(self) -> list[bytes]:
+        """Return the header lines that this node adds to the response."""
+        lines = list(self.format_load_headers()) if self.is_relay else []
+        if self.response.replayed:
+            lines.append(REPLAY_HEADER + b": 1")
+        if not self.keeps_connection:
+            lines.append(b"connection: close")
+        return lines
+
     # End of the request
 
     def send_refusal(self, refusal: Refusal) -> None:
--- a/src/daisylink/request/_header_names.py
+++ b/src/daisylink/request/_header_names.py
@@ -105,13 +105,11 @@
 
 
 @lru_cache(maxsize=8)
-def _list_consumed(*names: bytes) -> frozenset[bytes]:
-    """Return the names that are in use, and each spelling of the last one.
-
-    :param names: header names, empty if not used; the last is the tenant's.
-    """
-    found = set(names)
-    found.update(_spell_with_underscores(names[-1]))
+def _list_consumed(
+    deadline: bytes, target: bytes, origin: bytes, tenant: bytes
+) -> frozenset[bytes]:
+    """Return the names that are in use, the tenant's in each spelling."""
+    found = {deadline, target, origin, *_spell_with_underscores(tenant)}
     return frozenset(name for name in found if name)
 
 
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -121,7 +121,8 @@
         if self.retry_timer is not None:
             self.retry_timer.cancel()
         is_answered = result is RunResult.ANSWERED
-        if self.sent_at is not None and result is not RunResult.NOT_RUN:
+        has_run = result is not RunResult.NOT_RUN
+        if self.sent_at is not None and has_run:
             seconds = self.gateway.now() - self.sent_at
             self.gateway.version_gate.record_given_up(self.exchange.plan.route, seconds)
             self.sent_at = None
@@ -134,7 +135,6 @@
         if self.is_sent:
             request_id = self.exchange.head.request_id
             self.gateway.running.end(request_id, is_answered, self.gateway.now())
-        has_run = result is not RunResult.NOT_RUN
         kind = self.exchange.plan.route
         self.gateway.slots.free_slot(self.acquired_at, kind, has_run)
 
--- a/src/daisylink/request/_outcome.py
+++ b/src/daisylink/request/_outcome.py
@@ -14,6 +14,22 @@
 # RFC 9110 requires a challenge in each response with status 401.
 CHALLENGE_LINE = b"www-authenticate: Bearer"
 MS_PER_SECOND = 1000
+# Refusals of a node that does not serve the pool, whatever its record says.
+NOT_SERVING_CODES = frozenset(
+    {
+        ResultCode.REQUEST_WRONG_NODE,
+        ResultCode.REQUEST_DRAINING,
+        ResultCode.REQUEST_NO_SERVER,
+    }
+)
+# Refusals that are passed on to the caller without another attempt.
+FINAL_CODES = frozenset(
+    {
+        ResultCode.REQUEST_KEY_RUNNING,
+        ResultCode.REQUEST_KEY_DONE,
+        ResultCode.REQUEST_QUARANTINED,
+    }
+)
 
 
 class Outcome(StrEnum):
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -24,8 +24,13 @@
 from daisylink.request._head import Header
 from daisylink.request._local_run import LocalRun
 from daisylink.request._next_hop_head import make_relay_head, make_server_head
-from daisylink.request._outcome import Outcome, Refusal, make_refusal
-from daisylink.request._recording import REPLAY_HEADER
+from daisylink.request._outcome import (
+    FINAL_CODES,
+    NOT_SERVING_CODES,
+    Outcome,
+    Refusal,
+    make_refusal,
+)
 from daisylink.request._response import ResponseHead, is_own_response
 from daisylink.request._response_reader import find_refusal
 from daisylink.request._slot_search import SlotSearch
@@ -37,21 +42,6 @@
 PROVEN_IDLE_SECONDS = 0.5
 # Time for the rest of a refusal, so that its connection can be used again.
 REFUSAL_BODY_SECONDS = 0.02
-# Refusals of a node that does not serve the pool, whatever its record says.
-NOT_SERVING_CODES = frozenset(
-    {
-        ResultCode.REQUEST_WRONG_NODE,
-        ResultCode.REQUEST_DRAINING,
-        ResultCode.REQUEST_NO_SERVER,
-    }
-)
-FINAL_CODES = frozenset(
-    {
-        ResultCode.REQUEST_KEY_RUNNING,
-        ResultCode.REQUEST_KEY_DONE,
-        ResultCode.REQUEST_QUARANTINED,
-    }
-)
 
 
 class RequestSender:
@@ -110,35 +100,45 @@
 
     def _try(self) -> None:
         self.attempt += 1
-        gateway = self.gateway
-        own_record = gateway.own_record
-        if self.exchange.is_relay:
-            if own_record.pool != self.exchange.plan.pool:
-                self.refuse_attempt(ResultCode.REQUEST_WRONG_NODE)
-                return
+        if not self.exchange.is_relay:
+            self._try_pool()
+        elif self.gateway.own_record.pool == self.exchange.plan.pool:
             self._try_local_server()
-            return
-        if gateway.placer.is_hopeless(self.exchange.plan, gateway.now()):
-            event = DeadlinePassed(may_have_run=False)
+        else:
+            self.refuse_attempt(ResultCode.REQUEST_WRONG_NODE)
+
+    def _try_pool(self) -> None:
+        """Send a request that entered at this node to a server of its pool."""
+        gateway = self.gateway
+        event = self._find_obstacle(gateway.now())
+        if event is None:
+            placement = gateway.place(self.exchange.plan, self.search)
+            event = NoServer() if placement is None else None
+        if event is not None:
             self._perform(self.attempts.handle(event, gateway.now()))
             return
-        if gateway.placer.is_pool_full(self.exchange.plan, self.search, gateway.now()):
-            self._perform(self.attempts.handle(PoolFull(), gateway.now()))
-            return
-        placement = gateway.place(self.exchange.plan, self.search)
-        if placement is None:
-            self._perform(self.attempts.handle(NoServer(), gateway.now()))
-            return
         record, self.may_wait = placement
         self.target = record.node
         self.target_record = record
         self.choice = gateway.balancer.describe(record.node, gateway.now())
         gateway.in_flight_tracker.begin(self, record)
-        if record.node == own_record.node:
+        if record.node == gateway.own_record.node:
             self._try_local_server()
         else:
             self._connect(record.relay)
 
+    def _find_obstacle(self, now: float) -> DeadlinePassed | PoolFull | None:
+        """Return why no server of the pool is tried, None if one may be.
+
+        :param now: seconds of the monotonic clock.
+        """
+        plan = self.exchange.plan
+        if self.gateway.placer.cannot_meet_deadline(plan, now):
+            return DeadlinePassed(may_have_run=False)
+        if self.gateway.placer.is_pool_full(plan, self.search, now):
+            return PoolFull()
+        return None
+
     def _try_local_server(self) -> None:
         self.slot_wait.start()
 
@@ -334,13 +334,7 @@
         exchange = self.exchange
         if exchange.is_http_1_0 and head.length is None and not head.bodiless:
             exchange.keep_alive = False
-        extra = []
-        if exchange.is_relay:
-            extra += exchange.format_load_headers()
-        if exchange.response.replayed:
-            extra.append(REPLAY_HEADER + b": 1")
-        if not exchange.keeps_connection:
-            extra.append(b"connection: close")
+        extra = exchange.format_response_headers()
         exchange.response.handle_head(head, exchange.is_http_1_0, extra)
 
     def handle_response_body(self, data: bytes) -> None:
--- a/src/daisylink/serving/_admission.py
+++ b/src/daisylink/serving/_admission.py
@@ -15,6 +15,10 @@
 from daisylink.serving._call_reserve import CallReserve
 from daisylink.serving._concurrency_limit import ConcurrencyLimit
 from daisylink.serving._pacer import Pacer
+from daisylink.serving._service_estimates import (
+    assume_service_time,
+    find_start_margin,
+)
 from daisylink.serving._slowness import Slowness
 from daisylink.serving._waiting_queue import Group, QueuedRequest, WaitingQueue
 from daisylink.version import Priority
@@ -30,14 +34,6 @@
 # Share of its remaining time that a late request waits for an idle slot; the rest lets
 # its caller retry.
 LATE_WAIT_SHARE = 0.5
-# Part of the time left to its objective that a request of an unknown kind is expected
-# to take, so that a process that has just started does not queue all that comes.
-UNKNOWN_TIME_SHARE = 0.4
-# Margin for service times above the usual one, as a share of it; without a margin half
-# of the requests that wait as long as they may end after their objective.
-MARGIN_SHARE = 0.5
-# The most that the margin takes of the time that a request could wait.
-MAX_MARGIN_SHARE = 0.25
 MAX_KINDS = 1000
 
 
@@ -156,8 +152,8 @@
         if not may_wait and not (is_free and self._is_in_time(kind, slo_deadline, now)):
             return Refused(ResultCode.REQUEST_NO_FREE_SLOT)
         seconds = self.get_service_time(kind)
-        seconds = seconds or self._assume_service(slo_deadline - now)
-        margin = self._find_margin(seconds, slo_deadline - now)
+        seconds = seconds or assume_service_time(slo_deadline - now)
+        margin = find_start_margin(seconds, slo_deadline - now)
         waiting = QueuedRequest(
             ticket,
             kind,
@@ -173,19 +169,7 @@
             self._start(waiting, now)
             return Admitted()
         self.is_held_back = self._can_start(now) and not self._has_startable(now)
-        total = self._expected_wait(waiting, now) + seconds
-        wait = self.slowness.expect_seconds(total, now) - seconds
-        if now + wait + seconds >= deadline:
-            return self._refuse(waiting, wait, now)
-        if waiting.is_late(now + wait):
-            return self._queue_late(waiting, wait, now)
-        displaced = None
-        if self.queued >= self.limits.queue:
-            displaced = self._displace(waiting)
-            if displaced is None:
-                return self._refuse(waiting, wait, now)
-        self.queue.push(waiting)
-        return Queued(displaced, deadline - seconds)
+        return self._queue_or_refuse(waiting, now)
 
     def release(
         self, seconds: float, now: float, kind: str = "", has_run: bool = True
@@ -325,6 +309,23 @@
         self.is_held_back = bool(self.queued)
         return None
 
+    def _queue_or_refuse(self, waiting: QueuedRequest, now: float) -> Decision:
+        """Queue a request that cannot start now if it is expected to end in time."""
+        seconds = waiting.seconds
+        total = self._expected_wait(waiting, now) + seconds
+        wait = self.slowness.expect_seconds(total, now) - seconds
+        if now + wait + seconds >= waiting.deadline:
+            return self._refuse(waiting, wait, now)
+        if waiting.is_late(now + wait):
+            return self._queue_late(waiting, wait, now)
+        displaced = None
+        if self.queued >= self.limits.queue:
+            displaced = self._displace(waiting)
+            if displaced is None:
+                return self._refuse(waiting, wait, now)
+        self.queue.push(waiting)
+        return Queued(displaced, waiting.deadline - seconds)
+
     def _queue_late(self, waiting: QueuedRequest, wait: float, now: float) -> Decision:
         """Queue a late request behind all others if it is likely to be served there."""
         ahead = sum(item.seconds for item in self.late) / self.slots
@@ -356,24 +357,6 @@
             return self.late.pop().ticket
         return self.queue.displace(waiting)
 
-    def _find_margin(self, seconds: float, seconds_left: float) -> float:
-        """Return the time by which a request should start early to be in time.
-
-        :param seconds: expected service time.
-        :param seconds_left: time left to the objective.
-        """
-        room = max(0.0, seconds_left - seconds)
-        return min(seconds * MARGIN_SHARE, room * MAX_MARGIN_SHARE)
-
-    def _assume_service(self, seconds_left: float) -> float:
-        """Return the service time to assume for a kind of which none is known.
-
-        :param seconds_left: time left to the objective.
-        """
-        if seconds_left == float("inf"):
-            return 0.0
-        return max(0.0, seconds_left) * UNKNOWN_TIME_SHARE
-
     def _expected_wait(self, waiting: QueuedRequest, now: float) -> float:
         """Return the expected seconds until those ahead have run and it is the turn."""
         seconds, ahead = self.queue.sum_ahead(waiting, self.slots, now)
--- a/src/daisylink/serving/_concurrency_limit.py
+++ b/src/daisylink/serving/_concurrency_limit.py
@@ -10,15 +10,16 @@
 
 from enum import Enum
 
-# Part of the limit that is kept after a rejection.
-KEPT_SHARE = 0.5
+# The limit is multiplied by this after a rejection.
+DECREASE_FACTOR = 0.5
 # Failures count so long after a rejection, and so long after a start.
 REJECTING_SECONDS = 1.0
 STARTING_SECONDS = 5.0
 # Requests that were sent before a reduction fail after it. They say nothing new.
 SETTLE_SECONDS = 0.1
-# Rise with each answer without a fault, divided by the limit: one for each round.
-RISE = 1.0
+# Increase with each answer, divided by the limit: 1 after as many answers as it allows
+# at once.
+INCREASE = 1.0
 MIN_LIMIT = 1.0
 # A request that is rejected while no other one runs is not rejected because of too
 # many: for this time nothing lowers the limit.
@@ -66,7 +67,7 @@
         match outcome:
             case ServerOutcome.ANSWERED:
                 if self.value < running + 1:
-                    self.value += RISE / self.value
+                    self.value += INCREASE / self.value
                 return
             case ServerOutcome.REJECTED:
                 until = now + REJECTING_SECONDS
@@ -82,7 +83,7 @@
             self.unrelated_until = now + UNRELATED_SECONDS
             return
         self.reduced_at = now
-        self.value = max(MIN_LIMIT, min(self.value, running) * KEPT_SHARE)
+        self.value = max(MIN_LIMIT, min(self.value, running) * DECREASE_FACTOR)
 
     def reset(self, now: float) -> None:
         """Begin anew with another start of the server.
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -1,7 +1,6 @@
 """State that all requests of a process share: version, load balancer, limits."""
 
 import asyncio
-import math
 from http import HTTPStatus
 from typing import Any
 
@@ -27,13 +26,18 @@
 from daisylink.serving._burn import HISTORY_INTERVAL, BurnTracker
 from daisylink.serving._in_flight import InFlightTracker
 from daisylink.serving._load_balancer import LoadBalancer
+from daisylink.serving._load_report import (
+    LoadReport,
+    compute_load,
+    decode_load,
+    encode_load,
+)
 from daisylink.serving._local_server import LocalServer
 from daisylink.serving._metrics import Metrics
 from daisylink.serving._placer import Placement, Placer
 from daisylink.serving._quarantine import Quarantine
 from daisylink.serving._records import MemberRecord, ServerState
 from daisylink.serving._request_log import log_request_end
-from daisylink.serving._response_times import DEFAULT_SERVICE_SECONDS
 from daisylink.serving._retry_budget import RetryBudgetSettings
 from daisylink.serving._server_health import ServerHealth
 from daisylink.serving._server_notices import ServerNotices
@@ -42,7 +46,6 @@
 from daisylink.serving._splitter import Splitter
 from daisylink.version import CallerLimits, RouteEntry, RouteTarget, Version
 
-MS_PER_SECOND = 1000
 # Refusals between nodes, which the entry node's line names in its trail.
 UNLOGGED_CODES = frozenset(
     str(int(code))
@@ -52,9 +55,6 @@
 CRASH_CHECK_DELAY_SECONDS = 0.02
 PROBE_TIMEOUT_SECONDS = 0.5
 DEFAULT_LIMITS = AdmissionLimits(slots=8, connections=64, queue=20)
-# Load that a server reports on top of its own while it fails many requests: free slots
-# must not attract what would be rejected there.
-UNWELL_LOAD = 2.0
 # For pools that state no queue length; deadlines and objectives bound the queue.
 DEFAULT_QUEUE_LENGTH = 256
 
@@ -212,7 +212,7 @@
         own_record = self.own_record
         self.notices.update_own_start()
         is_serving = self.is_serving and not self.version_gate.is_closed()
-        self.pace.expect_start(own_record.server_start)
+        self.pace.record_start(own_record.server_start)
         if own_record.server is ServerState.SERVING and is_serving:
             self.admission.open(self._find_limits(own_record))
             return
@@ -305,30 +305,25 @@
 
         :param kind: kind of the request, whose usual service time is reported.
         """
-        service_ms = self.admission.get_service_time(kind) * MS_PER_SECOND
-        return b"%.3f %.1f" % (self._own_load(), service_ms)
+        return encode_load(self._find_own_load(kind, self.now()))
 
     def record_load(self, node: str, text: bytes, kind: str) -> None:
         """Record the load header of another node's response; ignore a malformed one.
 
         :param kind: kind of the request that was answered.
         """
-        load, _, service_ms = text.partition(b" ")
-        try:
-            figures = float(load), float(service_ms or 0) / MS_PER_SECOND
-        except ValueError:
-            return
-        if not all(math.isfinite(figure) and figure >= 0 for figure in figures):
+        report = decode_load(text)
+        if report is None:
             return
         self.balancer.response_times.record_report(
-            node, figures[0], self.now(), figures[1], kind
+            node, report.load, self.now(), report.service_seconds, kind
         )
 
     def _record_own_load(self, kind: str, now: float) -> None:
         """Record what the local backend server would report."""
-        seconds = self.admission.get_service_time(kind)
+        load, service_seconds = self._find_own_load(kind, now)
         self.balancer.response_times.record_report(
-            self.own_record.node, self._own_load(), now, seconds, kind
+            self.own_record.node, load, now, service_seconds, kind
         )
         self.pace.share_own(self.own_record.node)
 
@@ -376,20 +371,10 @@
                 service, code, seconds, plan.slo_ms, exchange.response.replayed
             )
 
-    def _own_load(self) -> float:
-        admission = self.admission
-        if not admission.is_open:
-            return 1.0
-        now = self.now()
-        load = (admission.in_use + admission.queued) / max(1, admission.capacity)
-        if self.server_health.is_unwell(now):
-            load += UNWELL_LOAD
-        turn_wait = admission.expect_turn(now)
-        if not turn_wait:
-            return load
-        # The load at which a request would wait as long for a slot.
-        seconds = admission.service_time or DEFAULT_SERVICE_SECONDS
-        return max(load, 1 + turn_wait / seconds)
+    def _find_own_load(self, kind: str, now: float) -> LoadReport:
+        is_unwell = self.server_health.is_unwell(now)
+        load = compute_load(self.admission, is_unwell, now)
+        return LoadReport(load, self.admission.get_service_time(kind))
 
     def _find_limits(self, own_record: MemberRecord) -> AdmissionLimits:
         pools: dict[str, Any] = self.version.route_table.pools if self.version else {}
--- a/src/daisylink/serving/_load_balancer.py
+++ b/src/daisylink/serving/_load_balancer.py
@@ -123,10 +123,10 @@
         near = self._choose_fastest(compared, slots, kind, now)
         if near is None or far is None:
             return near or far
-        is_better = self.is_worth_the_way(far, near, slots, now, kind, slo_seconds)
+        is_better = self.is_remote_worthwhile(far, near, slots, now, kind, slo_seconds)
         return far if is_better else near
 
-    def is_worth_the_way(
+    def is_remote_worthwhile(
         self,
         far: MemberRecord,
         near: MemberRecord,
@@ -135,10 +135,15 @@
         kind: str = "",
         slo_seconds: float = 0.0,
     ) -> bool:
-        """Return whether a node of another zone is worth the longer way.
+        """Return whether a node of another zone answers sooner by a margin.
 
         :param far: the node of another zone.
         :param near: the node of the own zone.
+        :param slots: slots of a server whose record states none.
+        :param now: seconds of the monotonic clock.
+        :param kind: kind of the request.
+        :param slo_seconds: objective of the request, of which the margin is a share; 0
+            for a share of the near node's response time.
         """
         estimate = self.response_times.estimate_seconds
         near_seconds = estimate(near, kind, slots, now)
--- a/src/daisylink/serving/_metrics.py
+++ b/src/daisylink/serving/_metrics.py
@@ -61,8 +61,8 @@
             "daisylink.request.retries", "1", "Attempts after the first."
         )
         self.tenant_labels = TenantLabels()
-        # Counted here and read at collection: an instrument costs 6 to
-        # 8 us a record.
+        # Counted here and read at collection, as a record of an instrument for each
+        # request takes too much processor time.
         self.tenant_counts: Counter[tuple[str, str]] = Counter()
         meter.create_observable_counter(
             "daisylink.tenant.requests",
--- a/src/daisylink/serving/_placer.py
+++ b/src/daisylink/serving/_placer.py
@@ -135,7 +135,7 @@
         free_share = 1 - self.declined_shares.get(pool, 0.0)
         return self.balancer.rng.random() < max(MIN_ASKING_SHARE, free_share)
 
-    def is_hopeless(self, plan: RequestPlan, now: float) -> bool:
+    def cannot_meet_deadline(self, plan: RequestPlan, now: float) -> bool:
         """Return whether even a fast server could not answer before the deadline."""
         usual = self.balancer.response_times.usual_seconds.get(plan.route, 0.0)
         needed = max(usual * FAST_SERVER_TIME, MIN_ATTEMPT_SECONDS)
@@ -154,7 +154,7 @@
         elif self._is_returning(plan, now) or plan.is_call:
             return False
         else:
-            is_full = answers.is_hopeless(plan.pool, plan.route, now)
+            is_full = answers.is_exhausted(plan.pool, plan.route, now)
             is_full = is_full and self.balancer.rng.random() >= PROBE_SHARE
         self.refused_at_once += is_full
         return is_full
@@ -186,7 +186,7 @@
         if record is None or record.zone == own_zone or not near:
             return record
         best = self._choose_fastest(near, plan, now)
-        return record if self._is_worth_the_way(record, best, plan, now) else None
+        return record if self._is_remote_worthwhile(record, best, plan, now) else None
 
     def _choose_to_wait(
         self, plan: RequestPlan, search: SlotSearch, now: float
@@ -210,7 +210,7 @@
             return self._choose_fastest(near or far, plan, now)
         best_near = self._choose_fastest(near, plan, now)
         best_far = self._choose_fastest(far, plan, now)
-        if self._is_worth_the_way(best_far, best_near, plan, now):
+        if self._is_remote_worthwhile(best_far, best_near, plan, now):
             return best_far
         return best_near
 
@@ -222,10 +222,10 @@
             records, key=lambda item: estimate(item, plan.route, plan.slots, now)
         )
 
-    def _is_worth_the_way(
+    def _is_remote_worthwhile(
         self, far: MemberRecord, near: MemberRecord, plan: RequestPlan, now: float
     ) -> bool:
-        return self.balancer.is_worth_the_way(
+        return self.balancer.is_remote_worthwhile(
             far, near, plan.slots, now, plan.route, plan.slo_ms / MS_PER_SECOND
         )
 
--- a/src/daisylink/serving/_pool_answers.py
+++ b/src/daisylink/serving/_pool_answers.py
@@ -11,12 +11,12 @@
 from daisylink.errors import ResultCode
 
 WINDOW_SECONDS = 1.0
-# Answers in the window that say enough of a pool.
+# Fewer answers in the window give no share.
 MIN_ANSWERS = 10
 # Share of refusals of nodes' queues from which only one node is asked, and from which
 # most new requests are refused at once.
 FULL_SHARE = 0.7
-HOPELESS_SHARE = 0.95
+EXHAUSTED_SHARE = 0.95
 # Share of the new requests that are sent to a full pool, to notice that it has room.
 PROBE_SHARE = 0.1
 # Share of rejections by servers from which a second attempt is unlikely to help.
@@ -91,9 +91,9 @@
         """Return whether most nodes have no room, so that one is asked at most."""
         return self._get_share(pool, kind, Answer.REFUSED, now) >= FULL_SHARE
 
-    def is_hopeless(self, pool: str, kind: str, now: float) -> bool:
+    def is_exhausted(self, pool: str, kind: str, now: float) -> bool:
         """Return whether hardly any node has room."""
-        return self._get_share(pool, kind, Answer.REFUSED, now) >= HOPELESS_SHARE
+        return self._get_share(pool, kind, Answer.REFUSED, now) >= EXHAUSTED_SHARE
 
     def is_rejecting(self, pool: str, kind: str, now: float) -> bool:
         """Return whether most servers reject, so that no second one is tried."""
--- a/src/daisylink/serving/_response_times.py
+++ b/src/daisylink/serving/_response_times.py
@@ -91,12 +91,12 @@
         report.in_flight = self.in_flight.get(node, 0)
         if seconds <= 0:
             return
-        report.mean_seconds = _move(report.mean_seconds, seconds)
+        report.mean_seconds = _update_mean(report.mean_seconds, seconds)
         if len(self.usual_seconds) >= MAX_KINDS:
             self.usual_seconds.clear()
         if not report.is_cold or kind not in self.usual_seconds:
             usual = self.usual_seconds.get(kind, 0.0)
-            self.usual_seconds[kind] = _move(usual, seconds)
+            self.usual_seconds[kind] = _update_mean(usual, seconds)
         if len(report.service_times) >= MAX_KINDS:
             report.service_times.clear()
         report.service_times[kind] = ServiceTime(seconds, now)
@@ -183,6 +183,6 @@
     return min(slots, report.limit) if report is not None and report.limit else slots
 
 
-def _move(mean: float, value: float) -> float:
+def _update_mean(mean: float, value: float) -> float:
     """Return a moving mean after one more value; the first value sets it."""
     return mean + MEAN_WEIGHT * (value - mean) if mean else value
--- a/src/daisylink/serving/_server_pace.py
+++ b/src/daisylink/serving/_server_pace.py
@@ -91,8 +91,8 @@
         # What the server stated with its last response.
         self.load: ServerLoad | None = None
 
-    def expect_start(self, start: ServerStart) -> None:
-        """Note which start of the local server runs now; another one has no limit."""
+    def record_start(self, start: ServerStart) -> None:
+        """Record which start of the local server runs; a new start has no limit yet."""
         if start not in (self.start, NO_START):
             self.start = start
             self.admission.concurrency.reset(self.now())
--- a/src/daisylink/serving/_slowness.py
+++ b/src/daisylink/serving/_slowness.py
@@ -8,6 +8,7 @@
 """
 
 from collections import deque
+from itertools import chain
 
 # A figure that is older says nothing about the present.
 SLOWNESS_LIFETIME_SECONDS = 0.3
@@ -77,13 +78,12 @@
         end = min(now, self.at + SLOWNESS_LIFETIME_SECONDS)
         excess = (end - self.at) * (self.last - USUAL)
         later_at, later = self.at, self.last
-        for at, slowness in reversed(self.samples):
+        # Before the first figure the slowness is unknown.
+        earlier = chain(reversed(self.samples), [(float("-inf"), USUAL)])
+        for at, slowness in earlier:
             begin = max(since, at, later_at - SLOWNESS_LIFETIME_SECONDS)
             excess += max(0.0, later_at - begin) * (later - USUAL)
             later_at, later = at, slowness
             if at <= since:
                 break
-        else:
-            begin = max(since, later_at - SLOWNESS_LIFETIME_SECONDS)
-            excess += max(0.0, later_at - begin) * (later - USUAL)
         return USUAL + excess / seconds
--- a/src/daisylink/serving/_tenant_labels.py
+++ b/src/daisylink/serving/_tenant_labels.py
@@ -2,7 +2,7 @@
 
 from daisylink.errors import ResultCode
 
-# Each label value has up to six series; a deployment has 82 tenants today.
+# Each label value has up to six series. The specification has 82 tenants.
 MAX_TENANT_LABELS = 128
 NO_TENANT_LABEL = ""
 OTHER_LABEL = "_other"
--- a/src/daisylink/serving/_waiting_queue.py
+++ b/src/daisylink/serving/_waiting_queue.py
@@ -66,7 +66,7 @@
     tenant: str
 
 
-def _get_end(request: QueuedRequest) -> float:
+def _get_slo_deadline(request: QueuedRequest) -> float:
     return request.slo_deadline
 
 
@@ -97,7 +97,7 @@
     def push(self, request: QueuedRequest) -> None:
         """Add a request."""
         group = request.group
-        insort(self.groups.setdefault(group, []), request, key=_get_end)
+        insort(self.groups.setdefault(group, []), request, key=_get_slo_deadline)
         self.seconds[group] = self.seconds.get(group, 0.0) + request.seconds
 
     def pop_first(
@@ -183,7 +183,9 @@
         for group, waiting in self.groups.items():
             if group == own:
                 # Groups are kept in order, so that a refusal need not look at each.
-                found = bisect_right(waiting, request.slo_deadline, key=_get_end)
+                found = bisect_right(
+                    waiting, request.slo_deadline, key=_get_slo_deadline
+                )
             elif not is_due and self._rank(group) <= rank:
                 found = len(waiting)
             else:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -342,8 +342,8 @@
     def test_no_attempt_starts_that_ends_with_an_unknown_outcome(self):
         """A request refused by a queue at its deadline was sent on, and got 504."""
         placer = make_placer(near=3, far=0)
-        self.assertTrue(placer.is_hopeless(make_plan(), 3.995))
-        self.assertFalse(placer.is_hopeless(make_plan(), 3.9))
+        self.assertTrue(placer.cannot_meet_deadline(make_plan(), 3.995))
+        self.assertFalse(placer.cannot_meet_deadline(make_plan(), 3.9))
 
     def test_a_relayed_request_leaves_the_queue_before_its_entry_node_gives_up(self):
         timers = []
--- a/tests/test_server_load.py
+++ b/tests/test_server_load.py
@@ -227,13 +227,13 @@
         self.assertEqual(self.admission.capacity, 2)
 
     def test_another_start_of_the_server_begins_without_a_limit(self):
-        self.pace.expect_start(ServerStart("i", 1))
+        self.pace.record_start(ServerStart("i", 1))
         self.admission.in_use = 4
         self.pace.record_outcome(failed=True, rejected=True, many_fail=False)
         for start in (ServerStart("i", 1), ServerStart("", 0), ServerStart("i", 1)):
-            self.pace.expect_start(start)
+            self.pace.record_start(start)
             self.assertTrue(self.admission.is_limited)
-        self.pace.expect_start(ServerStart("i", 2))
+        self.pace.record_start(ServerStart("i", 2))
         self.assertFalse(self.admission.is_limited)
 
 
