--- a/bench/quota_drill.py
+++ b/bench/quota_drill.py
@@ -95,7 +95,7 @@
     sizes = {zone: nodes // 3 + (i < nodes % 3) for i, zone in enumerate(ZONES)}
     fleet = QuotaFleet(tenants, sizes, seed, stored=nodes)
     fleet.limits = {
-        t.name: Limit.from_quota(t.rate_per_s, t.burst, fleet.bounds) for t in tenants
+        t.name: Limit.from_quota(t.rate, t.burst, fleet.bounds) for t in tenants
     }
     fleet.counter = None
     fleet.start_all()
@@ -191,7 +191,7 @@
     """Run a scenario in simulated time; return the fleet."""
     factor, choose_zone, inject_faults = SCENARIOS[name]
     fleet = make_fleet(strategy, nodes, tenants, seed)
-    fleet.load(lambda t: t.rate_per_s * USUAL * factor, choose_zone, 0.0, LAST)
+    fleet.load(lambda t: t.rate * USUAL * factor, choose_zone, 0.0, LAST)
     inject_faults(fleet, strategy)
     fleet.run(LAST)
     return fleet
@@ -245,7 +245,7 @@
     tenants = make_tenants(number)
     for factor in (1.0, 8.0):
         fleet = make_fleet(None, nodes, tenants, seed)
-        fleet.load(lambda t, f=factor: t.rate_per_s * USUAL * f, spread, 0.0, WARM)
+        fleet.load(lambda t, f=factor: t.rate * USUAL * f, spread, 0.0, WARM)
         fleet.run(2.0)
         before, offered = dict(fleet.sent), sum(map(len, fleet.arrivals.values()))
         busy = time.process_time()
--- a/bench/quota_fleet.py
+++ b/bench/quota_fleet.py
@@ -354,7 +354,7 @@
 
 def find_bound(tenant, bounds):
     """Return the most requests that may run in a window."""
-    allowed = tenant.rate_per_s * bounds.window.total_seconds() + tenant.burst
+    allowed = tenant.rate * bounds.window.total_seconds() + tenant.burst
     return allowed * (1 + bounds.over) + bounds.slack
 
 
@@ -372,7 +372,7 @@
     """Return how many of the arrivals in a span one exact token bucket admits."""
     tokens, at, owed = tenant.burst, 0.0, 0
     for moment in arrivals:
-        grown = tokens + (moment - at) * tenant.rate_per_s
+        grown = tokens + (moment - at) * tenant.rate
         tokens, at = min(max(tenant.burst, 1.0), grown), moment
         if tokens >= 1:
             tokens -= 1
--- a/src/daisylink/platform/_configuration.py
+++ b/src/daisylink/platform/_configuration.py
@@ -235,7 +235,7 @@
         split=shares,
         max_attempts=route.max_attempts,
         slo_ms=_parse_milliseconds(route.slo),
-        allow_anonymous=route.allow_anon,
+        admits_anonymous=route.allow_anon,
     )
 
 
--- a/src/daisylink/request/_plan.py
+++ b/src/daisylink/request/_plan.py
@@ -100,7 +100,7 @@
                 pass
             case UnknownKey():
                 return make_refusal(ResultCode.REQUEST_API_KEY_UNKNOWN)
-            case NoKey() if entry is not None and not entry.route.allow_anonymous:
+            case NoKey() if entry is not None and not entry.route.admits_anonymous:
                 return make_refusal(ResultCode.REQUEST_API_KEY_MISSING)
     if entry is None:
         return make_refusal(ResultCode.REQUEST_NO_ROUTE)
--- a/src/daisylink/rollout/_order.py
+++ b/src/daisylink/rollout/_order.py
@@ -36,7 +36,7 @@
     """
 
     service: str
-    target_version: str
+    target: str
     duration: float
     revision: int
 
@@ -122,17 +122,17 @@
             baseline = previous.target
         elif previous.target not in rejected:
             rejected = (*rejected, previous.target)
-    rejected = tuple(name for name in rejected if name != order.target_version)
+    rejected = tuple(name for name in rejected if name != order.target)
     state = RolloutState(
         order.revision,
-        order.target_version,
+        order.target,
         order.duration,
         rejected=rejected,
         baseline=baseline,
         controller=controller,
     )
     has_old = any(state.is_old(version) for version in serving)
-    if has_old or order.target_version not in serving:
+    if has_old or order.target not in serving:
         return state
     return replace(state, step=Step.FINISH, share=1.0, reason="no old servers")
 
--- a/src/daisylink/sidecar/_quota_driver.py
+++ b/src/daisylink/sidecar/_quota_driver.py
@@ -100,13 +100,11 @@
     def set_version(self, version: Version) -> None:
         """Use the tenants of a version from now on."""
         tenants = version.tenants
-        self.is_active = any(
-            tenant.rate_per_s > 0 for tenant in tenants.by_name.values()
-        )
+        self.is_active = any(tenant.rate > 0 for tenant in tenants.by_name.values())
 
         def find_quota(name: str) -> tuple[float, float] | None:
             tenant = tenants.get(name)
-            return None if tenant is None else (tenant.rate_per_s, tenant.burst)
+            return None if tenant is None else (tenant.rate, tenant.burst)
 
         self.limits.set_tenants(find_quota)
         if self.is_active and self.timer is None:
--- a/src/daisylink/sidecar/_rollout_controller.py
+++ b/src/daisylink/sidecar/_rollout_controller.py
@@ -136,7 +136,7 @@
             self.started_at[service] = self.now()
             log.bind(
                 service=service,
-                target=order.target_version,
+                target=order.target,
                 seconds=order.duration,
                 revision=order.revision,
             ).info("rollout ordered")
@@ -234,7 +234,7 @@
         order = ordered.order
         return state is None or (state.order, state.target) != (
             order.revision,
-            order.target_version,
+            order.target,
         )
 
     def _continue(self, service: str, now: float) -> None:
--- a/src/daisylink/version/_review.py
+++ b/src/daisylink/version/_review.py
@@ -244,7 +244,7 @@
 def _check_quotas(draft: Draft) -> Iterator[Finding]:
     code = ResultCode.CONFIG_LIMITS
     for tenant, _ in draft.tenants:
-        rate, burst = tenant.rate_per_s, tenant.burst
+        rate, burst = tenant.rate, tenant.burst
         message = ""
         if not rate and burst:
             message = (
--- a/src/daisylink/version/_rows.py
+++ b/src/daisylink/version/_rows.py
@@ -71,7 +71,7 @@
     :param max_attempts: backend servers that one request may reach, 0 for the node's
         limit.
     :param slo_ms: objective for the route's latency, 0 for the service's.
-    :param allow_anonymous: whether requests need no API key where tenants have keys.
+    :param admits_anonymous: whether requests need no API key where tenants have keys.
     """
 
     name: str
@@ -86,4 +86,4 @@
     split: tuple[WeightedService, ...] = ()
     max_attempts: int = 0
     slo_ms: int = 0
-    allow_anonymous: bool = False
+    admits_anonymous: bool = False
--- a/src/daisylink/version/_tenants.py
+++ b/src/daisylink/version/_tenants.py
@@ -21,13 +21,13 @@
     """A tenant, whose requests carry one of its API keys.
 
     :param priority: goes before the route's, None to use the route's.
-    :param rate_per_s: requests a second that all nodes together admit, 0 for no limit.
+    :param rate: requests a second that all nodes together admit, 0 for no limit.
     :param burst: requests that they admit beyond the rate at one moment.
     """
 
     name: str
     priority: Priority | None = None
-    rate_per_s: float = 0.0
+    rate: float = 0.0
     burst: float = 0.0
 
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -221,7 +221,7 @@
         fleet = QuotaFleet(tenants, {"a": 10, "b": 10, "c": 10}, seed, stored=30)
         fleet.start_all()
         fleet.load(
-            lambda tenant: tenant.rate_per_s / 1.6 * factor,
+            lambda tenant: tenant.rate / 1.6 * factor,
             lambda _now: {"a": 1, "b": 1, "c": 1},
             0.0,
             16.0,
@@ -238,7 +238,7 @@
     def count_share(self, fleet, begin, end):
         """Return the share of their quotas that all tenants get in a span."""
         times = [at for times in fleet.admitted.values() for at in times]
-        rate = sum(tenant.rate_per_s for tenant in fleet.tenants.values())
+        rate = sum(tenant.rate for tenant in fleet.tenants.values())
         return sum(begin <= at < end for at in times) / (rate * (end - begin))
 
     def test_most_of_an_excess_costs_no_message_and_the_quota_is_served(self):
@@ -306,7 +306,7 @@
             moved = 0.68 if 8 <= now < 13 else 0.0
             return {"a": 1 - moved, "b": 1 + moved, "c": 1}
 
-        fleet.load(lambda t: t.rate_per_s * 0.9, choose, 0.0, 13.0)
+        fleet.load(lambda t: t.rate * 0.9, choose, 0.0, 13.0)
         fleet.run(13.1)
         served = offered = 0
         for name, times in fleet.admitted.items():
@@ -338,7 +338,7 @@
         tenants = make_tenants(82)[60:]
         fleet = QuotaFleet(tenants, {"a": 30, "b": 30, "c": 2}, 5, stored=62)
         fleet.start_all()
-        fleet.load(lambda t: t.rate_per_s / 1.6, lambda _now: {"c": 1}, 10.0, 20.0)
+        fleet.load(lambda t: t.rate / 1.6, lambda _now: {"c": 1}, 10.0, 20.0)
         fleet.run(21.0)
         admitted = sum(map(len, fleet.admitted.values()))
         self.assertGreater(admitted / sum(map(len, fleet.arrivals.values())), 0.95)
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -204,7 +204,7 @@
         tenants = decode_configuration(
             make_tenants_configuration(make_tenant(**spec))
         ).tenants
-        self.assertEqual(tenants.get("huka270").rate_per_s, 0.0)
+        self.assertEqual(tenants.get("huka270").rate, 0.0)
 
     def test_a_key_of_two_tenants_finds_neither(self):
         """Each caller with the key would get the data of whichever came first."""
