--- a/src/daisylink/connection/__init__.py
+++ b/src/daisylink/connection/__init__.py
@@ -1,7 +1,15 @@
 """Connections from callers and to the next hop."""
 
 from daisylink.connection._caller import CallerConnection
+from daisylink.connection._held_bytes import HeldBytes, count_held_bytes
 from daisylink.connection._hop import HopConnection, HopConnectionPool
 from daisylink.connection._probe import ProbeResult
 
-__all__ = ["CallerConnection", "HopConnection", "HopConnectionPool", "ProbeResult"]
+__all__ = [
+    "CallerConnection",
+    "HeldBytes",
+    "HopConnection",
+    "HopConnectionPool",
+    "ProbeResult",
+    "count_held_bytes",
+]
--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from daisylink.connection._held_bytes import HeldBytes
 from daisylink.errors import RequestError, ResultCode
 from daisylink.logs import get_logger
 from daisylink.request import Exchange, encode_refusal, make_refusal, parse_head
@@ -215,6 +216,18 @@
             self.gateway.loop.call_soon(self._start_next, self.current)
         self.update_flow_control()
 
+    def count_held_bytes(self) -> HeldBytes:
+        """Return the bytes that wait for the caller or for its requests' next hops."""
+        exchanges = [*self.pipelined]
+        if self.current is not None:
+            exchanges.append(self.current)
+        return HeldBytes(
+            sum(exchange.count_waiting_output() for exchange in exchanges),
+            self.transport.get_write_buffer_size(),
+            sum(exchange.body.count_kept() for exchange in exchanges),
+            sum(exchange.count_unsent_bytes() for exchange in exchanges),
+        )
+
     def update_flow_control(self) -> None:
         """Pause or resume reading from the caller as buffers allow."""
         self._apply_flow_control()
--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -249,6 +249,11 @@
             self.pending.clear()
             self.transport.write(data)
 
+    def count_unsent_bytes(self) -> int:
+        """Return the bytes of requests that the peer has not accepted."""
+        buffered = sum(map(len, self.pending))
+        return buffered + self.transport.get_write_buffer_size()
+
     def abort(self) -> None:
         """Abort, because the exchange ended before the response did."""
         self.sender = None
--- a/src/daisylink/request/_body.py
+++ b/src/daisylink/request/_body.py
@@ -49,6 +49,10 @@
         self.pieces.append(LAST_CHUNK)
         return LAST_CHUNK
 
+    def count_kept(self) -> int:
+        """Return the bytes that are buffered now."""
+        return sum(map(len, self.pieces))
+
     def trim(self) -> None:
         """Drop the buffer if the body is too long to be sent again."""
         if self.buffered_bytes > MAX_REPLAY_BYTES:
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -214,6 +214,15 @@
         """Return whether the whole request body was received."""
         return self.body.done
 
+    def count_waiting_output(self) -> int:
+        """Return the bytes that wait for the request's turn on its connection."""
+        return sum(map(len, self.pending_output))
+
+    def count_unsent_bytes(self) -> int:
+        """Return the bytes of the request that the next hop has not accepted."""
+        hop = self.sender.hop
+        return hop.count_unsent_bytes() if hop is not None else 0
+
     def is_response_stalled(self, now: float, timeout_seconds: float) -> bool:
         """Return whether the next hop sent nothing for longer than a timeout.
 
--- a/src/daisylink/sidecar/_gauges.py
+++ b/src/daisylink/sidecar/_gauges.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from daisylink.connection import HeldBytes, count_held_bytes
 from daisylink.serving import Metrics
 
 
@@ -82,6 +83,7 @@
         "Requests a second that the own backend server takes, -1 without a limit.",
     )
     add_overload_gauges(metrics, sidecar.gateway)
+    add_held_bytes_gauges(metrics, sidecar.gateway)
     metrics.add_gauge(
         "daisylink.slots.in_use",
         lambda: admission.in_use,
@@ -131,3 +133,16 @@
         lambda: admission.capacity,
         "Requests that the own backend server is given at once.",
     )
+
+
+def add_held_bytes_gauges(metrics: Metrics, gateway: Any) -> None:
+    """Register a gauge for each kind of bytes that the process holds.
+
+    :param gateway: the :class:`~daisylink.serving.Gateway` whose connections count.
+    """
+    for kind in HeldBytes._fields:
+        metrics.add_gauge(
+            f"daisylink.held.{kind}",
+            lambda kind=kind: getattr(count_held_bytes(gateway.callers), kind),
+            "Bytes held for callers and next hops (docs/OPERATIONS.md).",
+        )
