--- a/bench/hotpath.py
+++ b/bench/hotpath.py
@@ -44,6 +44,9 @@
     def is_closing(self):
         return False
 
+    def get_write_buffer_size(self):
+        return 0
+
     def get_extra_info(self, name):
         return None
 
--- a/src/daisylink/connection/__init__.py
+++ b/src/daisylink/connection/__init__.py
@@ -1,13 +1,18 @@
 """Connections from callers and to the next hop."""
 
 from daisylink.connection._caller import CallerConnection
-from daisylink.connection._held_bytes import HeldBytes, count_held_bytes
+from daisylink.connection._held_bytes import (
+    HeldBytes,
+    HeldBytesLimit,
+    count_held_bytes,
+)
 from daisylink.connection._hop import HopConnection, HopConnectionPool
 from daisylink.connection._probe import ProbeResult
 
 __all__ = [
     "CallerConnection",
     "HeldBytes",
+    "HeldBytesLimit",
     "HopConnection",
     "HopConnectionPool",
     "ProbeResult",
--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from daisylink.connection._held_bytes import HeldBytes
+from daisylink.connection._held_bytes import REQUEST_BYTES, HeldBytes
 from daisylink.errors import RequestError, ResultCode
 from daisylink.logs import get_logger
 from daisylink.request import Exchange, encode_refusal, make_refusal, parse_head
@@ -20,6 +20,8 @@
 BODY_SECONDS = 10.0
 STALL_SECONDS = 10.0
 RELAY_IDLE_SECONDS = 120.0
+# Bytes of a response that wait for its turn before no more of it is read.
+MAX_WAITING_BYTES = 64 * 1024
 
 log = get_logger("caller")
 
@@ -45,6 +47,7 @@
         self.pipelined: deque[Exchange] = deque()
         self.parsing: Exchange | None = None
         self.needs_start = False
+        self.requests_in_read = 0
         self.is_reading_head = False
         self.head_bytes_received = 0
         self.head_started_at = 0.0
@@ -54,6 +57,11 @@
         self.parse_error: RequestError | None = None
         self.is_closing = False
         self.is_paused = False
+        self.is_write_paused = False
+        self.written_bytes = 0
+        # Bytes that the caller's machine has accepted, and when that was last seen.
+        self.accepted_bytes = 0
+        self.accepted_at = gateway.now()
 
     # Callbacks of asyncio
 
@@ -67,18 +75,14 @@
     def connection_lost(self, _error: Exception | None) -> None:
         """Cancel the caller's requests."""
         self.gateway.callers.discard(self)
-        self.is_closing = True
-        for exchange in (self.current, *self.pipelined):
-            if exchange is not None:
-                exchange.cancel()
-        self.current = None
-        self.pipelined.clear()
+        self._cancel_requests()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start or continue the requests in them."""
         if self.is_closing:
             return
         self.last_read_at = self.gateway.now()
+        self.requests_in_read = 0
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -103,20 +107,24 @@
         elif self.current is not None:
             self.current.flush_body()
         self._apply_flow_control()
+        held_bytes = len(data) + self.requests_in_read * REQUEST_BYTES
+        self.gateway.held_limit.record_received(held_bytes)
 
     def eof_received(self) -> bool:
         """Close the connection: a half-closed one counts as closed by the caller."""
         return False
 
     def pause_writing(self) -> None:
-        """Pause reading the response while the write buffer to the caller is full."""
-        if self.current is not None and self.current.sender.hop is not None:
-            self.current.sender.hop.transport.pause_reading()
+        """Read no more requests and responses while the caller does not read."""
+        self.is_write_paused = True
+        self._apply_flow_control()
 
     def resume_writing(self) -> None:
-        """Resume reading the response."""
-        if self.current is not None and self.current.sender.hop is not None:
-            self.current.sender.hop.transport.resume_reading()
+        """Resume reading the current response, and requests."""
+        self.is_write_paused = False
+        if self.current is not None:
+            self.current.resume_response()
+        self._apply_flow_control()
 
     # Callbacks of httptools
 
@@ -164,6 +172,7 @@
             return
         keep_alive = parser.should_keep_alive()
         exchange = Exchange(self.gateway, self, head, keep_alive, is_http_1_0)
+        self.requests_in_read += 1
         self.parsing = exchange
         if self.current is None:
             self.current = exchange
@@ -185,6 +194,12 @@
 
     # Called by exchanges and the gateway
 
+    @property
+    def open_requests(self) -> list[Exchange]:
+        """Return the requests without a complete response, in their order."""
+        current = [] if self.current is None else [self.current]
+        return [*current, *self.pipelined]
+
     def has_started_after(self, exchange: Exchange) -> bool:
         """Return whether a request pipelined after this one has started."""
         behind = list(self.pipelined)
@@ -193,11 +208,21 @@
         return any(other.started for other in behind)
 
     def write(self, exchange: Exchange, data: bytes) -> None:
-        """Write to the caller, or buffer the bytes until the request is current."""
-        if exchange is not self.current:
-            exchange.pending_output.append(data)
-        elif not self.is_closing:
-            self.transport.write(data)
+        """Write to the caller, or buffer the bytes until the request is current.
+
+        The rest of the response is not read while the caller does not read, or while
+        too much of it waits for its turn.
+        """
+        if self.is_closing:
+            return
+        if exchange is self.current:
+            self._write(data)
+            if self.is_write_paused:
+                exchange.pause_response()
+            return
+        exchange.pending_output += data
+        if len(exchange.pending_output) > MAX_WAITING_BYTES:
+            exchange.pause_response()
 
     def finish(self, exchange: Exchange, keep_alive: bool) -> None:
         """Continue with the next request, or close the connection.
@@ -212,22 +237,31 @@
             return
         if self.pipelined:
             self.current = self.pipelined.popleft()
-            self._write_buffered(self.current)
+            self._take_turn(self.current)
             self.gateway.loop.call_soon(self._start_next, self.current)
         self.update_flow_control()
 
     def count_held_bytes(self) -> HeldBytes:
         """Return the bytes that wait for the caller or for its requests' next hops."""
-        exchanges = [*self.pipelined]
-        if self.current is not None:
-            exchanges.append(self.current)
+        exchanges = self.open_requests
         return HeldBytes(
-            sum(exchange.count_waiting_output() for exchange in exchanges),
+            sum(len(exchange.pending_output) for exchange in exchanges),
             self.transport.get_write_buffer_size(),
-            sum(exchange.body.count_kept() for exchange in exchanges),
+            sum(len(exchange.body.kept) for exchange in exchanges),
             sum(exchange.count_unsent_bytes() for exchange in exchanges),
+            self.head_bytes_received + len(exchanges) * REQUEST_BYTES,
         )
 
+    def end_largest_request(self) -> None:
+        """End the request that holds most bytes, or the connection if it does."""
+        largest = max(self.open_requests, key=Exchange.count_held_bytes, default=None)
+        written = self.transport.get_write_buffer_size()
+        if largest is None or largest.done or largest.count_held_bytes() <= written:
+            self.abort()
+            self._cancel_requests()
+        else:
+            largest.end_to_free_memory()
+
     def update_flow_control(self) -> None:
         """Pause or resume reading from the caller as buffers allow."""
         self._apply_flow_control()
@@ -253,6 +287,9 @@
 
         :param now: time of the monotonic clock in seconds.
         """
+        if self._is_stalled_writing(now):
+            self.abort()
+            return
         seconds_since_read = now - self.last_read_at
         exchange = self.current
         if exchange is None:
@@ -280,11 +317,35 @@
         if is_stalled and seconds_since_read > BODY_SECONDS:
             exchange.fail(ResultCode.REQUEST_CALLER_TOO_SLOW)
 
-    def _write_buffered(self, exchange: Exchange) -> None:
-        """Write the buffered part of a response before the rest arrives."""
-        if exchange.pending_output and not self.is_closing:
-            self.transport.write(b"".join(exchange.pending_output))
-            exchange.pending_output.clear()
+    def _write(self, data: bytes | bytearray) -> None:
+        self.written_bytes += len(data)
+        self.transport.write(data)
+
+    def _take_turn(self, exchange: Exchange) -> None:
+        """Write the buffered part of a response, and read on."""
+        if self.is_closing:
+            return
+        if exchange.pending_output:
+            data, exchange.pending_output = exchange.pending_output, bytearray()
+            self._write(data)
+        if not self.is_write_paused:
+            exchange.resume_response()
+
+    def _cancel_requests(self) -> None:
+        self.is_closing = True
+        for exchange in self.open_requests:
+            exchange.cancel()
+        self.current = None
+        self.pipelined.clear()
+
+    def _is_stalled_writing(self, now: float) -> bool:
+        """Return whether the caller has accepted nothing that waits for it for long."""
+        waiting_bytes = self.transport.get_write_buffer_size()
+        accepted_bytes = self.written_bytes - waiting_bytes
+        if not waiting_bytes or accepted_bytes > self.accepted_bytes:
+            self.accepted_bytes = accepted_bytes
+            self.accepted_at = now
+        return now - self.accepted_at > STALL_SECONDS
 
     def _start_next(self, exchange: Exchange) -> None:
         """Start the request that became current, or finish it if it is done."""
@@ -296,8 +357,11 @@
         exchange.start()
 
     def _apply_flow_control(self) -> None:
-        can_read = len(self.pipelined) < MAX_PIPELINED and (
-            self.parsing is None or self.parsing.done or self.parsing.can_read_body
+        parsing = self.parsing
+        can_read = (
+            not self.is_write_paused
+            and len(self.pipelined) < MAX_PIPELINED
+            and (parsing is None or parsing.done or parsing.can_read_body)
         )
         hop = self.current.sender.hop if self.current is not None else None
         if hop is not None and hop.is_write_paused:
@@ -333,7 +397,7 @@
         unfinished = self.parsing
         self.needs_start = False
         if unfinished is None and self.current is None:
-            self.transport.write(encode_refusal(make_refusal(code), close=True))
+            self._write(encode_refusal(make_refusal(code), close=True))
             self.close()
             return
         if unfinished is not None and unfinished is self.current:
--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -29,11 +29,14 @@
 # Bytes before the head of a response is complete, or of a stray response: a server in
 # trouble may send them without end.
 MAX_USELESS_BYTES = 256 * 1024
+MAX_HEADERS = 256
+# Bytes of one read: what a connection may add to the bytes held before it is paused.
+READ_BYTES = 64 * 1024
 
 log = get_logger("hop")
 
 
-class HopConnection(asyncio.Protocol):
+class HopConnection(asyncio.BufferedProtocol):
     """A connection to a backend server or to another node's relay listener.
 
     :param pool: the pool that it is released to.
@@ -54,6 +57,8 @@
         self.is_stray = False
         self.is_broken = False
         self.useless_bytes = 0
+        self.has_body_bytes = False
+        self.is_read_paused = False
         self.idle_limit_seconds = MAX_IDLE_SECONDS
         self.is_reusable = False
         self.ends_at_close = False
@@ -95,13 +100,23 @@
         else:
             sender.handle_hop_lost()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, _size_hint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share."""
+        return self.pool.read_buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Handle the bytes that were read into the buffer."""
+        self.data_received(self.pool.read_buffer[:size])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes and pass them to the request's sender."""
         sender = self.sender
         if sender is None:
             self.transport.abort()
             return
-        self.last_read_at = self.pool.gateway.now()
+        gateway = self.pool.gateway
+        self.last_read_at = gateway.now()
+        self.has_body_bytes = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -119,6 +134,9 @@
             self.transport.abort()
             return
         sender.exchange.flush_response()
+        gateway.held_limit.record_received(len(data))
+        if self.sender is not sender:
+            return
         if self.is_ended:
             self.sender = None
             reusable = self.is_reusable and not self.transport.is_closing()
@@ -134,11 +152,19 @@
             )
 
     def _has_too_many_useless_bytes(self, size: int) -> bool:
-        """Count received bytes unless they belong to a response that is passed on."""
-        if (self.status and not self.is_stray) or self.is_ended:
+        """Count the bytes received since the last ones that were passed on.
+
+        They are of heads, of stray responses, or of a trailer or the extension of a
+        chunk, which the parser gathers or drops.
+        """
+        if self.is_ended:
+            return False
+        if self.has_body_bytes:
+            self.useless_bytes = 0
             return False
         self.useless_bytes += size
-        return self.useless_bytes > MAX_USELESS_BYTES
+        has_too_many_headers = len(self.headers) > MAX_HEADERS
+        return has_too_many_headers or self.useless_bytes > MAX_USELESS_BYTES
 
     def pause_writing(self) -> None:
         """Pause reading the request while the write buffer to the next hop is full."""
@@ -165,7 +191,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are dropped."""
-        if self.status or self.is_stray:
+        if self.status or self.is_stray or len(self.headers) > MAX_HEADERS:
             return
         name = name.lower()
         if name == b"content-length":
@@ -208,6 +234,7 @@
     def on_body(self, data: bytes) -> None:
         """Pass a piece of the body to the sender."""
         if self.sender is not None and not self.is_stray:
+            self.has_body_bytes = True
             self.sender.handle_response_body(data)
 
     def on_message_complete(self) -> None:
@@ -237,6 +264,7 @@
         self.is_ended = False
         self.ends_at_close = False
         self.useless_bytes = 0
+        self.has_body_bytes = False
 
     def buffer(self, data: bytes) -> None:
         """Buffer bytes until :meth:`flush`."""
@@ -249,6 +277,19 @@
             self.pending.clear()
             self.transport.write(data)
 
+    def pause_reading(self) -> None:
+        """Read no more of the response; its peer is slowed when its socket is full."""
+        if not self.is_read_paused:
+            self.is_read_paused = True
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Continue to read the response. Until now its peer could not be heard."""
+        if self.is_read_paused:
+            self.is_read_paused = False
+            self.last_read_at = self.pool.gateway.now()
+            self.transport.resume_reading()
+
     def count_unsent_bytes(self) -> int:
         """Return the bytes of requests that the peer has not accepted."""
         buffered = sum(map(len, self.pending))
@@ -270,6 +311,7 @@
         self.gateway = gateway
         self.idle: dict[str, list[HopConnection]] = {}
         self.connect_tasks: set[asyncio.Task] = set()
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
 
     def acquire(
         self, address: str, max_idle_seconds: float = float("inf")
--- a/src/daisylink/platform/_settings.py
+++ b/src/daisylink/platform/_settings.py
@@ -49,6 +49,7 @@
 
 class _MachineLimits(msgspec.Struct):
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
 
 
 class _File(msgspec.Struct):
@@ -131,6 +132,7 @@
         store=file.platform.address,
         announce_interval=parse_duration(file.heartbeat),
         link_mbps=file.limits.link_mbps,
+        memory_mb=max(0.0, file.limits.memory_mb),
         is_first_start=file.first_start,
         min_lease_ttl=parse_duration(file.platform.ttl_min),
         store_writes_per_s=max(1.0, file.platform.writes_per_s),
--- a/src/daisylink/request/_body.py
+++ b/src/daisylink/request/_body.py
@@ -12,16 +12,15 @@
 
     def __init__(self, chunked: bool):
         self.chunked = chunked
-        self.pieces: list[bytes] = []
+        self.kept = bytearray()
         self.size = 0
-        self.buffered_bytes = 0
         self.replayable = True
         self.done = False
 
     @property
     def is_full(self) -> bool:
-        """Return whether the buffer is full."""
-        return self.buffered_bytes >= MAX_REPLAY_BYTES
+        """Return whether the buffer is full, or was full and has been dropped."""
+        return len(self.kept) >= MAX_REPLAY_BYTES or not self.replayable
 
     def take(self, data: bytes, keep: bool) -> bytes:
         """Add a piece of the body.
@@ -34,8 +33,7 @@
         if self.chunked:
             data = frame_chunk(data)
         if self.replayable or keep:
-            self.pieces.append(data)
-            self.buffered_bytes += len(data)
+            self.kept += data
         return data
 
     def end(self) -> bytes:
@@ -46,18 +44,14 @@
         self.done = True
         if not self.chunked:
             return b""
-        self.pieces.append(LAST_CHUNK)
+        self.kept += LAST_CHUNK
         return LAST_CHUNK
 
-    def count_kept(self) -> int:
-        """Return the bytes that are buffered now."""
-        return sum(map(len, self.pieces))
-
     def trim(self) -> None:
         """Drop the buffer if the body is too long to be sent again."""
-        if self.buffered_bytes > MAX_REPLAY_BYTES:
+        if len(self.kept) > MAX_REPLAY_BYTES:
             self.replayable = False
-            self.pieces.clear()
+            self.kept.clear()
 
 
 def frame_chunk(data: bytes) -> bytes:
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -64,7 +64,8 @@
         self.sender = RequestSender(self)
         self.started = False
         self.refusal: Refusal | None = None
-        self.pending_output: list[bytes] = []
+        # What was written before the request's turn on its connection.
+        self.pending_output = bytearray()
         self.body = RequestBody(head.length is None)
         self.has_sent_continue = False
         self.response = ForwardedResponse()
@@ -214,9 +215,10 @@
         """Return whether the whole request body was received."""
         return self.body.done
 
-    def count_waiting_output(self) -> int:
-        """Return the bytes that wait for the request's turn on its connection."""
-        return sum(map(len, self.pending_output))
+    def count_held_bytes(self) -> int:
+        """Return all bytes that are held for the request."""
+        buffered = len(self.pending_output) + len(self.body.kept)
+        return buffered + self.count_unsent_bytes()
 
     def count_unsent_bytes(self) -> int:
         """Return the bytes of the request that the next hop has not accepted."""
@@ -230,7 +232,28 @@
         :param timeout_seconds: the timeout in seconds.
         """
         hop = self.sender.hop
-        return hop is not None and now - hop.last_read_at > timeout_seconds
+        if hop is None or hop.is_read_paused:
+            return False
+        return now - hop.last_read_at > timeout_seconds
+
+    def pause_response(self) -> None:
+        """Read no more of the response until :meth:`resume_response`."""
+        if self.sender.hop is not None:
+            self.sender.hop.pause_reading()
+
+    def resume_response(self) -> None:
+        """Continue to read the response."""
+        if self.sender.hop is not None:
+            self.sender.hop.resume_reading()
+
+    def end_to_free_memory(self) -> None:
+        """End the request because the process holds too many bytes."""
+        if self.is_responding:
+            self.abort()
+        elif self.sender.head_sent:
+            self.fail(ResultCode.REQUEST_ANSWER_LOST)
+        else:
+            self.fail(ResultCode.REQUEST_OVERLOADED)
 
     def fail(self, code: ResultCode) -> None:
         """End the request because of an error of its caller."""
@@ -360,4 +383,4 @@
         if self.quota_number:
             self.gateway.quota.cancel(self.quota_number)
         self.sender.end_attempt(result)
-        self.body.pieces.clear()
+        self.body.kept.clear()
--- a/src/daisylink/request/_fingerprint.py
+++ b/src/daisylink/request/_fingerprint.py
@@ -30,14 +30,13 @@
     return hashlib.blake2b(text, digest_size=HEAD_DIGEST_BYTES).digest()
 
 
-def compute_fingerprint(head: RequestHead, pool: str, body: list[bytes]) -> Fingerprint:
+def compute_fingerprint(head: RequestHead, pool: str, body: bytes) -> Fingerprint:
     """Return the fingerprint of a request.
 
     :param pool: pool that the request goes to.
-    :param body: the buffered pieces of the body.
+    :param body: the buffered part of the body.
     """
     digest = digest_head(head, pool)
     whole = hashlib.blake2b(digest, digest_size=BODY_DIGEST_BYTES)
-    for piece in body:
-        whole.update(piece)
+    whole.update(body)
     return Fingerprint(digest, whole.digest())
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -94,8 +94,8 @@
     def compute_fingerprint(self) -> Fingerprint:
         """Return the fingerprint of the request, with the buffered part of its body."""
         exchange = self.exchange
-        pieces = exchange.body.pieces
-        return compute_fingerprint(exchange.head, exchange.plan.pool, pieces)
+        body = exchange.body.kept
+        return compute_fingerprint(exchange.head, exchange.plan.pool, body)
 
     def record_response(self, failed: bool) -> None:
         """Record that the server has answered, for the rollout of its version."""
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -207,8 +207,8 @@
         self.hop_refusal = None
         hop.start_exchange(self, self.exchange.head.method == b"HEAD")
         hop.buffer(self._make_head())
-        for piece in self.exchange.body.pieces:
-            hop.buffer(piece)
+        if self.exchange.body.kept:
+            hop.buffer(bytes(self.exchange.body.kept))
         hop.flush()
         self.exchange.body.trim()
         self.exchange.caller.update_flow_control()
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from daisylink.clock import Clock
-from daisylink.connection import CallerConnection, HopConnectionPool
+from daisylink.connection import CallerConnection, HeldBytesLimit, HopConnectionPool
 from daisylink.errors import ResultCode
 from daisylink.quota import UnlimitedQuota
 from daisylink.request import (
@@ -129,6 +129,7 @@
         self.quota: Any = UnlimitedQuota()
         self.version: Version | None = None
         self.callers: set[CallerConnection] = set()
+        self.held_limit = HeldBytesLimit(self.callers)
         self.stopping = False
         self.is_serving = True
         self.sweep_timer = loop.call_later(SWEEP_INTERVAL_SECONDS, self._sweep)
--- a/src/daisylink/settings.py
+++ b/src/daisylink/settings.py
@@ -105,6 +105,7 @@
     :param announce_interval: interval of the backend server's announcements.
     :param min_lease_ttl: shortest lease that the store grants.
     :param store_writes_per_s: writes per second that the store takes from all nodes.
+    :param memory_mb: memory that the process may use in MiB, 0 if unknown.
     :param link_mbps: bandwidth of the machine's link in Mbit/s.
     :param is_first_start: whether all nodes start now for the first time.
     :param apply_within: time from the store's acknowledgement of a configuration until
@@ -137,6 +138,7 @@
     announce_interval: timedelta = timedelta(seconds=1)
     min_lease_ttl: timedelta = timedelta(seconds=1)
     store_writes_per_s: float = 400.0
+    memory_mb: float = 0.0
     link_mbps: float = 0.0
     is_first_start: bool = False
     apply_within: timedelta = timedelta(seconds=2.5)
--- a/src/daisylink/sidecar/_gauges.py
+++ b/src/daisylink/sidecar/_gauges.py
@@ -146,3 +146,13 @@
             lambda kind=kind: getattr(count_held_bytes(gateway.callers), kind),
             "Bytes held for callers and next hops (docs/OPERATIONS.md).",
         )
+    metrics.add_gauge(
+        "daisylink.held.max",
+        lambda: gateway.held_limit.max_bytes,
+        "Bound on the bytes held for callers and next hops together.",
+    )
+    metrics.add_gauge(
+        "daisylink.held.ended",
+        lambda: gateway.held_limit.ended_requests,
+        "Requests ended because too many bytes were held.",
+    )
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -127,6 +127,7 @@
             claims_keys=False,
             origin=settings.pool,
         )
+        self.gateway.held_limit.set_memory(settings.memory_mb)
         quarantine = self.gateway.quarantine
         self.strike_reporter = StrikeReporter(
             StrikeReporterSettings(), node, quarantine
@@ -275,6 +276,7 @@
             return
         log.bind(node=settings.node).info("settings changed")
         self.settings = settings
+        self.gateway.held_limit.set_memory(settings.memory_mb)
         self._divide_retry_budget()
 
     def update_server(self) -> None:
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -8,6 +8,8 @@
 import random
 import selectors
 
+import msgspec
+
 from daisylink import platform
 from daisylink.clock import LoopClock
 from daisylink.connection import CallerConnection
@@ -30,6 +32,7 @@
 POOL = "one"
 SERVER_ADDRESS = "10.0.0.1:9000"
 SLOTS = 8
+MAX_CONNECTIONS = 120
 READ_BYTES = 64 * 1024
 # Bytes that the sockets' buffers between two processes take.
 SOCKET_BYTES = 64 * 1024
@@ -232,7 +235,7 @@
     :ivar server_ends: the server's ends of its connections, the oldest first.
     """
 
-    def __init__(self, **route):
+    def __init__(self, slots=SLOTS, **route):
         self.loop = SimulatedLoop()
         clock = LoopClock(self.loop)
         own_record = MemberRecord("n1", "a", 0, relay="10.0.0.1:8000")
@@ -250,15 +253,26 @@
             origin=POOL,
         )
         self.server_ends = []
-        self.loop.listeners[SERVER_ADDRESS] = self.server_ends.append
-        announcement = Announcement(SERVER_ADDRESS, POOL, SLOTS, instance="i-1", born=1)
+        self.server_reads = True
+        self.loop.listeners[SERVER_ADDRESS] = self._accept
+        announcement = Announcement(SERVER_ADDRESS, POOL, slots, instance="i-1", born=1)
         local_server.handle_announcement(announcement, self.loop.time())
         members.set_own_record(local_server.update_record(own_record, 0.0))
         decoder = platform.ConfigurationDecoder()
-        self.gateway.version = decoder.decode(make_configuration(**route))
+        configuration = msgspec.json.decode(make_configuration(**route))
+        for resource in configuration["resources"]:
+            if resource["resource_type"] == "services":
+                resource["spec"]["max_conns"] = max(slots, MAX_CONNECTIONS)
+        version = decoder.decode(msgspec.json.encode(configuration))
+        self.gateway.version = version
         self.gateway.update_admission()
         self.loop.settle()
 
+    def _accept(self, end):
+        if not self.server_reads:
+            end.stop_reading()
+        self.server_ends.append(end)
+
     def connect(self) -> PeerEnd:
         """Open a connection as a caller."""
         return PeerEnd(self.loop, self.gateway.create_caller_connection())
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -11,7 +11,9 @@
 
 def make_exchange(pending_output=()):
     return SimpleNamespace(
-        pending_output=list(pending_output),
+        pending_output=bytearray(b"".join(pending_output)),
+        pause_response=lambda: None,
+        resume_response=lambda: None,
         done=False,
         sender=SimpleNamespace(hop=None),
         start=lambda: None,
@@ -26,11 +28,14 @@
     """
 
     def setUp(self):
-        gateway = SimpleNamespace(now=lambda: 0.0, callers=set(), loop=Mock())
+        gateway = SimpleNamespace(
+            now=lambda: 0.0, callers=set(), loop=Mock(), held_limit=Mock()
+        )
         self.caller = CallerConnection(gateway, is_relay=False)
         self.written = []
         transport = Mock()
         transport.write = self.written.append
+        transport.get_write_buffer_size.return_value = 0
         self.caller.connection_made(transport)
         self.first = make_exchange()
         self.second = make_exchange([b"head ", b"half "])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -46,6 +46,7 @@
     "port_range": [7620, 7635],
     "heartbeat": "870ms",
     "platform": {"address": "127.0.0.1:8309", "ttl_min": "1000ms"},
+    "limits": {"memory_mb": 300},
     "bounds": {"grace": "6s", "retry_ratio": 0.2, "retry_slack": 60},
     "a_field_of_tomorrow": 1,
 }
@@ -113,6 +114,7 @@
         self.assertEqual(settings.peers.port, 7620)
         self.assertEqual(settings.announce_interval, timedelta(milliseconds=870))
         self.assertEqual(settings.retry_slack, 60)
+        self.assertEqual(settings.memory_mb, 300)
 
     def test_bad_settings_are_named(self):
         for name, value in (("heartbeat", "soon"), ("listen", {}), ("zone", 3)):
