A connection to a server goes back to the pool with reading on

Cause: when the write buffer to a caller became full with the last piece of a response, reading from the server's connection was paused, and the connection went back to the pool like that: nobody resumed it.

Callers saw: the next request on that connection was sent, its answer never read: 504 at the timeout, though the server had answered.

Change: the pool resumes reading when a connection is released.

Test: test_a_server_is_read_again_after_its_caller_was_slow, fails without the line.

--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -343,6 +343,8 @@
         idle = self.idle.setdefault(hop.address, [])
         if hop.transport.is_closing():
             return
+        # The caller may have been slow when the last bytes of a response came.
+        hop.resume_reading()
         if len(idle) >= MAX_IDLE_PER_ADDRESS:
             hop.transport.close()
             return
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -128,6 +128,16 @@
                 end.send(make_response(rest.partition(b"\r\n")[0].decode(), body))
         self.settle()
 
+    def test_a_server_is_read_again_after_its_caller_was_slow(self):
+        """The connection went back to the pool with reading paused."""
+        caller = self.node.connect()
+        caller.stop_reading()
+        self.request_alone(caller, "first", b"x" * 100_000)
+        end = self.request_alone(caller, "second", b"x" * 60_000)
+        other = self.node.connect()
+        self.assertIs(self.request_alone(other, "third", b"y"), end)
+        self.assertTrue(other.received.endswith(b"\r\n\r\ny"))
+
     def test_a_trailer_without_end(self):
         """The parser gathers a trailer until it is complete."""
         caller = self.node.connect()
