--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -49,12 +49,17 @@
         self.needs_start = False
         self.requests_in_read = 0
         self.is_reading_head = False
-        self.head_bytes_received = 0
+        # Bytes since the last one of a complete head or of a body.
+        self.unparsed_bytes = 0
+        self.has_parsed = False
         self.head_started_at = 0.0
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.last_read_at = gateway.now()
         self.parse_error: RequestError | None = None
+        self.is_rest_unread = False
+        # The response to a request that cannot be read, when its turn comes.
+        self.rest_refusal = b""
         self.is_closing = False
         self.is_paused = False
         self.is_write_paused = False
@@ -79,10 +84,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start or continue the requests in them."""
-        if self.is_closing:
+        if self.is_closing or self.is_rest_unread:
             return
         self.last_read_at = self.gateway.now()
         self.requests_in_read = 0
+        self.has_parsed = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -93,16 +99,11 @@
             return
         except httptools.HttpParserError as error:
             self.parse_error = self.parse_error or RequestError(str(error))
+        self._count_unparsed(len(data))
         if self.parse_error is not None:
             self._refuse_rest(self.parse_error.code)
-            return
-        if self.is_reading_head:
-            self.head_bytes_received += len(data)
-            if self.head_bytes_received > self.gateway.caller_limits.header_bytes:
-                self._refuse_rest(ResultCode.REQUEST_HEAD_TOO_LARGE)
-                return
-        if self.needs_start:
-            self.needs_start = False
+        needs_start, self.needs_start = self.needs_start, False
+        if self.current is not None and needs_start:
             self.current.start()
         elif self.current is not None:
             self.current.flush_body()
@@ -131,7 +132,6 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
         self.is_reading_head = True
-        self.head_bytes_received = 0
         self.head_started_at = self.gateway.now()
         self.headers = []
         self.url = b""
@@ -142,11 +142,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are dropped."""
-        if self.is_reading_head:
+        if self.is_reading_head and len(self.headers) <= MAX_HEADERS:
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Check the complete head and create its exchange."""
+        self.has_parsed = True
         self.is_reading_head = False
         self._check_head_size()
         if self.parse_error is not None:
@@ -183,11 +184,13 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a piece of the body to its exchange."""
+        self.has_parsed = True
         if self.parsing is not None:
             self.parsing.handle_body(data)
 
     def on_message_complete(self) -> None:
         """End the body of the request."""
+        self.has_parsed = True
         exchange, self.parsing = self.parsing, None
         if exchange is not None:
             exchange.handle_body_end()
@@ -239,6 +242,9 @@
             self.current = self.pipelined.popleft()
             self._take_turn(self.current)
             self.gateway.loop.call_soon(self._start_next, self.current)
+        elif self.is_rest_unread:
+            self._close_unread()
+            return
         self.update_flow_control()
 
     def count_held_bytes(self) -> HeldBytes:
@@ -249,7 +255,7 @@
             self.transport.get_write_buffer_size(),
             sum(len(exchange.body.kept) for exchange in exchanges),
             sum(exchange.count_unsent_bytes() for exchange in exchanges),
-            self.head_bytes_received + len(exchanges) * REQUEST_BYTES,
+            self.unparsed_bytes + len(exchanges) * REQUEST_BYTES,
         )
 
     def end_largest_request(self) -> None:
@@ -388,23 +394,41 @@
     ) -> None:
         self.parse_error = self.parse_error or RequestError(message, code)
 
-    def _refuse_rest(self, code: ResultCode) -> None:
-        """Refuse a request that cannot be read, and close the connection.
+    def _count_unparsed(self, size: int) -> None:
+        """Count what the parser gathers: parts of a head, or of a trailer.
+
+        What precedes them in a read belongs to other requests and does not count.
 
-        Where the next request starts is unknown. If an earlier request is in progress,
-        it is the last one that gets a response.
+        :param size: bytes of a read that was parsed.
         """
-        unfinished = self.parsing
-        self.needs_start = False
-        if unfinished is None and self.current is None:
-            self._write(encode_refusal(make_refusal(code), close=True))
-            self.close()
+        if self.has_parsed:
+            self.unparsed_bytes = 0
             return
-        if unfinished is not None and unfinished is self.current:
+        self.unparsed_bytes += size
+        if self.unparsed_bytes > self.gateway.caller_limits.header_bytes:
+            self._set_parse_error("head too large", ResultCode.REQUEST_HEAD_TOO_LARGE)
+
+    def _refuse_rest(self, code: ResultCode) -> None:
+        """Refuse a request that cannot be read, and close the connection after it.
+
+        Where the next request starts is unknown, so all that follows is discarded. The
+        requests in front of it are answered first.
+        """
+        log.bind(peer=self.peer_host, in_front=len(self.open_requests)).info(
+            "a request cannot be read: {}", code.name
+        )
+        self.is_rest_unread = True
+        unfinished, self.parsing = self.parsing, None
+        if unfinished is not None:
             unfinished.fail(code)
-        elif self.current is not None:
-            for exchange in self.pipelined:
-                exchange.cancel()
-            self.pipelined.clear()
-            self.current.keep_alive = False
-        self.parsing = None
+        else:
+            self.rest_refusal = encode_refusal(make_refusal(code), close=True)
+        if self.current is None:
+            self._close_unread()
+
+    def _close_unread(self) -> None:
+        """Close the connection, whose rest is not read."""
+        if self.is_closing:
+            return
+        self._write(self.rest_refusal)
+        self.close()
--- a/src/daisylink/http_server.py
+++ b/src/daisylink/http_server.py
@@ -110,6 +110,7 @@
         self.body_size = 0
         self.head_size = 0
         self.is_reading_head = False
+        self.has_completed = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport and register the connection."""
@@ -122,12 +123,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; refuse a malformed request."""
+        self.has_completed = False
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._write(WebResponse(HTTPStatus.BAD_REQUEST), keep_alive=False)
             return
-        self.head_size += len(data)
+        # A read that completes another request says little of the head behind it.
+        self.head_size = 0 if self.has_completed else self.head_size + len(data)
         if self.is_reading_head and self.head_size > MAX_HEAD_BYTES:
             too_large = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             self._write(WebResponse(too_large), keep_alive=False)
@@ -156,6 +159,7 @@
 
     def on_message_complete(self) -> None:
         """Pass the request to the handler and write its response."""
+        self.has_completed = True
         path, _, query = self.url.decode("latin-1").partition("?")
         fields = {name: values[-1] for name, values in parse_qs(query).items()}
         method = self.parser.get_method().decode("latin-1")
--- /dev/null
+++ b/tests/test_unreadable_requests.py
@@ -0,0 +1,172 @@
+"""Each request that was read whole is answered, whatever the bytes behind it are."""
+
+import unittest
+from unittest.mock import Mock
+
+from daisylink.connection import count_held_bytes
+from daisylink.http_server import (
+    MAX_BODY_BYTES,
+    HttpServer,
+    WebResponse,
+    _ServerConnection,
+)
+from daisylink.logs import configure_logging
+from tests.simulated_network import SimulatedNode, make_request, make_response
+
+MAX_READ_BYTES = 256 * 1024
+BODY = b"x" * 20_000
+MALFORMED = (
+    b"BAD \x00 REQUEST\r\n\r\n",
+    b"GET /x/ HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"GET /x/ HTTP/1.1\r\nHost: a\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+    b"GET http://a.example/x/ HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET /x/ HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 20_000 + b"\r\n\r\n",
+    b"GET /x/ HTTP/1.1\r\nHost: a\r\n" + b"X: y\r\n" * 200 + b"\r\n",
+)  # fmt: skip
+
+
+class UnreadableRequestTests(unittest.TestCase):
+    def setUp(self):
+        configure_logging("CRITICAL")
+        self.node = SimulatedNode()
+        self.addCleanup(self.node.close)
+        self.caller = self.node.connect()
+
+    def send(self, data):
+        self.caller.send(data)
+        self.node.advance(0.02)
+
+    def answer(self, *names):
+        """Answer requests as the backend server."""
+        for name in names:
+            self.node.find_server_end(name).send(make_response(name, name.encode()))
+        self.node.advance(0.02)
+
+    def check_answers(self, *names):
+        """Check that the caller got these answers in this order, and no others."""
+        statuses, *answers = bytes(self.caller.received).split(b"HTTP/1.1 200 OK\r\n")
+        self.assertEqual(statuses, b"")
+        self.assertEqual(len(answers), len(names))
+        for name, text in zip(names, answers, strict=True):
+            self.assertIn(f"-request-id: {name}\r\n".encode(), text)
+            self.assertIn(f"\r\n\r\n{name}".encode(), text)
+
+    def test_a_read_that_ends_within_a_pipelined_head(self):
+        """Guards against review/1: the body in front counted as bytes of the head."""
+        for cut in (1, 60, 100):
+            with self.subTest(cut=cut):
+                self.caller = self.node.connect()
+                names = f"upload{cut}.", f"lookup{cut}."
+                lookup = make_request(names[1])
+                self.send(make_request(names[0], "PUT", BODY) + lookup[:cut])
+                self.send(lookup[cut:])
+                self.answer(*names)
+                self.check_answers(*names)
+
+    def test_a_request_in_front_of_unreadable_bytes_in_one_read(self):
+        """It was never started, had no timer, and its connection stayed open."""
+        for number, rest in enumerate(MALFORMED):
+            with self.subTest(rest=rest[:60]):
+                self.caller = self.node.connect()
+                name = f"first{number}."
+                self.send(make_request(name) + rest)
+                self.answer(name)
+                data = bytes(self.caller.received)
+                answer, _, refusal = data.partition(f"\r\n\r\n{name}".encode())
+                self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
+                self.assertTrue(refusal.startswith(b"HTTP/1.1 4"), refusal)
+                self.assertTrue(self.caller.is_closed)
+
+    def test_requests_behind_another_in_front_of_unreadable_bytes(self):
+        """They had been passed on; their answers were dropped without a word."""
+        for number, rest in enumerate(MALFORMED):
+            with self.subTest(rest=rest[:60]):
+                self.caller = self.node.connect()
+                names = [f"{name}{number}." for name in ("first", "second", "third")]
+                self.send(b"".join(map(make_request, names)))
+                self.send(rest)
+                self.assertFalse(self.caller.is_closed)
+                self.answer(*reversed(names))
+                data = bytes(self.caller.received)
+                places = [data.index(f"\r\n\r\n{n}".encode()) for n in names]
+                self.assertEqual(places, sorted(places))
+                self.assertIn(b"HTTP/1.1 4", data[places[-1] :])
+                self.assertTrue(self.caller.is_closed)
+
+    def test_no_request_behind_unreadable_bytes_is_served(self):
+        """Where the next request begins is unknown: what follows may be smuggled."""
+        self.send(make_request("first") + MALFORMED[0] + make_request("hidden"))
+        self.send(make_request("later"))
+        self.answer("first")
+        self.node.advance(0.1)
+        seen = b"".join(bytes(end.received) for end in self.node.server_ends)
+        self.assertNotIn(b"hidden", seen)
+        self.assertNotIn(b"later", seen)
+
+    def test_bytes_behind_a_request_that_closes_its_connection(self):
+        close = make_request("first", extra="Connection: close\r\n")
+        self.send(close + make_request("second"))
+        self.answer("first")
+        self.check_answers("first")
+        self.assertTrue(self.caller.is_closed)
+
+    def test_a_body_that_turns_unreadable_behind_another_request(self):
+        body = b"5\r\nhello\r\nzz\r\n"
+        self.send(make_request("first"))
+        self.send(make_request("second", "PUT", body, chunked=True))
+        self.answer("first")
+        data = bytes(self.caller.received)
+        self.assertIn(b"\r\n\r\nfirstHTTP/1.1 400", data)
+        self.assertTrue(self.caller.is_closed)
+
+    def test_all_is_released_when_the_caller_leaves_meanwhile(self):
+        """Requests in front of unreadable bytes would hold their slots unseen."""
+        self.send(make_request("first") + make_request("second"))
+        self.send(MALFORMED[0])
+        self.caller.close()
+        self.node.advance(0.1)
+        self.assertEqual(self.node.gateway.admission.in_use, 0)
+        self.assertTrue(all(end.is_closed for end in self.node.server_ends))
+
+    def test_a_head_without_end_is_refused(self):
+        for start in (b"", make_request("first", "PUT", BODY)):
+            with self.subTest(start=len(start)):
+                self.caller = self.node.connect()
+                self.send(start + b"GET /x/ HTTP/1.1\r\nX: ")
+                for _ in range(200):
+                    self.send(b"y" * 16_000)
+                held = count_held_bytes(self.node.callers)
+                self.assertLess(held.total, MAX_READ_BYTES)
+                if start:
+                    self.answer("first")
+                self.assertIn(b"HTTP/1.1 431", self.caller.received)
+                self.assertTrue(self.caller.is_closed)
+
+    def test_a_trailer_without_end_is_refused(self):
+        """The parser gathers a trailer until it is complete; 16 MB were read."""
+        body = b"1\r\nx\r\n0\r\nX-Trouble: "
+        self.send(make_request("only", "PUT", body, chunked=True))
+        self.send(b"x" * 16 * 1024 * 1024)
+        self.assertLess(self.caller.delivered_bytes, MAX_READ_BYTES)
+        self.assertIn(b"HTTP/1.1 4", self.caller.received)
+        self.assertTrue(self.caller.is_closed)
+
+
+class ControlCallTests(unittest.TestCase):
+    def test_a_read_that_ends_within_the_head_of_the_next_call(self):
+        """The body in front counted as bytes of the head there too."""
+        server = HttpServer(lambda request: WebResponse(body=request.path.encode()))
+        connection = _ServerConnection(server)
+        transport = Mock()
+        transport.is_closing.return_value = False
+        connection.connection_made(transport)
+        body = b"x" * MAX_BODY_BYTES
+        head = f"POST /a HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        next_call = b"GET /b HTTP/1.1\r\n\r\n"
+        connection.data_received(head + body + next_call[:-1])
+        connection.data_received(next_call[-1:])
+        written = b"".join(call.args[0] for call in transport.write.call_args_list)
+        self.assertEqual(written.count(b"HTTP/1.1 "), 2)
+        self.assertEqual(written.count(b"HTTP/1.1 200 OK"), 2)
+        transport.close.assert_not_called()
+        self.assertTrue(written.endswith(b"/b"))
