Pass on the body of an upload that waits behind another request

Cause: pieces of a body were written to the next hop only if the request was the first on its connection, and only that one's next hop could slow the caller. Of an upload behind it, what came in later reads than the head was kept up to max_body_bytes.

Callers saw: 504 or 502 at the timeout.

Change: the request that a read continues is flushed, and its next hop slows the caller.

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -89,6 +89,7 @@
         self.last_read_at = self.gateway.now()
         self.requests_in_read = 0
         self.has_parsed = False
+        continued = self.parsing
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -102,11 +103,11 @@
         self._count_unparsed(len(data))
         if self.parse_error is not None:
             self._refuse_rest(self.parse_error.code)
+        if continued is not None:
+            continued.flush_body()
         needs_start, self.needs_start = self.needs_start, False
-        if self.current is not None and needs_start:
+        if needs_start and self.current is not None:
             self.current.start()
-        elif self.current is not None:
-            self.current.flush_body()
         self._apply_flow_control()
         held_bytes = len(data) + self.requests_in_read * REQUEST_BYTES
         self.gateway.held_limit.record_received(held_bytes)
@@ -369,7 +370,7 @@
             and len(self.pipelined) < MAX_PIPELINED
             and (parsing is None or parsing.done or parsing.can_read_body)
         )
-        hop = self.current.sender.hop if self.current is not None else None
+        hop = parsing.sender.hop if parsing is not None else None
         if hop is not None and hop.is_write_paused:
             can_read = False
         if can_read == self.is_paused and not self.is_closing:
