The time of a request sent ahead runs from its arrival

Cause: behind 8 pipelined requests nothing was read until the first was answered, and the timeout of a request began when it was started: when it was read, or for one that may run once, when its turn came.

No node's line showed it, as the lines count from the same moment.

Change: up to 64 requests are read ahead, with 256 KiB of bodies at most on a connection; a plan's deadlines count from the arrival of the head.

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -16,7 +16,9 @@
 from daisylink.request import Exchange, encode_refusal, make_refusal, parse_head
 
 MAX_HEADERS = 100
-MAX_PIPELINED = 8
+# Requests that are read behind the first one of a connection, and their body bytes.
+MAX_PIPELINED = 64
+MAX_PIPELINED_BYTES = 256 * 1024
 BODY_SECONDS = 10.0
 STALL_SECONDS = 10.0
 RELAY_IDLE_SECONDS = 120.0
@@ -364,15 +366,7 @@
         exchange.start()
 
     def _apply_flow_control(self) -> None:
-        parsing = self.parsing
-        can_read = (
-            not self.is_write_paused
-            and len(self.pipelined) < MAX_PIPELINED
-            and (parsing is None or parsing.done or parsing.can_read_body)
-        )
-        hop = parsing.sender.hop if parsing is not None else None
-        if hop is not None and hop.is_write_paused:
-            can_read = False
+        can_read = not self.is_write_paused and self._can_hold_more()
         if can_read == self.is_paused and not self.is_closing:
             self.is_paused = not can_read
             if self.is_paused:
@@ -380,6 +374,15 @@
             else:
                 self.transport.resume_reading()
 
+    def _can_hold_more(self) -> bool:
+        """Return whether the requests leave room for more bytes of the caller."""
+        if self.pipelined:
+            body_bytes = sum(len(exchange.body.kept) for exchange in self.pipelined)
+            is_full = body_bytes > MAX_PIPELINED_BYTES
+            if is_full or len(self.pipelined) >= MAX_PIPELINED:
+                return False
+        return self.parsing is None or self.parsing.done or self.parsing.can_read_body
+
     def _check_head_size(self) -> None:
         size = len(self.url)
         for name, value in self.headers:
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -93,7 +93,7 @@
     def _start(self, is_first: bool) -> None:
         now = self.gateway.now()
         if self.is_relay:
-            plan = plan_relayed(self.head, now)
+            plan = plan_relayed(self.head, self.started_at)
             version_number = self.head.hop_metadata.version
             self.gateway.record_peer_version(version_number, self.caller.peer_host)
             if self.head.told_limit is not None:
@@ -167,7 +167,9 @@
         request_id = self.head.request_id
         is_call = gateway.running.is_call(request_id)
         ages = None if is_call else gateway.ages
-        plan = plan_request(self.head, version, now, gateway.pick_target, ages)
+        # Time in which the request waited for its turn on its connection has passed.
+        arrived_at = self.started_at
+        plan = plan_request(self.head, version, arrived_at, gateway.pick_target, ages)
         if isinstance(plan, Refusal) or not is_call:
             return plan
         return gateway.running.plan_call(request_id, plan, now)
@@ -203,7 +205,8 @@
     @property
     def can_read_body(self) -> bool:
         """Return whether more of the request body can be read now."""
-        return self.sender.hop is not None or not self.body.is_full
+        hop = self.sender.hop
+        return not self.body.is_full if hop is None else not hop.is_write_paused
 
     @property
     def is_responding(self) -> bool:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -14,6 +14,7 @@
         pending_output=bytearray(b"".join(pending_output)),
         pause_response=lambda: None,
         resume_response=lambda: None,
+        body=SimpleNamespace(kept=b""),
         done=False,
         sender=SimpleNamespace(hop=None),
         start=lambda: None,
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -5,6 +5,9 @@
 from daisylink.logs import configure_logging
 from tests.simulated_network import SimulatedNode, make_request, make_response
 
+TIMEOUT_SECONDS = 0.8
+SLACK_SECONDS = 0.5
+
 
 class RequestEndTestCase(unittest.TestCase):
     def setUp(self):
@@ -40,3 +43,40 @@
         upload = make_request("upload", "PUT", b"x" * 1_000_000)
         self.send(make_request("first") + upload)
         self.assertLess(self.caller.delivered_bytes, 600_000)
+
+
+class ManyPipelinedTests(RequestEndTestCase):
+    def test_the_timeout_of_a_request_sent_ahead_begins_when_it_is_sent(self):
+        """Those over 8 were read when the ones in front were answered."""
+        names = [f"r{number}." for number in range(24)]
+        for name in names:
+            self.caller.send(make_request(name))
+        self.node.advance(TIMEOUT_SECONDS + SLACK_SECONDS)
+        self.assertEqual(self.caller.received.count(b"HTTP/1.1 "), len(names))
+
+    def test_a_request_that_waits_for_its_turn_loses_that_time(self):
+        """One that may run once starts when the one in front is answered."""
+        node = self.node = SimulatedNode(kind="non_idempotent")
+        self.addCleanup(node.close)
+        self.caller = node.connect()
+        self.send(make_request("first") + make_request("second"))
+        node.advance(TIMEOUT_SECONDS - 0.2)
+        self.answer("first")
+        node.find_server_end("second")
+        node.advance(0.2 + SLACK_SECONDS)
+        self.assertEqual(self.caller.received.count(b"HTTP/1.1 "), 2)
+        self.assertIn(b"HTTP/1.1 504", self.caller.received)
+
+
+class StalledUploadTests(RequestEndTestCase):
+    def test_no_promise_once_a_server_may_have_begun(self):
+        """408 says that the request has not run and never will."""
+        node = self.node = SimulatedNode(timeout="30s", slo="20s")
+        self.addCleanup(node.close)
+        self.caller = node.connect()
+        data = make_request("upload", "PUT", b"x" * 1000)
+        self.send(data.replace(b"5000", b"29000", 1)[:-1])
+        node.find_server_end("upload")
+        node.advance(13)
+        self.assertTrue(self.caller.is_closed)
+        self.assertTrue(self.caller.received.startswith(b"HTTP/1.1 502"))
