No promise to a slow caller once a server may have begun its request

Cause: a request whose body stalled for 10 s was refused with 408 even if its head and the first part of the body had been passed on. 408 promises that the request has not run and never will.

Change: where a status would promise that, and the request may have been begun, it ends with 502. The places that chose between two codes for this reason use the same rule.

tests/test_framing.py expected 408 for a body that stalls after its head was passed on.

--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -17,6 +17,7 @@
 from daisylink.request._decision import RunResult
 from daisylink.request._head import LOAD_HEADER, PACE_HEADER, RequestHead
 from daisylink.request._outcome import (
+    NOT_RUN_STATUSES,
     Outcome,
     Refusal,
     encode_refusal,
@@ -88,7 +89,7 @@
             self._start(is_first)
         except Exception:
             log.bind(request=self.head.request_id).exception("a request failed")
-            self._fail_after_error()
+            self.fail(ResultCode.REQUEST_NO_SERVER)
 
     def _start(self, is_first: bool) -> None:
         now = self.gateway.now()
@@ -135,13 +136,6 @@
             self._apply_quota(decision)
         except Exception:
             log.bind(request=self.head.request_id).exception("a request failed")
-            self._fail_after_error()
-
-    def _fail_after_error(self) -> None:
-        """End a request that an unexpected error stopped."""
-        if self.sender.head_sent:
-            self.fail(ResultCode.REQUEST_ANSWER_LOST)
-        else:
             self.fail(ResultCode.REQUEST_NO_SERVER)
 
     def _apply_quota(self, decision: Decision) -> None:
@@ -253,20 +247,23 @@
         """End the request because the process holds too many bytes."""
         if self.is_responding:
             self.abort()
-        elif self.sender.head_sent:
-            self.fail(ResultCode.REQUEST_ANSWER_LOST)
         else:
             self.fail(ResultCode.REQUEST_OVERLOADED)
 
     def fail(self, code: ResultCode) -> None:
-        """End the request because of an error of its caller."""
+        """End the request because of an error of its caller or of this node.
+
+        If a server may have begun it, the answer does not promise that it was not run.
+        """
         if self.done:
             return
         if self.is_responding:
             self.abort()
             return
         refusal = make_refusal(code)
-        if self.sender.head_sent:
+        if self.sender.head_sent and refusal.status in NOT_RUN_STATUSES:
+            refusal = make_refusal(ResultCode.REQUEST_ANSWER_LOST)
+        elif self.sender.head_sent:
             refusal = refusal._replace(outcome=Outcome.UNKNOWN)
         self.keep_alive = False
         self.send_refusal(refusal)
--- a/src/daisylink/request/_outcome.py
+++ b/src/daisylink/request/_outcome.py
@@ -14,6 +14,15 @@
 # RFC 9110 requires a challenge in each response with status 401.
 CHALLENGE_LINE = b"www-authenticate: Bearer"
 MS_PER_SECOND = 1000
+# With these a caller is promised that the request was not run and never will be.
+NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 # Refusals of a node that does not serve the pool, whatever its record says.
 NOT_SERVING_CODES = frozenset(
     {
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -149,8 +149,10 @@
                 slow_head.send(b"GET /a/read HT"),
                 slow_body.send(head("content-length: 10") + b"x"),
             )
-            self.assertEqual([response.status for response in responses], [408, 408])
-            self.assertEqual(responses[0].outcome, "not-run")
+            # The server has got the second one's head, so 408 would promise too much.
+            self.assertEqual([response.status for response in responses], [408, 502])
+            outcomes = [response.outcome for response in responses]
+            self.assertEqual(outcomes, ["not-run", "unknown"])
 
         brief = CallerLimits(header_seconds=0.2)
         with (
