End a response that has begun soon after its deadline

Cause: once the head of a response had come, its request's timer did nothing. A server that sends a body slowly and without end kept its slot, its connection and its caller's request for as long as the caller stayed.

Change: 0.25 s after the deadline the rest of the response is given up: its connection is closed, so that it cannot look whole, or, while it waits for its turn, a 502 replaces it. A response that ends within that time is passed on whole.

--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -30,6 +30,8 @@
 from daisylink.version import Version
 
 MS_PER_SECOND = 1000
+# Time for the rest of a response that has begun before its deadline.
+LATE_RESPONSE_SECONDS = 0.25
 
 log = get_logger("request")
 
@@ -152,8 +154,12 @@
     def _handle_deadline(self) -> None:
         if self.quota_number:
             self.send_refusal(make_refusal(ResultCode.REQUEST_DEADLINE_NOT_RUN))
-            return
-        self.sender.handle_deadline()
+        elif self.is_responding:
+            self.timer = self.gateway.loop.call_later(
+                LATE_RESPONSE_SECONDS, self.sender.handle_late_response
+            )
+        else:
+            self.sender.handle_deadline()
 
     def _plan_entering(self, version: Version | None, now: float) -> Any:
         """Plan a request that enters at this node, by its parent's if it is a call."""
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -307,13 +307,21 @@
 
     def handle_deadline(self) -> None:
         """Give up a request whose deadline has passed without a response."""
-        if self.exchange.is_responding or self.exchange.done:
+        if self.exchange.done:
             return
         self._record_failure()
         self._record_attempt("DEADLINE")
         event = DeadlinePassed(self.head_sent)
         self._perform(self.attempts.handle(event, self.gateway.now()))
 
+    def handle_late_response(self) -> None:
+        """Give up a response that has begun and does not end."""
+        if self.exchange.done:
+            return
+        self._record_failure()
+        self._record_attempt("LATE")
+        self.exchange.abort()
+
     def owns_response(self, headers: list[Header]) -> bool:
         """Return whether a response belongs to this request, not to an earlier one."""
         if self.local_run is None:
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -80,3 +80,40 @@
         node.advance(13)
         self.assertTrue(self.caller.is_closed)
         self.assertTrue(self.caller.received.startswith(b"HTTP/1.1 502"))
+
+
+class LateResponseTests(RequestEndTestCase):
+    """A response that has begun ends soon after the deadline, whole or cut."""
+
+    def begin_response(self, name):
+        end = self.node.find_server_end(name)
+        end.send(make_response(name, b"5\r\nhello\r\n", chunked=True))
+        self.node.advance(0.02)
+        return end
+
+    def test_a_response_that_does_not_end(self):
+        """It had no deadline once it had begun, and held its slot."""
+        self.send(make_request("only"))
+        end = self.begin_response("only")
+        self.node.advance(TIMEOUT_SECONDS + SLACK_SECONDS)
+        self.assertTrue(self.caller.is_closed)
+        self.assertTrue(end.is_closed)
+        self.assertNotIn(b"0\r\n\r\n", self.caller.received)
+        self.assertEqual(self.node.gateway.admission.in_use, 0)
+
+    def test_a_response_that_does_not_end_behind_another(self):
+        self.send(make_request("first") + make_request("second"))
+        self.begin_response("second")
+        self.node.advance(TIMEOUT_SECONDS - 0.1)
+        self.answer("first")
+        self.node.advance(SLACK_SECONDS)
+        self.assertTrue(self.caller.is_closed)
+
+    def test_a_response_that_ends_a_little_late_is_whole(self):
+        self.send(make_request("only"))
+        end = self.begin_response("only")
+        self.node.advance(TIMEOUT_SECONDS)
+        end.send(b"0\r\n\r\n")
+        self.node.advance(0.02)
+        self.assertTrue(self.caller.received.endswith(b"hello\r\n0\r\n\r\n"))
+        self.assertFalse(self.caller.is_closed)
