Requests behind one that failed are answered if its body was read whole

Cause: a request that ends by an error of this node, or because too many bytes are held, closed its connection in any case. That is needed only where the rest of its body is still to come.

Callers saw: a closed connection for requests that had been passed on to servers.

Change: the connection stays open if the body was read whole.

Test: RequestBehindAFailedOneTests, fails on the commit before.

--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -271,7 +271,8 @@
             refusal = make_refusal(ResultCode.REQUEST_ANSWER_LOST)
         elif self.sender.head_sent:
             refusal = refusal._replace(outcome=Outcome.UNKNOWN)
-        self.keep_alive = False
+        # After a body that was read whole, the requests behind it are answered too.
+        self.keep_alive = self.keep_alive and self.body.done
         self.send_refusal(refusal)
 
     def cancel(self) -> None:
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -82,6 +82,18 @@
         self.assertTrue(self.caller.received.startswith(b"HTTP/1.1 502"))
 
 
+class RequestBehindAFailedOneTests(RequestEndTestCase):
+    def test_requests_behind_one_that_is_ended_for_its_memory_are_answered(self):
+        """The connection was closed on them, though they had been passed on."""
+        self.send(make_request("first", "PUT", b"x" * 50_000) + make_request("second"))
+        self.node.callers[0].end_largest_request()
+        self.answer("second")
+        first, _, second = bytes(self.caller.received).partition(b"HTTP/1.1 200 ")
+        self.assertTrue(first.startswith(b"HTTP/1.1 502"))
+        self.assertTrue(second.endswith(b"\r\n\r\nsecond"))
+        self.assertFalse(self.caller.is_closed)
+
+
 class LateResponseTests(RequestEndTestCase):
     """A response that has begun ends soon after the deadline, whole or cut."""
 
