Divide the connections' modules: pool, timeouts of callers, shared reads

Change: HopConnectionPool, the timeouts of connections from callers with the progress of writes, and the shared read buffer are modules of their own; the head for the next hop is made where its two forms are.

--- a/src/daisylink/connection/__init__.py
+++ b/src/daisylink/connection/__init__.py
@@ -6,7 +6,8 @@
     HeldBytesLimit,
     count_held_bytes,
 )
-from daisylink.connection._hop import HopConnection, HopConnectionPool
+from daisylink.connection._hop import HopConnection
+from daisylink.connection._hop_pool import HopConnectionPool
 from daisylink.connection._probe import ProbeResult
 
 __all__ = [
--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from daisylink.connection._caller_timeouts import WriteProgress, enforce_timeouts
 from daisylink.connection._held_bytes import REQUEST_BYTES, HeldBytes
 from daisylink.errors import RequestError, ResultCode
 from daisylink.logs import get_logger
@@ -19,9 +20,6 @@
 # Requests that are read behind the first one of a connection, and their body bytes.
 MAX_PIPELINED = 64
 MAX_PIPELINED_BYTES = 256 * 1024
-BODY_SECONDS = 10.0
-STALL_SECONDS = 10.0
-RELAY_IDLE_SECONDS = 120.0
 # Bytes of a response that wait for its turn before no more of it is read.
 MAX_WAITING_BYTES = 64 * 1024
 
@@ -65,10 +63,7 @@
         self.is_closing = False
         self.is_paused = False
         self.is_write_paused = False
-        self.written_bytes = 0
-        # Bytes that the caller's machine has accepted, and when that was last seen.
-        self.accepted_bytes = 0
-        self.accepted_at = gateway.now()
+        self.write_progress = WriteProgress(gateway.now())
 
     # Callbacks of asyncio
 
@@ -104,7 +99,7 @@
             self.parse_error = self.parse_error or RequestError(str(error))
         self._count_unparsed(len(data))
         if self.parse_error is not None:
-            self._refuse_rest(self.parse_error.code)
+            self.refuse_rest(self.parse_error.code)
         if continued is not None:
             continued.flush_body()
         needs_start, self.needs_start = self.needs_start, False
@@ -275,6 +270,24 @@
         """Pause or resume reading from the caller as buffers allow."""
         self._apply_flow_control()
 
+    def refuse_rest(self, code: ResultCode) -> None:
+        """Refuse a request that cannot be read, and close the connection after it.
+
+        Where the next request starts is unknown, so all that follows is discarded. The
+        requests in front of it are answered first.
+        """
+        log.bind(peer=self.peer_host, in_front=len(self.open_requests)).info(
+            "a request cannot be read: {}", code.name
+        )
+        self.is_rest_unread = True
+        unfinished, self.parsing = self.parsing, None
+        if unfinished is not None:
+            unfinished.fail(code)
+        else:
+            self.rest_refusal = encode_refusal(make_refusal(code), close=True)
+        if self.current is None:
+            self._close_unread()
+
     def close(self) -> None:
         """Close after all buffered data is written."""
         self.is_closing = True
@@ -296,38 +309,10 @@
 
         :param now: time of the monotonic clock in seconds.
         """
-        if self._is_stalled_writing(now):
-            self.abort()
-            return
-        seconds_since_read = now - self.last_read_at
-        exchange = self.current
-        if exchange is None:
-            limits = self.gateway.caller_limits
-            max_idle_seconds = (
-                RELAY_IDLE_SECONDS if self.is_relay else limits.idle_seconds
-            )
-            seconds_in_head = now - self.head_started_at
-            if self.is_reading_head and seconds_in_head > limits.header_seconds:
-                self._refuse_rest(ResultCode.REQUEST_CALLER_TOO_SLOW)
-            elif seconds_since_read > max_idle_seconds or (
-                self.parsing is not None and seconds_since_read > BODY_SECONDS
-            ):
-                self.close()
-            return
-        if exchange.is_responding:
-            if exchange.is_response_stalled(now, STALL_SECONDS):
-                exchange.abort()
-            return
-        is_stalled = (
-            not exchange.is_body_complete
-            and exchange.can_read_body
-            and not self.is_paused
-        )
-        if is_stalled and seconds_since_read > BODY_SECONDS:
-            exchange.fail(ResultCode.REQUEST_CALLER_TOO_SLOW)
+        enforce_timeouts(self, now)
 
     def _write(self, data: bytes | bytearray) -> None:
-        self.written_bytes += len(data)
+        self.write_progress.record_written(len(data))
         self.transport.write(data)
 
     def _take_turn(self, exchange: Exchange) -> None:
@@ -347,15 +332,6 @@
         self.current = None
         self.pipelined.clear()
 
-    def _is_stalled_writing(self, now: float) -> bool:
-        """Return whether the caller has accepted nothing that waits for it for long."""
-        waiting_bytes = self.transport.get_write_buffer_size()
-        accepted_bytes = self.written_bytes - waiting_bytes
-        if not waiting_bytes or accepted_bytes > self.accepted_bytes:
-            self.accepted_bytes = accepted_bytes
-            self.accepted_at = now
-        return now - self.accepted_at > STALL_SECONDS
-
     def _start_next(self, exchange: Exchange) -> None:
         """Start the request that became current, or finish it if it is done."""
         if exchange is not self.current or self.is_closing:
@@ -412,24 +388,6 @@
         if self.unparsed_bytes > self.gateway.caller_limits.header_bytes:
             self._set_parse_error("head too large", ResultCode.REQUEST_HEAD_TOO_LARGE)
 
-    def _refuse_rest(self, code: ResultCode) -> None:
-        """Refuse a request that cannot be read, and close the connection after it.
-
-        Where the next request starts is unknown, so all that follows is discarded. The
-        requests in front of it are answered first.
-        """
-        log.bind(peer=self.peer_host, in_front=len(self.open_requests)).info(
-            "a request cannot be read: {}", code.name
-        )
-        self.is_rest_unread = True
-        unfinished, self.parsing = self.parsing, None
-        if unfinished is not None:
-            unfinished.fail(code)
-        else:
-            self.rest_refusal = encode_refusal(make_refusal(code), close=True)
-        if self.current is None:
-            self._close_unread()
-
     def _close_unread(self) -> None:
         """Close the connection, whose rest is not read."""
         if self.is_closing:
--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -1,4 +1,4 @@
-"""Connections to the next hop, and the pool that keeps them open between requests."""
+"""Connections to the next hop: a backend server, or another node."""
 
 import asyncio
 import socket
@@ -6,44 +6,37 @@
 
 import httptools
 
-from daisylink.connection._probe import ProbeResult
+from daisylink.connection._shared_reads import SharedReadProtocol
 from daisylink.logs import get_logger
 from daisylink.request import ResponseHead
 
 HTTP_CONTINUE = 100
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset({204, 304})
-# Several round trips between regions. A lost SYN is retransmitted only after a second;
-# by then another node has long responded.
-CONNECT_TIMEOUT_SECONDS = 0.25
 # Time in which the peer's machine must acknowledge sent bytes, in milliseconds: two
 # retransmissions. A connection may go silent for good while new ones work.
 UNACKNOWLEDGED_MS = 700
-# A timer that fires later than this shows that the process was paused.
-MAX_TIMER_DELAY_SECONDS = 0.05
 MAX_IDLE_SECONDS = 30.0
 # An idle connection is closed well before the peer's own timeout.
 IDLE_TIMEOUT_FRACTION = 0.6
-MAX_IDLE_PER_ADDRESS = 32
 WRITE_BUFFER_HIGH_BYTES = 256 * 1024
 # Bytes before the head of a response is complete, or of a stray response: a server in
 # trouble may send them without end.
 MAX_USELESS_BYTES = 256 * 1024
 MAX_HEADERS = 256
-# Bytes of one read: what a connection may add to the bytes held before it is paused.
-READ_BYTES = 64 * 1024
 
 log = get_logger("hop")
 
 
-class HopConnection(asyncio.BufferedProtocol):
+class HopConnection(SharedReadProtocol):
     """A connection to a backend server or to another node's relay listener.
 
-    :param pool: the pool that it is released to.
+    :param pool: the :class:`~daisylink.connection.HopConnectionPool` that it returns
+        to.
     :param address: ``ip:port`` of the peer.
     """
 
-    def __init__(self, pool: "HopConnectionPool", address: str):
+    def __init__(self, pool: Any, address: str):
         self.pool = pool
         self.address = address
         self.transport: asyncio.Transport | None = None
@@ -100,14 +93,6 @@
         else:
             sender.handle_hop_lost()
 
-    def get_buffer(self, _size_hint: int) -> memoryview:
-        """Return the buffer for the next read, which all connections share."""
-        return self.pool.read_buffer
-
-    def buffer_updated(self, size: int) -> None:
-        """Handle the bytes that were read into the buffer."""
-        self.data_received(self.pool.read_buffer[:size])
-
     def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes and pass them to the request's sender."""
         sender = self.sender
@@ -299,149 +284,3 @@
         """Abort, because the exchange ended before the response did."""
         self.sender = None
         self.transport.abort()
-
-
-class HopConnectionPool:
-    """Pool of idle connections by address.
-
-    :param gateway: the process's :class:`~daisylink.serving.Gateway`.
-    """
-
-    def __init__(self, gateway: Any):
-        self.gateway = gateway
-        self.idle: dict[str, list[HopConnection]] = {}
-        self.connect_tasks: set[asyncio.Task] = set()
-        self.read_buffer = memoryview(bytearray(READ_BYTES))
-
-    def acquire(
-        self, address: str, max_idle_seconds: float = float("inf")
-    ) -> HopConnection | None:
-        """Return an idle connection to an address, or None.
-
-        :param max_idle_seconds: longest time since its last use.
-        """
-        idle = self.idle.get(address)
-        now = self.gateway.now()
-        while idle:
-            if now - idle[-1].idle_since > max_idle_seconds:
-                return None
-            hop = idle.pop()
-            if now - hop.idle_since > hop.idle_limit_seconds:
-                hop.transport.close()
-            elif not hop.transport.is_closing():
-                return hop
-        return None
-
-    def open(self, address: str, sender: Any, attempt: int) -> None:
-        """Start to open a connection for an attempt of a request."""
-        task = self.gateway.loop.create_task(self._open(address, sender, attempt))
-        self.connect_tasks.add(task)
-        task.add_done_callback(self.connect_tasks.discard)
-
-    def release(self, hop: HopConnection) -> None:
-        """Keep a connection for reuse, unless there are too many."""
-        idle = self.idle.setdefault(hop.address, [])
-        if hop.transport.is_closing():
-            return
-        # The caller may have been slow when the last bytes of a response came.
-        hop.resume_reading()
-        if len(idle) >= MAX_IDLE_PER_ADDRESS:
-            hop.transport.close()
-            return
-        hop.idle_since = self.gateway.now()
-        idle.append(hop)
-
-    def remove(self, hop: HopConnection) -> None:
-        """Remove a lost connection from the pool."""
-        idle = self.idle.get(hop.address)
-        if idle and hop in idle:
-            idle.remove(hop)
-
-    def close_idle(self, address: str) -> None:
-        """Abort the idle connections to an unresponsive address."""
-        for hop in self.idle.pop(address, []):
-            hop.transport.abort()
-
-    def close_unproven(self, since: float) -> None:
-        """Abort the idle connections that carried no response for a while.
-
-        What made one connection silent for good may have made others silent too, and
-        each of them would cost a request.
-
-        :param since: when the silent connection was last used, in seconds of the
-            monotonic clock.
-        """
-        for address, idle in list(self.idle.items()):
-            proven = [hop for hop in idle if hop.last_read_at >= since]
-            for hop in idle:
-                if hop.last_read_at < since:
-                    hop.transport.abort()
-            self.idle[address] = proven
-
-    async def probe(self, address: str) -> ProbeResult:
-        """Open a connection to an address, and keep it for reuse."""
-        try:
-            hop = await self._connect(address)
-        except TimeoutError:
-            return ProbeResult.SILENT
-        except (OSError, ValueError) as error:
-            log.bind(address=address).debug("probe was refused: {}", error)
-            return ProbeResult.REFUSED
-        self.release(hop)
-        return ProbeResult.ANSWERED
-
-    def close_expired(self, now: float) -> None:
-        """Close connections that have been idle for too long.
-
-        :param now: time of the monotonic clock in seconds.
-        """
-        for address, idle in list(self.idle.items()):
-            while idle and now - idle[0].idle_since > idle[0].idle_limit_seconds:
-                idle.pop(0).transport.close()
-            if not idle:
-                del self.idle[address]
-
-    def close(self) -> None:
-        """Close every idle connection."""
-        for idle in self.idle.values():
-            for hop in idle:
-                hop.transport.close()
-        self.idle.clear()
-
-    async def _open(self, address: str, sender: Any, attempt: int) -> None:
-        try:
-            hop = await self._connect(address)
-        except (OSError, TimeoutError, ValueError) as error:
-            sender.handle_connect_failure(attempt, isinstance(error, TimeoutError))
-            return
-        if not sender.handle_connection(hop, attempt):
-            self.release(hop)
-
-    async def _connect(self, address: str) -> HopConnection:
-        """Open a connection.
-
-        A wait in which this process did not run says nothing about the peer, whose
-        answer may lie unread; it is repeated.
-
-        :raises TimeoutError: if the peer did not answer in time.
-        :raises OSError: if it refused the connection.
-        :raises ValueError: if the address is malformed.
-        """
-        host, _, port = address.rpartition(":")
-        gateway = self.gateway
-        connecting = gateway.loop.create_task(
-            gateway.loop.create_connection(
-                lambda: HopConnection(self, address), host, int(port)
-            )
-        )
-        late = CONNECT_TIMEOUT_SECONDS + MAX_TIMER_DELAY_SECONDS
-        try:
-            while True:
-                started_at = gateway.now()
-                await asyncio.wait((connecting,), timeout=CONNECT_TIMEOUT_SECONDS)
-                if connecting.done():
-                    return connecting.result()[1]
-                if gateway.now() - started_at < late:
-                    raise TimeoutError(f"{address} did not answer")
-        finally:
-            connecting.cancel()
--- a/src/daisylink/request/_next_hop_head.py
+++ b/src/daisylink/request/_next_hop_head.py
@@ -26,7 +26,22 @@
 MS_PER_SECOND = 1000
 
 
-def make_relay_head(
+def make_next_hop_head(sender: Any) -> bytes:
+    """Return the head for the next hop of an attempt.
+
+    :param sender: the :class:`~daisylink.request.RequestSender` of the request.
+    """
+    exchange, gateway = sender.exchange, sender.gateway
+    if sender.local_run is not None:
+        return _make_server_head(exchange.head, exchange.plan, gateway)
+    expect = exchange.head.expects_continue and not exchange.has_sent_continue
+    told_limit = gateway.notices.find_told_limit(sender.target_record)
+    return _make_relay_head(
+        exchange.head, exchange.plan, gateway, expect, told_limit, sender.may_wait
+    )
+
+
+def _make_relay_head(
     head: RequestHead,
     plan: RequestPlan,
     gateway: Any,
@@ -64,7 +79,7 @@
     return build_hop_head(head, extra, expect)
 
 
-def make_server_head(head: RequestHead, plan: RequestPlan, gateway: Any) -> bytes:
+def _make_server_head(head: RequestHead, plan: RequestPlan, gateway: Any) -> bytes:
     """Return the head for the local backend server."""
     header_names = gateway.header_names
     origin = plan.origin if head.hop_metadata is not None else gateway.origin
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -23,7 +23,7 @@
 from daisylink.request._decision import ClaimOutcome, RunResult
 from daisylink.request._head import Header
 from daisylink.request._local_run import LocalRun
-from daisylink.request._next_hop_head import make_relay_head, make_server_head
+from daisylink.request._next_hop_head import make_next_hop_head
 from daisylink.request._outcome import (
     FINAL_CODES,
     NOT_SERVING_CODES,
@@ -206,29 +206,13 @@
             self.local_run.sent_at = self.gateway.now()
         self.hop_refusal = None
         hop.start_exchange(self, self.exchange.head.method == b"HEAD")
-        hop.buffer(self._make_head())
+        hop.buffer(make_next_hop_head(self))
         if self.exchange.body.kept:
             hop.buffer(bytes(self.exchange.body.kept))
         hop.flush()
         self.exchange.body.trim()
         self.exchange.caller.update_flow_control()
 
-    def _make_head(self) -> bytes:
-        """Return the head of the request for the next hop."""
-        exchange = self.exchange
-        if self.local_run is not None:
-            return make_server_head(exchange.head, exchange.plan, self.gateway)
-        expect = exchange.head.expects_continue and not exchange.has_sent_continue
-        told_limit = self.gateway.notices.find_told_limit(self.target_record)
-        return make_relay_head(
-            exchange.head,
-            exchange.plan,
-            self.gateway,
-            expect,
-            told_limit,
-            self.may_wait,
-        )
-
     def refuse_attempt(self, code: ResultCode, retry_ms: int = 0) -> None:
         """End an attempt that certainly was not run, then retry or give up.
 
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -65,7 +65,6 @@
 # Time until the next step after one that failed, so that it does not run all the time.
 FAILED_STEP_SECONDS = 0.1
 MIN_STEP_SECONDS = 0.001
-MS_PER_SECOND = 1000
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 log = get_logger("sidecar")
@@ -276,7 +275,6 @@
             return
         log.bind(node=settings.node).info("settings changed")
         self.settings = settings
-        self.gateway.held_limit.set_memory(settings.memory_mb)
         self._divide_retry_budget()
 
     def update_server(self) -> None:
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest.mock
 
-from daisylink.connection import _caller
+from daisylink.connection import _caller_timeouts
 from daisylink.errors import ResultCode
 from daisylink.serving._gateway import Gateway
 from daisylink.standin import CallerClient, Placement
@@ -157,7 +157,7 @@
         brief = CallerLimits(header_seconds=0.2)
         with (
             unittest.mock.patch.object(Gateway, "caller_limits", brief),
-            unittest.mock.patch.object(_caller, "BODY_SECONDS", 0.2),
+            unittest.mock.patch.object(_caller_timeouts, "BODY_SECONDS", 0.2),
         ):
             self.run_one(scenario)
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -62,7 +62,7 @@
     def test_requests_in_front_of_an_unreadable_one_are_answered(self):
         """Each of them, in order; then the refusal, and nothing is left behind."""
         self.second.cancel = Mock()
-        self.caller._refuse_rest(ResultCode.REQUEST_MALFORMED)
+        self.caller.refuse_rest(ResultCode.REQUEST_MALFORMED)
         self.caller.write(self.first, b"first ")
         self.caller.finish(self.first, keep_alive=True)
         self.caller.transport.close.assert_not_called()
