Read from callers into the shared buffer, 64 KiB at a time

Cause: a read from a caller took up to 256 KiB, for which asyncio allocated a buffer each time: what a connection may add to the bytes held before it can be paused, and more processor time than the read itself.

Change: connections from callers read as those to next hops do since the bound on held bytes.

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -12,6 +12,7 @@
 
 from daisylink.connection._caller_timeouts import WriteProgress, enforce_timeouts
 from daisylink.connection._held_bytes import REQUEST_BYTES, HeldBytes
+from daisylink.connection._shared_reads import SharedReadProtocol
 from daisylink.errors import RequestError, ResultCode
 from daisylink.logs import get_logger
 from daisylink.request import Exchange, encode_refusal, make_refusal, parse_head
@@ -26,7 +27,7 @@
 log = get_logger("caller")
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(SharedReadProtocol):
     """A connection from a caller.
 
     Pipelined requests are queued, so that responses are written in the order of the
@@ -79,7 +80,7 @@
         self.gateway.callers.discard(self)
         self._cancel_requests()
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes and start or continue the requests in them."""
         if self.is_closing or self.is_rest_unread:
             return
--- a/src/daisylink/connection/_shared_reads.py
+++ b/src/daisylink/connection/_shared_reads.py
@@ -9,9 +9,9 @@
 class SharedReadProtocol(asyncio.BufferedProtocol):
     """A protocol that reads into a buffer which all connections of the process share.
 
-    Each read is handled before the next one; to allocate a buffer for it costs more time
-    than the read itself. Subclasses handle the bytes in ``data_received``, where they
-    are valid only during the call.
+    Each read is handled before the next one, and allocating a buffer for it would cost
+    more time than the read itself. Subclasses handle the bytes in ``data_received``;
+    they are valid only during the call.
     """
 
     read_buffer = memoryview(bytearray(READ_BYTES))
