Tests follow the shared read buffer and the module of the callers' timeouts

The request matrix delivers a read later and kept the read's own bytes, which are valid only during the call since reads go into one buffer; what it delivered was another read ("the response belongs to another request", "is incomplete", 5 cells in 4 tests). No product code keeps them: the parsers copy. And a test of stalled responses replaced a constant where it no longer stands.

Change: the matrix copies the bytes that it delays, as a transport would; the test names the constant's module. No check is changed.

--- a/tests/request_matrix.py
+++ b/tests/request_matrix.py
@@ -379,6 +379,8 @@
                 original(self, data)
                 return
             self.transport.pause_reading()
+            # The buffer of the read is used for others until the bytes are delivered.
+            data = bytes(data)
 
             def proceed():
                 if self.sender is sender and not self.transport.is_closing():
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -4,7 +4,7 @@
 import unittest.mock
 from collections import Counter
 
-from daisylink.connection import _caller
+from daisylink.connection import _caller_timeouts
 from daisylink.errors import ResultCode
 from daisylink.standin import CallerClient, Placement
 from tests.loopback import LOOPBACK_HOST
@@ -267,7 +267,7 @@
             await fleet.wait_for(lambda: admission.in_use == 0)
             server.close()
 
-        with unittest.mock.patch.object(_caller, "STALL_SECONDS", 0.3):
+        with unittest.mock.patch.object(_caller_timeouts, "STALL_SECONDS", 0.3):
             self.run_calls(scenario)
 
     def test_long_bodies_stream_both_ways_within_bounded_memory(self):
