Heads of requests in progress count as held bytes

Cause: the bound on held bytes counted 6 KiB for each request in progress, not the bytes of its head, which may have max_header_bytes.

Callers saw: nothing yet; 300 connections with 24 requests of 15 kB heads each held over 75 MB, the test's bound.

Change: the size of a complete head counts. The flow control of a caller's connection is one method instead of two; comments name what they bound.

Test: test_large_heads_of_many_requests_in_progress, fails on the commit before.

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -106,7 +106,7 @@
         needs_start, self.needs_start = self.needs_start, False
         if needs_start and self.current is not None:
             self.current.start()
-        self._apply_flow_control()
+        self.update_flow_control()
         held_bytes = len(data) + self.requests_in_read * REQUEST_BYTES
         self.gateway.held_limit.record_received(held_bytes)
 
@@ -117,14 +117,14 @@
     def pause_writing(self) -> None:
         """Read no more requests and responses while the caller does not read."""
         self.is_write_paused = True
-        self._apply_flow_control()
+        self.update_flow_control()
 
     def resume_writing(self) -> None:
         """Resume reading the current response, and requests."""
         self.is_write_paused = False
         if self.current is not None:
             self.current.resume_response()
-        self._apply_flow_control()
+        self.update_flow_control()
 
     # Callbacks of httptools
 
@@ -148,7 +148,7 @@
         """Check the complete head and create its exchange."""
         self.has_parsed = True
         self.is_reading_head = False
-        self._check_head_size()
+        head_bytes = self._check_head_size()
         if self.parse_error is not None:
             return
         parser = self.parser
@@ -172,6 +172,7 @@
             return
         keep_alive = parser.should_keep_alive()
         exchange = Exchange(self.gateway, self, head, keep_alive, is_http_1_0)
+        exchange.head_bytes = head_bytes
         self.requests_in_read += 1
         self.parsing = exchange
         if self.current is None:
@@ -254,7 +255,8 @@
             self.transport.get_write_buffer_size(),
             sum(len(exchange.body.kept) for exchange in exchanges),
             sum(exchange.count_unsent_bytes() for exchange in exchanges),
-            self.unparsed_bytes + len(exchanges) * REQUEST_BYTES,
+            self.unparsed_bytes
+            + sum(exchange.head_bytes + REQUEST_BYTES for exchange in exchanges),
         )
 
     def end_largest_request(self) -> None:
@@ -269,7 +271,13 @@
 
     def update_flow_control(self) -> None:
         """Pause or resume reading from the caller as buffers allow."""
-        self._apply_flow_control()
+        can_read = not self.is_write_paused and self._can_hold_more()
+        if can_read == self.is_paused and not self.is_closing:
+            self.is_paused = not can_read
+            if self.is_paused:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
 
     def refuse_rest(self, code: ResultCode) -> None:
         """Refuse a request that cannot be read, and close the connection after it.
@@ -342,15 +350,6 @@
             return
         exchange.start()
 
-    def _apply_flow_control(self) -> None:
-        can_read = not self.is_write_paused and self._can_hold_more()
-        if can_read == self.is_paused and not self.is_closing:
-            self.is_paused = not can_read
-            if self.is_paused:
-                self.transport.pause_reading()
-            else:
-                self.transport.resume_reading()
-
     def _can_hold_more(self) -> bool:
         """Return whether the requests leave room for more bytes of the caller."""
         if self.pipelined:
@@ -360,7 +359,8 @@
                 return False
         return self.parsing is None or self.parsing.done or self.parsing.can_read_body
 
-    def _check_head_size(self) -> None:
+    def _check_head_size(self) -> int:
+        """Refuse a complete head that is too large; return its size in bytes."""
         size = len(self.url)
         for name, value in self.headers:
             size += len(name) + len(value)
@@ -369,6 +369,7 @@
             or len(self.headers) > MAX_HEADERS
         ):
             self._set_parse_error("head too large", ResultCode.REQUEST_HEAD_TOO_LARGE)
+        return size
 
     def _set_parse_error(
         self, message: str, code: ResultCode = ResultCode.REQUEST_MALFORMED
--- a/src/daisylink/connection/_held_bytes.py
+++ b/src/daisylink/connection/_held_bytes.py
@@ -24,7 +24,8 @@
     :param caller_writes: written to callers, not yet accepted by their sockets.
     :param bodies: of request bodies, kept to be sent or to be sent again.
     :param hop_writes: written to next hops, not yet accepted by their sockets.
-    :param heads: of partly received heads and of requests in progress.
+    :param heads: of heads, partly received or of requests in progress, with the objects
+        that a request takes.
     """
 
     responses: int = 0
--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -20,8 +20,8 @@
 # An idle connection is closed well before the peer's own timeout.
 IDLE_TIMEOUT_FRACTION = 0.6
 WRITE_BUFFER_HIGH_BYTES = 256 * 1024
-# Bytes before the head of a response is complete, or of a stray response: a server in
-# trouble may send them without end.
+# Bytes that are no part of a response's body, one after the other: of a head, a trailer
+# or a stray response. A server in trouble may send them without end.
 MAX_USELESS_BYTES = 256 * 1024
 MAX_HEADERS = 256
 
@@ -31,8 +31,7 @@
 class HopConnection(SharedReadProtocol):
     """A connection to a backend server or to another node's relay listener.
 
-    :param pool: the :class:`~daisylink.connection.HopConnectionPool` that it returns
-        to.
+    :param pool: its :class:`~daisylink.connection.HopConnectionPool`.
     :param address: ``ip:port`` of the peer.
     """
 
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -58,6 +58,7 @@
         self.gateway = gateway
         self.caller = caller
         self.head = head
+        self.head_bytes = 0
         self.keep_alive = keep_alive
         self.is_http_1_0 = is_http_1_0
         self.is_relay = head.hop_metadata is not None
@@ -221,7 +222,7 @@
     def count_held_bytes(self) -> int:
         """Return all bytes that are held for the request."""
         buffered = len(self.pending_output) + len(self.body.kept)
-        return buffered + self.count_unsent_bytes()
+        return self.head_bytes + buffered + self.count_unsent_bytes()
 
     def count_unsent_bytes(self) -> int:
         """Return the bytes of the request that the next hop has not accepted."""
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -208,6 +208,19 @@
         self.settle()
         self.assertLess(self.held_bytes, MAX_PROCESS_BYTES)
 
+    def test_large_heads_of_many_requests_in_progress(self):
+        """Only the objects of a request counted, not the bytes of its head."""
+        extra = f"X-Large: {'x' * 15_000}\r\n"
+        for number in range(300):
+            names = [f"r{number}-{count}." for count in range(24)]
+            requests = [make_request(name, extra=extra) for name in names]
+            self.node.connect().send(b"".join(requests))
+        open_requests = [r for c in self.node.callers for r in c.open_requests]
+        head_bytes = sum(
+            len(value) for request in open_requests for _, value in request.head.headers
+        )
+        self.assertLess(head_bytes, MAX_PROCESS_BYTES)
+
     def find_ends(self):
         """Return the server's ends of the connections by their request's name."""
         ends = {}
