--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -7,12 +7,14 @@
 import asyncio
 import random
 import selectors
+import unittest
 
 import msgspec
 
 from daisylink import platform
 from daisylink.clock import LoopClock
 from daisylink.connection import CallerConnection
+from daisylink.logs import configure_logging
 from daisylink.registry import MemberSettings, MemberTable
 from daisylink.serving import (
     Announcement,
@@ -37,6 +39,8 @@
 # Bytes that the sockets' buffers between two processes take.
 SOCKET_BYTES = 64 * 1024
 STEP_SECONDS = 0.005
+# Enough for what was sent to arrive and to be handled.
+SETTLE_SECONDS = 0.02
 MAX_TURNS = 50
 
 
@@ -297,7 +301,7 @@
         return end
 
     def advance(self, seconds):
-        """Move the clock; the processor's timers that are due run."""
+        """Move the clock; the node's timers that are due run."""
         self.loop.advance(seconds)
 
     def close(self):
@@ -306,6 +310,42 @@
         self.loop.close()
 
 
+class SimulatedTestCase(unittest.TestCase):
+    """Tests on a node of their own."""
+
+    slots = SLOTS
+
+    def setUp(self):
+        configure_logging("CRITICAL")
+        self.use_node(SimulatedNode(self.slots))
+
+    def use_node(self, node):
+        """Run the test on a node; it is closed in the end."""
+        self.node = node
+        self.addCleanup(node.close)
+
+    def settle(self):
+        self.node.advance(SETTLE_SECONDS)
+
+
+class CallerTestCase(SimulatedTestCase):
+    """Tests of what a caller with one connection gets."""
+
+    def use_node(self, node):
+        super().use_node(node)
+        self.caller = node.connect()
+
+    def send(self, data):
+        self.caller.send(data)
+        self.settle()
+
+    def answer(self, *names):
+        """Answer requests as the backend server, with their names."""
+        for name in names:
+            self.node.find_server_end(name).send(make_response(name, name.encode()))
+        self.settle()
+
+
 def make_request(name, method="GET", body=b"", chunked=False, extra=""):
     """Return the bytes of a caller's request."""
     head = (
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -1,12 +1,9 @@
 """A process holds few bytes for callers and servers, whoever sends without end."""
 
-import unittest
-
 from daisylink.connection import count_held_bytes
-from daisylink.logs import configure_logging
 from tests.simulated_network import (
     READ_BYTES,
-    SimulatedNode,
+    SimulatedTestCase,
     make_request,
     make_response,
 )
@@ -31,21 +28,11 @@
     return body
 
 
-class HeldBytesTestCase(unittest.TestCase):
-    slots = 8
-
-    def setUp(self):
-        configure_logging("CRITICAL")
-        self.node = SimulatedNode(self.slots)
-        self.addCleanup(self.node.close)
-
+class HeldBytesTestCase(SimulatedTestCase):
     @property
     def held_bytes(self):
         return count_held_bytes(self.node.callers).total
 
-    def settle(self):
-        self.node.advance(0.02)
-
     def request_alone(self, caller, name, body):
         """Send a request and its answer; return the server's end of the connection."""
         caller.send(make_request(name))
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -1,31 +1,17 @@
 """Each request that a caller sends has an end in time, and a true one."""
 
-import unittest
-
-from daisylink.logs import configure_logging
-from tests.simulated_network import SimulatedNode, make_request, make_response
+from tests.simulated_network import (
+    CallerTestCase,
+    SimulatedNode,
+    make_request,
+    make_response,
+)
 
 TIMEOUT_SECONDS = 0.8
 SLACK_SECONDS = 0.5
 
 
-class RequestEndTestCase(unittest.TestCase):
-    def setUp(self):
-        configure_logging("CRITICAL")
-        self.node = SimulatedNode()
-        self.addCleanup(self.node.close)
-        self.caller = self.node.connect()
-
-    def send(self, data):
-        self.caller.send(data)
-        self.node.advance(0.02)
-
-    def answer(self, name):
-        self.node.find_server_end(name).send(make_response(name, name.encode()))
-        self.node.advance(0.02)
-
-
-class PipelinedUploadTests(RequestEndTestCase):
+class PipelinedUploadTests(CallerTestCase):
     """Uploads that are sent before the request in front of them is answered."""
 
     def test_a_body_that_comes_in_later_reads_is_passed_on(self):
@@ -45,7 +31,7 @@
         self.assertLess(self.caller.delivered_bytes, 600_000)
 
 
-class ManyPipelinedTests(RequestEndTestCase):
+class ManyPipelinedTests(CallerTestCase):
     def test_the_timeout_of_a_request_sent_ahead_begins_when_it_is_sent(self):
         """Those over 8 were read when the ones in front were answered."""
         names = [f"r{number}." for number in range(24)]
@@ -56,9 +42,8 @@
 
     def test_a_request_that_waits_for_its_turn_loses_that_time(self):
         """One that may run once starts when the one in front is answered."""
-        node = self.node = SimulatedNode(kind="non_idempotent")
-        self.addCleanup(node.close)
-        self.caller = node.connect()
+        self.use_node(SimulatedNode(kind="non_idempotent"))
+        node = self.node
         self.send(make_request("first") + make_request("second"))
         node.advance(TIMEOUT_SECONDS - 0.2)
         self.answer("first")
@@ -68,12 +53,11 @@
         self.assertIn(b"HTTP/1.1 504", self.caller.received)
 
 
-class StalledUploadTests(RequestEndTestCase):
+class StalledUploadTests(CallerTestCase):
     def test_no_promise_once_a_server_may_have_begun(self):
         """408 says that the request has not run and never will."""
-        node = self.node = SimulatedNode(timeout="30s", slo="20s")
-        self.addCleanup(node.close)
-        self.caller = node.connect()
+        self.use_node(SimulatedNode(timeout="30s", slo="20s"))
+        node = self.node
         data = make_request("upload", "PUT", b"x" * 1000)
         self.send(data.replace(b"5000", b"29000", 1)[:-1])
         node.find_server_end("upload")
@@ -82,7 +66,7 @@
         self.assertTrue(self.caller.received.startswith(b"HTTP/1.1 502"))
 
 
-class RequestBehindAFailedOneTests(RequestEndTestCase):
+class RequestBehindAFailedOneTests(CallerTestCase):
     def test_requests_behind_one_that_is_ended_for_its_memory_are_answered(self):
         """The connection was closed on them, though they had been passed on."""
         self.send(make_request("first", "PUT", b"x" * 50_000) + make_request("second"))
@@ -94,7 +78,7 @@
         self.assertFalse(self.caller.is_closed)
 
 
-class LateResponseTests(RequestEndTestCase):
+class LateResponseTests(CallerTestCase):
     """A response that has begun ends soon after the deadline, whole or cut."""
 
     def begin_response(self, name):
--- a/tests/test_unreadable_requests.py
+++ b/tests/test_unreadable_requests.py
@@ -10,8 +10,7 @@
     WebResponse,
     _ServerConnection,
 )
-from daisylink.logs import configure_logging
-from tests.simulated_network import SimulatedNode, make_request, make_response
+from tests.simulated_network import CallerTestCase, make_request
 
 MAX_READ_BYTES = 256 * 1024
 BODY = b"x" * 20_000
@@ -25,23 +24,7 @@
 )  # fmt: skip
 
 
-class UnreadableRequestTests(unittest.TestCase):
-    def setUp(self):
-        configure_logging("CRITICAL")
-        self.node = SimulatedNode()
-        self.addCleanup(self.node.close)
-        self.caller = self.node.connect()
-
-    def send(self, data):
-        self.caller.send(data)
-        self.node.advance(0.02)
-
-    def answer(self, *names):
-        """Answer requests as the backend server."""
-        for name in names:
-            self.node.find_server_end(name).send(make_response(name, name.encode()))
-        self.node.advance(0.02)
-
+class UnreadableRequestTests(CallerTestCase):
     def check_answers(self, *names):
         """Check that the caller got these answers in this order, and no others."""
         statuses, *answers = bytes(self.caller.received).split(b"HTTP/1.1 200 OK\r\n")
