Mutants of the bounds and of the ends of requests; those that had moved

In the state machine, garbage always came in a read of its own, so that a request in front of it was started by the read before: that mutant survived.

Change: five new mutants; the seven follow the code; the machine sends garbage in one read with a whole request.

The other mutants were not run.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -173,7 +173,7 @@
     Mutant(
         "admission stays open in drain",
         "serving/_gateway.py",
-        "        if own_record.server is ServerState.SERVING and self.is_serving:\n",
+        "        if own_record.server is ServerState.SERVING and is_serving:\n",
         "        if own_record.server is not ServerState.ABSENT:\n",
         "tests.test_calls",
     ),
@@ -233,7 +233,7 @@
     ),
     Mutant(
         "a refused probe counts as silence",
-        "connection/_hop.py",
+        "connection/_hop_pool.py",
         "            return ProbeResult.REFUSED\n",
         "            return ProbeResult.SILENT\n",
         "tests.test_silence",
@@ -297,7 +297,7 @@
     Mutant(
         "requests queue by their deadline alone",
         "serving/_waiting_queue.py",
-        "        return now + self.seconds > self.slo_deadline\n",
+        "        return now + self.seconds + self.margin > self.slo_deadline\n",
         "        return False\n",
         "tests.test_worst_load",
     ),
@@ -319,7 +319,7 @@
     ),
     Mutant(
         "a pause of the process counts as the peer's silence",
-        "connection/_hop.py",
+        "connection/_hop_pool.py",
         "                if gateway.now() - started_at < late:\n",
         "                if True:\n",
         "tests.test_silence",
@@ -341,7 +341,7 @@
     Mutant(
         "spread: what was held of an answer waits for the loop",
         "connection/_caller.py",
-        "            self._write_buffered(self.current)\n",
+        "            self._take_turn(self.current)\n",
         "",
         "tests.test_pipelining",
     ),
@@ -475,8 +475,8 @@
     Mutant(
         "a read that receives bytes is begun anew",
         "sidecar/_store_driver.py",
-        "now - transfer.received_at < RECEIVING_SECONDS",
-        "False",
+        "transfer.received_at + RECEIVING_SECONDS",
+        "0.0",
         "tests.test_late_versions.NarrowLinkTests",
     ),
     Mutant(
@@ -531,10 +531,45 @@
     Mutant(
         "bytes without end are read on",
         "connection/_hop.py",
-        "        return self.useless_bytes > MAX_USELESS_BYTES\n",
-        "        return False\n",
+        "        return has_too_many_headers or self.useless_bytes > MAX",
+        "        return False and self.useless_bytes > MAX",
         "tests.test_endless_bytes",
     ),
+    Mutant(
+        "a response that waits for its turn is read without bound",
+        "connection/_caller.py",
+        "        if len(exchange.pending_output) > MAX_WAITING_BYTES:\n",
+        "        if False:\n",
+        "tests.test_held_bytes.EndlessResponseTests",
+    ),
+    Mutant(
+        "nothing bounds the bytes held by the process",
+        "connection/_held_bytes.py",
+        "        while total > self.max_bytes and held:\n",
+        "        while False:\n",
+        "tests.test_connection_machine",
+    ),
+    Mutant(
+        "a body in front of a head counts as its bytes",
+        "connection/_caller.py",
+        "        if self.has_parsed:\n",
+        "        if self.has_parsed and not self.is_reading_head:\n",
+        "tests.test_unreadable_requests",
+    ),
+    Mutant(
+        "a request in front of unreadable bytes is not started",
+        "connection/_caller.py",
+        "        if needs_start and self.current is not None:\n",
+        "        if needs_start and not self.is_rest_unread:\n",
+        "tests.test_connection_machine",
+    ),
+    Mutant(
+        "a response that has begun has no deadline",
+        "request/_exchange.py",
+        "                LATE_RESPONSE_SECONDS, self.sender.handle_late_response\n",
+        "                LATE_RESPONSE_SECONDS, lambda: None\n",
+        "tests.test_connection_machine",
+    ),
     Mutant(
         "late readers: a watch is never overdue",
         "sidecar/_store_driver.py",
--- a/tests/connection_machine.py
+++ b/tests/connection_machine.py
@@ -82,10 +82,7 @@
         caller = self.draw(data, self.open_callers)
         if not caller.is_garbled:
             for _ in range(count):
-                self.count += 1
-                name = f"r{self.count}."
-                body = f"{name}".encode() * (size // len(name))
-                caller.add(SentRequest(name, runs_once, body, is_chunked))
+                self.add_request(caller, runs_once, size, is_chunked)
         for read in reads:
             caller.send(read)
         self.node.advance(0.01)
@@ -108,9 +105,7 @@
             case "leave":
                 caller.end.close()
             case _:
-                caller.is_garbled = True
-                caller.send(len(caller.outgoing))
-                caller.end.send(GARBAGE[act])
+                self.send_garbage(caller, GARBAGE[act])
         self.node.advance(0.01)
         if len(self.open_callers) < MAX_CALLERS:
             self.connect()
@@ -273,6 +268,20 @@
 
     # Helpers
 
+    def add_request(self, caller, runs_once=False, size=0, is_chunked=False):
+        self.count += 1
+        name = f"r{self.count}."
+        body = name.encode() * (size // len(name))
+        caller.add(SentRequest(name, runs_once, body, is_chunked))
+
+    def send_garbage(self, caller, garbage):
+        """Send bytes that are no request, in one read with a whole request."""
+        if not caller.is_garbled:
+            self.add_request(caller)
+        caller.is_garbled = True
+        caller.outgoing += garbage
+        caller.send(len(caller.outgoing))
+
     def connect(self):
         self.callers.append(CallerModel(self.node.connect()))
 
