--- a/tests/test_unreadable_requests.py
+++ b/tests/test_unreadable_requests.py
@@ -1,6 +1,7 @@
 """Each request that was read whole is answered, whatever the bytes behind it are."""
 
 import unittest
+from types import SimpleNamespace
 from unittest.mock import Mock
 
 from daisylink.connection import count_held_bytes
@@ -10,7 +11,16 @@
     WebResponse,
     _ServerConnection,
 )
-from tests.simulated_network import CallerTestCase, make_request
+from daisylink.request import parse_head
+from daisylink.request._next_hop_head import make_next_hop_head
+from daisylink.request._plan import plan_request
+from tests.simulated_network import (
+    HOST,
+    CallerTestCase,
+    PeerEnd,
+    SimulatedTestCase,
+    make_request,
+)
 
 MAX_READ_BYTES = 256 * 1024
 BODY = b"x" * 20_000
@@ -153,3 +163,29 @@
         self.assertEqual(written.count(b"HTTP/1.1 200 OK"), 2)
         transport.close.assert_not_called()
         self.assertTrue(written.endswith(b"/b"))
+
+
+class RelayedHeadTests(SimulatedTestCase):
+    def test_a_head_at_the_limit_passes_between_nodes(self):
+        """The headers that nodes add to a head count against the caller's limit."""
+        names = self.node.gateway.header_names
+        for size in range(16_240, 16_320, 8):
+            headers = [(b"host", HOST.encode()), (b"x-large", b"x" * size)]
+            lines = b"".join(b"%b: %b\r\n" % header for header in headers)
+            caller = self.node.connect()
+            caller.send(b"GET /x/1 HTTP/1.1\r\n" + lines + b"\r\n")
+            head = parse_head(b"GET", b"/x/1", headers, False, names)
+            plan = plan_request(head, self.node.gateway.version, 0.0)
+            sender = SimpleNamespace(
+                exchange=SimpleNamespace(head=head, plan=plan, has_sent_continue=False),
+                gateway=self.node.gateway,
+                local_run=None,
+                target_record=self.node.gateway.own_record,
+                may_wait=True,
+            )
+            relay = PeerEnd(self.node.loop, self.node.gateway.create_relay_connection())
+            relay.send(make_next_hop_head(sender))
+            self.settle()
+            with self.subTest(size=size):
+                if b"HTTP/1.1 431" not in caller.received:
+                    self.assertNotIn(b"HTTP/1.1 431", relay.received)
