A planned stop waits until its callers have read what they are owed

Cause: stop() waited for requests without a complete response. A response counts as complete when its last byte was given to the caller's transport; the write buffers were dropped when the event loop ended, 2.5 s after SIGTERM of 6 s.

Ruled out: the grace time (the process ended 3.5 s early), the servers' connections (no lost attempt is logged); shown: open_requests 0 while a transport holds bytes.

Change: Gateway.wait_until_drained also waits for the write buffers, until they are handed on, their connection is gone, or the last moment of the grace time, which is 0.25 s before its end (1 s before). daisylink-node uses it too.

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -203,6 +203,12 @@
         current = [] if self.current is None else [self.current]
         return [*current, *self.pipelined]
 
+    @property
+    def is_drained(self) -> bool:
+        """Return whether no response is due and none waits to be written."""
+        is_idle = self.current is None and not self.pipelined
+        return is_idle and not self.transport.get_write_buffer_size()
+
     def has_started_after(self, exchange: Exchange) -> bool:
         """Return whether a request pipelined after this one has started."""
         behind = list(self.pipelined)
--- a/src/daisylink/process/_node.py
+++ b/src/daisylink/process/_node.py
@@ -202,7 +202,7 @@
         log.info("started {} in zone {}", record.node, zone)
 
     async def stop(self) -> None:
-        """Stop gracefully: wait for requests in flight within the grace period."""
+        """Stop gracefully: within the grace period, responses reach their callers."""
         log.info("stopping; {} requests open", self.gateway.open_requests)
         self.stopping = True
         self.gateway.begin_stop()
@@ -213,8 +213,7 @@
         for listener in self.listeners:
             listener.close()
         end = self.now() + self.settings.grace.total_seconds()
-        while self.gateway.open_requests and self.now() < end:
-            await asyncio.sleep(POLL_SECONDS)
+        await self.gateway.wait_until_drained(end)
         self._handle_event(StopRequested())
         await asyncio.sleep(POLL_SECONDS)
         await self.close()
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -54,6 +54,7 @@
 SWEEP_INTERVAL_SECONDS = 1.0
 CRASH_CHECK_DELAY_SECONDS = 0.02
 PROBE_TIMEOUT_SECONDS = 0.5
+DRAIN_POLL_SECONDS = 0.02
 DEFAULT_LIMITS = AdmissionLimits(slots=8, connections=64, queue=20)
 # For pools that state no queue length; deadlines and objectives bound the queue.
 DEFAULT_QUEUE_LENGTH = 256
@@ -169,6 +170,19 @@
             for caller in self.callers
         )
 
+    @property
+    def is_drained(self) -> bool:
+        """Return whether every response was handed to its caller's socket."""
+        return all(caller.is_drained for caller in self.callers)
+
+    async def wait_until_drained(self, end: float) -> None:
+        """Wait until every response was handed on or its connection is gone.
+
+        :param end: when to give up, in seconds of the monotonic clock.
+        """
+        while not self.is_drained and self.now() < end:
+            await asyncio.sleep(min(DRAIN_POLL_SECONDS, end - self.now()))
+
     def create_caller_connection(self) -> CallerConnection:
         """Return the protocol for a new connection from a caller."""
         return CallerConnection(self, is_relay=False)
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -52,7 +52,6 @@
 # When all nodes start at once, each lists the store's keys so long after its start, so
 # that it finds the others and need not watch them come one by one.
 FIRST_LIST_SECONDS = (1.2, 1.8)
-STOP_POLL_SECONDS = 0.05
 # An announcement may be seconds late; a crash shows by a refused connection.
 ANNOUNCEMENTS_PER_LEASE = 6
 # After two failed readiness checks, a second apart, a node that stops gets no new
@@ -61,7 +60,7 @@
 # Time for callers to end their last connections while requests in flight finish.
 STOP_LISTEN_SECONDS = 0.5
 # Part of the grace period that a stop leaves, so that the process exits by itself.
-STOP_MARGIN_SECONDS = 1.0
+STOP_MARGIN_SECONDS = 0.25
 # Time until the next step after one that failed, so that it does not run all the time.
 FAILED_STEP_SECONDS = 0.1
 MIN_STEP_SECONDS = 0.001
@@ -235,7 +234,7 @@
         log.bind(node=settings.node, zone=settings.zone).info("started")
 
     async def stop(self) -> None:
-        """Stop gracefully: within the grace period, requests in flight are finished."""
+        """Stop gracefully: within the grace period, responses reach their callers."""
         if self.stopping:
             return
         started_at = self.now()
@@ -252,8 +251,7 @@
         self.listeners.close_request_listeners()
         self.gateway.close_idle()
         end = started_at + self.settings.grace.total_seconds() - STOP_MARGIN_SECONDS
-        while self.gateway.open_requests and self.now() < end:
-            await asyncio.sleep(STOP_POLL_SECONDS)
+        await self.gateway.wait_until_drained(end)
         log.bind(open=self.gateway.open_requests).info("stopped")
         self.close()
 
