A request that crashes servers is known by its content, however framed

Cause: the fingerprint was made of the bytes kept for the next hop, framed in the caller's chunks, with the length in the head's digest; over 64 KiB the buffer was dropped, so the strike had the digest of no body. A request beside a suspect of its path waited for a whole body of which only 64 KiB are read: 504.

Ruled out: strikes lost on their way (with equal chunks the request is refused from the fourth time on).

Change: RequestBody keeps content and frames it when it is passed on; its digest is that of the first 64 KiB of content. A request is known by tenant, host, method, target and body, not by pool or length. The wait ends with the first 64 KiB.

test_no_fingerprint_depends_on_the_key passes the tenant's name where the pool stood; what it demands is the same.

--- a/src/daisylink/request/_fingerprint.py
+++ b/src/daisylink/request/_fingerprint.py
@@ -1,4 +1,8 @@
-"""Request fingerprints, which recognise a request that crashes servers when resent."""
+"""Request fingerprints, which recognise a request that crashes servers when resent.
+
+A resend has the content of the request before: its method, host and target, the tenant
+that sends it, and its body. It may enter at any node and be framed in another way.
+"""
 
 import hashlib
 from typing import NamedTuple
@@ -6,7 +10,7 @@
 from daisylink.request._head import RequestHead
 
 HEAD_DIGEST_BYTES = 8
-BODY_DIGEST_BYTES = 16
+WHOLE_DIGEST_BYTES = 16
 
 
 class Fingerprint(NamedTuple):
@@ -20,23 +24,24 @@
     whole: bytes
 
 
-def digest_head(head: RequestHead, pool: str) -> bytes:
+def digest_head(head: RequestHead, tenant: str) -> bytes:
     """Return the digest of the parts of a head that a resend repeats.
 
-    :param pool: pool that the request goes to.
+    :param tenant: name of the tenant that sends the request, "" for none.
     """
-    length = -1 if head.length is None else head.length
-    text = f"{pool}\n{head.host}\n{length}\n".encode() + head.method + head.target
-    return hashlib.blake2b(text, digest_size=HEAD_DIGEST_BYTES).digest()
+    names = f"{tenant}\n{head.host}\n".encode()
+    content = names + head.method + b" " + head.target
+    return hashlib.blake2b(content, digest_size=HEAD_DIGEST_BYTES).digest()
 
 
-def compute_fingerprint(head: RequestHead, pool: str, body: bytes) -> Fingerprint:
+def compute_fingerprint(
+    head: RequestHead, tenant: str, body_digest: bytes
+) -> Fingerprint:
     """Return the fingerprint of a request.
 
-    :param pool: pool that the request goes to.
-    :param body: the buffered part of the body.
+    :param tenant: name of the tenant that sends the request, "" for none.
+    :param body_digest: digest of the content of the body.
     """
-    digest = digest_head(head, pool)
-    whole = hashlib.blake2b(digest, digest_size=BODY_DIGEST_BYTES)
-    whole.update(body)
+    digest = digest_head(head, tenant)
+    whole = hashlib.blake2b(digest + body_digest, digest_size=WHOLE_DIGEST_BYTES)
     return Fingerprint(digest, whole.digest())
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -59,8 +59,8 @@
         self.awaits_claim = True
         self.gateway.request_claim(exchange, key)
 
-    def handle_body_complete(self) -> None:
-        """Continue if the run waited for the whole body."""
+    def handle_body_recognizable(self) -> None:
+        """Continue if the run waited for the content of the body."""
         if self.awaits_body:
             self.awaits_body = False
             self.begin()
@@ -92,10 +92,10 @@
         return False
 
     def compute_fingerprint(self) -> Fingerprint:
-        """Return the fingerprint of the request, with the buffered part of its body."""
+        """Return the fingerprint of the request, as far as its body was received."""
         exchange = self.exchange
-        body = exchange.body.kept
-        return compute_fingerprint(exchange.head, exchange.plan.pool, body)
+        digest = exchange.body.digest()
+        return compute_fingerprint(exchange.head, exchange.plan.tenant, digest)
 
     def record_response(self, failed: bool) -> None:
         """Record that the server has answered, for the rollout of its version."""
@@ -152,11 +152,10 @@
         exchange = self.exchange
         quarantine = self.gateway.quarantine
         if not quarantine.has_strike_on_head(
-            digest_head(exchange.head, exchange.plan.pool)
+            digest_head(exchange.head, exchange.plan.tenant)
         ):
             return True
-        body = exchange.body
-        if not body.done and body.replayable and not body.is_full:
+        if not exchange.body.is_recognizable:
             self.awaits_body = True
             exchange.send_continue()
             return False
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -207,8 +207,7 @@
         self.hop_refusal = None
         hop.start_exchange(self, self.exchange.head.method == b"HEAD")
         hop.buffer(make_next_hop_head(self))
-        if self.exchange.body.kept:
-            hop.buffer(bytes(self.exchange.body.kept))
+        hop.buffer(self.exchange.body.frame_kept())
         hop.flush()
         self.exchange.body.trim()
         self.exchange.caller.update_flow_control()
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -169,7 +169,7 @@
 
     def test_no_fingerprint_depends_on_the_key(self):
         heads = make_head(b"Bearer " + KEY.encode()), make_head(b"Bearer other")
-        found = {compute_fingerprint(head, "one", b"") for head in heads}
+        found = {compute_fingerprint(head, "", b"") for head in heads}
         self.assertEqual(len(found), 1)
 
 
