Strikes outlive restarts in turn, and the entry node checks them too

Cause: a record listed a strike for 10 s and only while its process ran; a process that started later learned none.

Change: a record lists a strike for as long as it lasts. When its node leaves, is dropped or starts again, two members that know the strike, by hash, list it: two writes for a restart, none for a request. A withdrawn strike leaves the record at once. Only a starting process reads by the time of day how old a strike is, as clocks may be wrong. The entry node checks each attempt, in EntryCheck; both checks share request/_quarantine_check. StrikeDriver takes what Sidecar did for strikes.

test_a_crash_is_reported_for_a_limited_time demanded 10 s, the time that forgot them; it demands the strikes' lifetime now.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -180,8 +180,8 @@
     Mutant(
         "a planned stop does not wait",
         "process/_node.py",
-        "        while self.gateway.open_requests and self.now() < end:\n",
-        "        while False:\n",
+        "        await self.gateway.wait_until_drained(end)\n",
+        "",
         "tests.test_calls",
     ),
     Mutant(
@@ -391,10 +391,45 @@
     Mutant(
         "spread: strikes stay at the node that saw the crash",
         "sidecar/_sidecar.py",
-        "            strikes=strikes,\n",
+        "            strikes=self.strikes.list_current(),\n",
         "",
         "tests.test_strikes",
     ),
+    Mutant(
+        "spread: strikes of a node that is gone are not listed by others",
+        "sidecar/_strikes.py",
+        "        return ahead < ADOPTERS\n",
+        "        return False\n",
+        "tests.test_strikes_over_restarts",
+    ),
+    Mutant(
+        "spread: a starting node takes old strikes for new ones",
+        "sidecar/_strikes.py",
+        "                find_lifetime = self._find_old_lifetime\n",
+        "                pass\n",
+        "tests.test_strikes_over_restarts",
+    ),
+    Mutant(
+        "a crashing request is checked beside the server only",
+        "request/_sender.py",
+        "        if not self.entry_check.passes():\n            return\n",
+        "",
+        "tests.test_strikes_over_restarts",
+    ),
+    Mutant(
+        "a crashing request is told by its chunks",
+        "request/_body.py",
+        "            self.kept += data\n",
+        "            self.kept += frame_chunk(data) if self.chunked else data\n",
+        "tests.test_fingerprints",
+    ),
+    Mutant(
+        "a planned stop drops what callers have not read",
+        "connection/_caller.py",
+        "        return is_idle and not self.transport.get_write_buffer_size()\n",
+        "        return is_idle\n",
+        "tests.test_planned_stop",
+    ),
     Mutant(
         "a watch goes on from a revision of an earlier era",
         "platform/_store.py",
--- a/src/daisylink/request/_decision.py
+++ b/src/daisylink/request/_decision.py
@@ -86,3 +86,5 @@
     CLEAR = "clear"
     SUSPECT = "suspect"
     QUARANTINED = "quarantined"
+    # Its body has to be read before it can be told from others of its path.
+    NEEDS_BODY = "needs body"
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -187,7 +187,7 @@
             hop.buffer(piece)
             self.body.trim()
         elif self.body.is_recognizable:
-            self._handle_body_recognizable()
+            self.sender.handle_body_recognizable()
 
     def handle_body_end(self) -> None:
         """Handle the end of the request body."""
@@ -197,11 +197,7 @@
         hop = self.sender.hop
         if hop is not None and piece:
             hop.buffer(piece)
-        self._handle_body_recognizable()
-
-    def _handle_body_recognizable(self) -> None:
-        if self.sender.local_run is not None:
-            self.sender.local_run.handle_body_recognizable()
+        self.sender.handle_body_recognizable()
 
     def flush_body(self) -> None:
         """Write the body pieces that :meth:`handle_body` buffered to the next hop."""
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -17,8 +17,13 @@
     QuarantineStatus,
     RunResult,
 )
-from daisylink.request._fingerprint import Fingerprint, compute_fingerprint, digest_head
+from daisylink.request._fingerprint import Fingerprint
 from daisylink.request._outcome import make_refusal
+from daisylink.request._quarantine_check import (
+    check_quarantine,
+    fingerprint_exchange,
+    refuse_quarantined,
+)
 from daisylink.request._recording import ResponseRecorder, find_key
 
 KEY_RETRY_MS = 500
@@ -46,7 +51,7 @@
 
     def begin(self) -> None:
         """Send the request, after quarantine and the claim of its key if needed."""
-        if not self.gateway.quarantine.is_empty and not self._check_quarantine():
+        if not self._check_quarantine():
             return
         exchange = self.exchange
         plan = exchange.plan
@@ -91,12 +96,6 @@
                 self.sender.refuse_attempt(code, retry_ms)
         return False
 
-    def compute_fingerprint(self) -> Fingerprint:
-        """Return the fingerprint of the request, as far as its body was received."""
-        exchange = self.exchange
-        digest = exchange.body.digest()
-        return compute_fingerprint(exchange.head, exchange.plan.tenant, digest)
-
     def record_response(self, failed: bool) -> None:
         """Record that the server has answered, for the rollout of its version."""
         sent_at, self.sent_at = self.sent_at, None
@@ -150,29 +149,20 @@
         Otherwise the request is refused, or :meth:`begin` is called again later.
         """
         exchange = self.exchange
-        quarantine = self.gateway.quarantine
-        if not quarantine.has_strike_on_head(
-            digest_head(exchange.head, exchange.plan.tenant)
-        ):
-            return True
-        if not exchange.body.is_recognizable:
-            self.awaits_body = True
-            exchange.send_continue()
-            return False
-        fingerprint = self.compute_fingerprint()
-        now = self.gateway.now()
-        match quarantine.find_status(fingerprint, now):
+        match check_quarantine(exchange):
             case QuarantineStatus.CLEAR:
                 return True
+            case QuarantineStatus.NEEDS_BODY:
+                self.awaits_body = True
+                exchange.send_continue()
+                return False
             case QuarantineStatus.QUARANTINED:
-                retry_ms = quarantine.retry_ms(fingerprint, now)
-                exchange.send_refusal(
-                    make_refusal(ResultCode.REQUEST_QUARANTINED, retry_ms)
-                )
+                refuse_quarantined(exchange)
                 return False
-            case QuarantineStatus.SUSPECT if quarantine.begin(fingerprint):
-                self.suspect = fingerprint
-                return True
+        fingerprint = fingerprint_exchange(exchange)
+        if self.gateway.quarantine.begin(fingerprint):
+            self.suspect = fingerprint
+            return True
         self.retry_timer = self.gateway.loop.call_later(
             SUSPECT_RETRY_SECONDS, self.begin
         )
--- /dev/null
+++ b/src/daisylink/request/_quarantine_check.py
@@ -0,0 +1,87 @@
+"""Checks whether a request is known to crash backend servers.
+
+Both the node where a request enters and the node beside the server check it: either may
+know of crashes that the other one, which may have just started, does not.
+"""
+
+from typing import Any
+
+from daisylink.errors import ResultCode
+from daisylink.request._decision import QuarantineStatus
+from daisylink.request._fingerprint import Fingerprint, compute_fingerprint, digest_head
+from daisylink.request._outcome import make_refusal
+
+
+def fingerprint_exchange(exchange: Any) -> Fingerprint:
+    """Return the fingerprint of a request, as far as its body was received.
+
+    :param exchange: the :class:`~daisylink.request.Exchange` of the request.
+    """
+    tenant = exchange.plan.tenant
+    return compute_fingerprint(exchange.head, tenant, exchange.body.digest())
+
+
+def check_quarantine(exchange: Any) -> QuarantineStatus:
+    """Return whether a request is known to crash servers.
+
+    :param exchange: the :class:`~daisylink.request.Exchange` of the request.
+    """
+    gateway = exchange.gateway
+    quarantine = gateway.quarantine
+    if quarantine.is_empty:
+        return QuarantineStatus.CLEAR
+    if not quarantine.has_strike_on_head(
+        digest_head(exchange.head, exchange.plan.tenant)
+    ):
+        return QuarantineStatus.CLEAR
+    if not exchange.body.is_recognizable:
+        return QuarantineStatus.NEEDS_BODY
+    return quarantine.find_status(fingerprint_exchange(exchange), gateway.now())
+
+
+def refuse_quarantined(exchange: Any, may_have_run: bool = False) -> None:
+    """Refuse a request that is quarantined.
+
+    :param exchange: the :class:`~daisylink.request.Exchange` of the request.
+    :param may_have_run: whether an earlier attempt may have run the request.
+    """
+    code = ResultCode.REQUEST_QUARANTINED
+    if may_have_run:
+        exchange.fail(code)
+        return
+    gateway = exchange.gateway
+    fingerprint = fingerprint_exchange(exchange)
+    retry_ms = gateway.quarantine.retry_ms(fingerprint, gateway.now())
+    exchange.send_refusal(make_refusal(code, retry_ms))
+
+
+class EntryCheck:
+    """The check of a request at the node where it enters, before each attempt.
+
+    :param sender: the :class:`~daisylink.request.RequestSender` of the request.
+    """
+
+    def __init__(self, sender: Any):
+        self.sender = sender
+        self.awaits_body = False
+
+    def passes(self) -> bool:
+        """Return whether an attempt may be made now.
+
+        Otherwise the request is refused, or waits for its body.
+        """
+        exchange = self.sender.exchange
+        match check_quarantine(exchange):
+            case QuarantineStatus.QUARANTINED:
+                refuse_quarantined(exchange, may_have_run=self.sender.head_sent)
+                return False
+            case QuarantineStatus.NEEDS_BODY:
+                self.awaits_body = True
+                exchange.send_continue()
+                return False
+        return True
+
+    def end_wait(self) -> bool:
+        """End the wait for the body; return whether the request waited for it."""
+        awaited, self.awaits_body = self.awaits_body, False
+        return awaited
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -31,6 +31,7 @@
     Refusal,
     make_refusal,
 )
+from daisylink.request._quarantine_check import EntryCheck, fingerprint_exchange
 from daisylink.request._response import ResponseHead, is_own_response
 from daisylink.request._response_reader import find_refusal
 from daisylink.request._slot_search import SlotSearch
@@ -57,6 +58,7 @@
         self.search = SlotSearch(may_ask=self._can_be_sent_again)
         self.may_wait = exchange.head.may_wait
         self.slot_wait = SlotWait(self)
+        self.entry_check = EntryCheck(self)
         self.attempt = 0
         self.target = ""
         self.target_record: Any = None
@@ -109,6 +111,8 @@
 
     def _try_pool(self) -> None:
         """Send a request that entered at this node to a server of its pool."""
+        if not self.entry_check.passes():
+            return
         gateway = self.gateway
         event = self._find_obstacle(gateway.now())
         if event is None:
@@ -127,6 +131,13 @@
         else:
             self._connect(record.relay)
 
+    def handle_body_recognizable(self) -> None:
+        """Continue if the request waited until its body tells it from others."""
+        if self.entry_check.end_wait():
+            self._try_pool()
+        elif self.local_run is not None:
+            self.local_run.handle_body_recognizable()
+
     def _find_obstacle(self, now: float) -> DeadlinePassed | PoolFull | None:
         """Return why no server of the pool is tried, None if one may be.
 
@@ -280,6 +291,7 @@
             self.gateway.in_flight_tracker.end(self, self.target)
             self.target = ""
         self.slot_wait.cancel()
+        self.entry_check.end_wait()
         hop, self.hop = self.hop, None
         if hop is not None:
             hop.abort()
@@ -376,7 +388,7 @@
         if self.local_run is not None:
             self.gateway.record_server_outcome(failed=True)
             self.local_run.record_lost()
-            self.gateway.record_server_lost(self.local_run.compute_fingerprint())
+            self.gateway.record_server_lost(fingerprint_exchange(self.exchange))
         elif self.target:
             self.gateway.in_flight_tracker.record_connection_lost(self.target)
         if self.exchange.is_responding:
--- a/src/daisylink/serving/_quarantine.py
+++ b/src/daisylink/serving/_quarantine.py
@@ -7,6 +7,7 @@
 pardon), because another request must have crashed the server.
 """
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -26,12 +27,17 @@
     :param crash: identifies the crash.
     :param pardoned: whether the strike is withdrawn because the request was answered
         later, so that another one caused the crash.
+    :param expires_ms: when it expires, in milliseconds of Unix time, 0 if not stated.
+    :param lifetime_ms: how long it lasted when the record listed it first, in
+        milliseconds, 0 for the whole lifetime.
     """
 
     head: bytes
     whole: bytes
     crash: str
     pardoned: bool = False
+    expires_ms: int = 0
+    lifetime_ms: int = 0
 
 
 class QuarantineSettings(NamedTuple):
@@ -78,13 +84,20 @@
         """Return whether a request with this head digest has a strike."""
         return head in self.heads
 
-    def merge_strikes(self, strikes: tuple[Strike, ...], now: float) -> list[Strike]:
+    def merge_strikes(
+        self,
+        strikes: tuple[Strike, ...],
+        now: float,
+        find_lifetime: Callable[[Strike], float] | None = None,
+    ) -> list[Strike]:
         """Merge strikes and pardons.
 
         A pardon permanently overrides the strike of its crash, even if that strike
         arrives later.
 
         :param now: seconds of the monotonic clock.
+        :param find_lifetime: returns how long a strike lasts from now, in seconds; by
+            default each one lasts for the whole lifetime.
         :returns: those that were new.
         """
         fresh = []
@@ -93,9 +106,10 @@
             held = crashes.get(strike.crash)
             if held is not None and held.pardoned >= strike.pardoned:
                 continue
-            crashes[strike.crash] = KnownStrike(
-                now + self.strike_lifetime, strike.pardoned
-            )
+            lifetime = self.strike_lifetime
+            if find_lifetime is not None:
+                lifetime = min(lifetime, find_lifetime(strike))
+            crashes[strike.crash] = KnownStrike(now + lifetime, strike.pardoned)
             self.heads.setdefault(strike.head, set()).add(strike.whole)
             fresh.append(strike)
         while len(self.strikes) > MAX_FINGERPRINTS:
@@ -110,6 +124,14 @@
             if not held.pardoned
         )
 
+    def find_seconds_left(self, strike: Strike, now: float) -> float:
+        """Return how long a known strike lasts, 0 if it is unknown or pardoned.
+
+        :param now: seconds of the monotonic clock.
+        """
+        held = self.strikes.get(strike.whole, {}).get(strike.crash)
+        return 0.0 if held is None or held.pardoned else max(0.0, held.ends - now)
+
     def find_status(self, fingerprint: Fingerprint, now: float) -> QuarantineStatus:
         """Return whether a request is clear, a suspect or quarantined."""
         crashes = self.strikes.get(fingerprint.whole, {})
--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -56,7 +56,8 @@
 
     :param on_version: called with each version that comes into force.
     :param on_members: called after members have changed.
-    :param on_strikes: called with the strikes that a member reports.
+    :param on_strikes: called with each other node whose record was read and the strikes
+        that the record lists.
     :param on_member_removed: called with each node that is no longer a member.
     :param on_own_departures: called with the key of this node's departures.
     :param on_fleet_size: called with the key of the fleet's size.
@@ -65,7 +66,7 @@
 
     on_version: Callable[[Version], None]
     on_members: Callable[[], None]
-    on_strikes: Callable[[tuple[Strike, ...]], None]
+    on_strikes: Callable[[str, tuple[Strike, ...]], None]
     on_member_removed: Callable[[str], None]
     on_own_departures: Callable[[Item], None]
     on_fleet_size: Callable[[Item], None] = ignore_item
@@ -312,11 +313,11 @@
         if self._is_outdated(record):
             self._handle_outdated_member(record)
             return
-        if record.state is MemberState.LEFT:
-            self.listeners.on_member_removed(node)
         if record.strikes:
             bound_log.bind(strikes=len(record.strikes)).info("strikes received")
-            self.listeners.on_strikes(record.strikes)
+        self.listeners.on_strikes(node, record.strikes)
+        if record.state is MemberState.LEFT:
+            self.listeners.on_member_removed(node)
         if self.members.put(record):
             # In a large fleet most of these lines are left out.
             if line_gate.may_log("INFO"):
--- a/src/daisylink/sidecar/_fleet_sync.py
+++ b/src/daisylink/sidecar/_fleet_sync.py
@@ -63,7 +63,8 @@
 
     :param on_version: called with each version that comes into force.
     :param on_members: called after members have changed.
-    :param on_strikes: called with the strikes that a member reports.
+    :param on_strikes: called with each other node whose record was read and the strikes
+        that the record lists.
     :param on_member_removed: called with each node that is no longer a member.
     :param on_era: called when this node's record has to state another era.
     :param on_due: called when :meth:`FleetSync.tick` may be due.
@@ -73,7 +74,7 @@
 
     on_version: Callable[[Version], None]
     on_members: Callable[[], None]
-    on_strikes: Callable[[tuple[Strike, ...]], None]
+    on_strikes: Callable[[str, tuple[Strike, ...]], None]
     on_member_removed: Callable[[str], None]
     on_era: Callable[[], None]
     on_due: Callable[[], None]
--- a/src/daisylink/sidecar/_sidecar.py
+++ b/src/daisylink/sidecar/_sidecar.py
@@ -19,7 +19,6 @@
     MemberSettings,
     MemberTable,
 )
-from daisylink.request import Fingerprint
 from daisylink.serving import (
     Gateway,
     LoadBalancer,
@@ -30,6 +29,7 @@
     Metrics,
     Quarantine,
     RetryBounds,
+    Strike,
     divide_retry_budget,
 )
 from daisylink.settings import SidecarSettings
@@ -41,17 +41,11 @@
 from daisylink.sidecar._platform_adapter import PlatformAdapter
 from daisylink.sidecar._quota_driver import QuotaDriver, connect_quota
 from daisylink.sidecar._rollout_driver import RolloutDriver
-from daisylink.sidecar._strikes import (
-    SIDECAR_QUARANTINE_SETTINGS,
-    StrikeReporter,
-    StrikeReporterSettings,
-)
+from daisylink.sidecar._strike_driver import StrikeDriver
+from daisylink.sidecar._strikes import SIDECAR_QUARANTINE_SETTINGS
 from daisylink.version import Version
 
 GC_THRESHOLDS = (20_000, 20, 20)
-# When all nodes start at once, each lists the store's keys so long after its start, so
-# that it finds the others and need not watch them come one by one.
-FIRST_LIST_SECONDS = (1.2, 1.8)
 # An announcement may be seconds late; a crash shows by a refused connection.
 ANNOUNCEMENTS_PER_LEASE = 6
 # After two failed readiness checks, a second apart, a node that stops gets no new
@@ -126,13 +120,13 @@
             origin=settings.pool,
         )
         self.gateway.held_limit.set_memory(settings.memory_mb)
-        quarantine = self.gateway.quarantine
-        self.strike_reporter = StrikeReporter(
-            StrikeReporterSettings(), node, quarantine
+        self.strikes = StrikeDriver(
+            self.gateway,
+            self.members,
+            clock,
+            lambda: self.loop.call_soon(self.update_server),
         )
         self.gateway.on_local_server_changed = self.update_server
-        self.gateway.on_server_crashed = self._handle_crash
-        self.gateway.on_suspect_answered = self._handle_suspect_answered
         self.listeners = Listeners(self.loop)
         self.datagrams = Datagrams()
         self.quota: QuotaDriver = connect_quota(self)
@@ -148,7 +142,7 @@
             SyncListeners(
                 self._install,
                 self._handle_members_change,
-                lambda strikes: quarantine.merge_strikes(strikes, self.now()),
+                self._handle_strikes,
                 self._handle_member_removed,
                 self.update_server,
                 self.step,
@@ -279,10 +273,9 @@
         """Update this node's record and admission from the local server's state."""
         now = self.now()
         self.local_server.tick(now)
-        strikes = self.strike_reporter.list_current(now)
         own_record = msgspec.structs.replace(
             self.members.own_record,
-            strikes=strikes,
+            strikes=self.strikes.list_current(),
             era=self.era_tracker.current,
             is_settled=not self.era_recovery.is_recent,
         )
@@ -339,16 +332,11 @@
     def _last_response_at(self, node: str) -> float:
         return self.balancer.last_response_at.get(node, float("-inf"))
 
-    # Crashes, versions and members
+    # Strikes, versions and members
 
-    def _handle_crash(self, lost: tuple[Fingerprint, ...]) -> None:
-        log.bind(in_flight=len(lost)).warning("backend server crashed")
-        self.strike_reporter.record_crash(lost, self.now())
-        self.update_server()
-
-    def _handle_suspect_answered(self, fingerprint: Fingerprint) -> None:
-        self.strike_reporter.record_answered(fingerprint, self.now())
-        self.update_server()
+    def _handle_strikes(self, node: str, strikes: tuple[Strike, ...]) -> None:
+        is_starting = not self.fleet_state.has_listed
+        self.strikes.handle_record(node, strikes, is_starting)
 
     def _install(self, version: Version) -> None:
         self.gateway.version = version
@@ -363,6 +351,7 @@
 
     def _handle_member_removed(self, node: str) -> None:
         self.quota.handle_member_removed(node)
+        self.strikes.handle_member_removed(node)
         self.gateway.in_flight_tracker.forget(node)
 
     def _divide_retry_budget(self) -> None:
--- a/src/daisylink/sidecar/_strikes.py
+++ b/src/daisylink/sidecar/_strikes.py
@@ -1,67 +1,214 @@
-"""Publishing of strikes, which count backend-server crashes against requests."""
+"""Publishing of strikes, which count backend-server crashes against requests.
 
-from collections.abc import Iterable
+The record of the node beside a crashed server lists the strikes for as long as they
+last. When that node leaves or starts again, others that know the strikes list them, so
+that a node that starts learns them with the members' records.
+"""
+
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import NamedTuple
 
+import msgspec
+
+from daisylink.clock import Clock
+from daisylink.logs import get_logger
 from daisylink.request import Fingerprint
 from daisylink.serving import Quarantine, QuarantineSettings, Strike
+from daisylink.serving._records import compute_ring_position
 
 # Suspects run beside other requests: most requests in flight at a crash did not
 # cause it, and a request may crash at most three servers.
 SIDECAR_QUARANTINE_SETTINGS = QuarantineSettings(crash_limit=3, isolates_suspects=False)
 # All slots of a server at two crashes; the oldest strikes are dropped first.
 MAX_REPORTED = 32
+# Nodes that list the strikes of one that is gone: one of them may be gone as well.
+ADOPTERS = 2
+MS_PER_SECOND = 1000
+
+log = get_logger("strikes")
 
 
 class StrikeReporterSettings(NamedTuple):
     """Settings of a :class:`StrikeReporter`.
 
-    :param retention: how long a strike stays in the record, several times what a change
-        of a record takes to reach the fleet.
+    :param pardon_retention: how long a pardon stays in the record, several times what a
+        change of a record takes to reach the fleet. By then no record lists its strike.
+    :param min_lifetime: how long a starting node keeps a strike that it reads, even if
+        the strike has expired by the time of day, which may be wrong.
+    :param min_adoption: a strike that expires sooner is not listed by another node.
+    """
+
+    pardon_retention: timedelta = timedelta(seconds=10)
+    min_lifetime: timedelta = timedelta(seconds=4)
+    min_adoption: timedelta = timedelta(seconds=5)
+
+
+class ReportedStrike(NamedTuple):
+    """A strike or pardon in this node's record.
+
+    :param ends: when the record drops it, in seconds of the monotonic clock.
     """
 
-    retention: timedelta = timedelta(seconds=10)
+    ends: float
+    strike: Strike
+
+
+StrikeKey = tuple[bytes, str]
 
 
 class StrikeReporter:
-    """The strikes in this node's record, and the pardons that withdraw strikes.
+    """The strikes in the members' records, and which of them this node lists.
 
     :param node: name of this node.
     :param quarantine: the strikes known to this node.
+    :param clock: the process's clock; its time of day tells other nodes how long a
+        strike lasts.
+    :param list_members: returns the names of the members.
     """
 
     def __init__(
-        self, settings: StrikeReporterSettings, node: str, quarantine: Quarantine
+        self,
+        settings: StrikeReporterSettings,
+        node: str,
+        quarantine: Quarantine,
+        clock: Clock,
+        list_members: Callable[[], Iterable[str]],
     ):
-        self.retention_seconds = settings.retention.total_seconds()
+        self.settings = settings
         self.node = node
         self.quarantine = quarantine
-        self.reported: dict[tuple[bytes, str], tuple[float, Strike]] = {}
+        self.clock = clock
+        self.list_members = list_members
+        self.reported: dict[StrikeKey, ReportedStrike] = {}
+        # Strikes in the newest record of each other node, if it lists any.
+        self.listed: dict[str, tuple[Strike, ...]] = {}
 
     def record_crash(self, lost: Iterable[Fingerprint], now: float) -> None:
         """Record a strike for each request that was in flight at a crash."""
         crash = f"{self.node}/{now:.3f}"
-        strikes = [Strike(item.head, item.whole, crash) for item in dict.fromkeys(lost)]
-        self._report(strikes, now)
+        lifetime = self.quarantine.strike_lifetime
+        expires_ms = self._unix_ms() + round(lifetime * MS_PER_SECOND)
+        strikes = [
+            Strike(item.head, item.whole, crash, expires_ms=expires_ms)
+            for item in dict.fromkeys(lost)
+        ]
+        for strike in self.quarantine.merge_strikes(tuple(strikes), now):
+            self._report(strike, now + lifetime)
 
     def record_answered(self, fingerprint: Fingerprint, now: float) -> None:
         """Withdraw the strikes of a request that was answered.
 
         Another request crashed the server.
         """
-        self._report(self.quarantine.make_pardons(fingerprint), now)
+        pardons = self.quarantine.make_pardons(fingerprint)
+        ends = now + self.settings.pardon_retention.total_seconds()
+        for pardon in self.quarantine.merge_strikes(pardons, now):
+            self._report(pardon, ends)
+
+    def handle_record(
+        self, node: str, strikes: tuple[Strike, ...], now: float, is_starting: bool
+    ) -> bool:
+        """Handle the strikes that the newest record of another node lists.
+
+        :param is_starting: whether this node reads the records for the first time, so
+            that the strikes may be old.
+        :returns: whether this node's own record has to list more strikes.
+        """
+        former = self.listed.pop(node, ())
+        if strikes:
+            self.listed[node] = strikes
+            find_lifetime = find_new_lifetime
+            if is_starting:
+                find_lifetime = self._find_old_lifetime
+            self.quarantine.merge_strikes(strikes, now, find_lifetime)
+        return self._adopt(former, node, now) if former else False
+
+    def handle_member_removed(self, node: str, now: float) -> bool:
+        """Handle a node that is no longer a member.
+
+        :returns: whether this node's own record has to list more strikes.
+        """
+        return self._adopt(self.listed.pop(node, ()), node, now)
 
     def list_current(self, now: float) -> tuple[Strike, ...]:
         """Return the strikes and pardons that this node's record should contain."""
-        for key in [key for key, (ends, _) in self.reported.items() if ends <= now]:
-            del self.reported[key]
-        return tuple(strike for _, strike in self.reported.values())
-
-    def _report(self, strikes: Iterable[Strike], now: float) -> None:
-        for strike in self.quarantine.merge_strikes(tuple(strikes), now):
-            key = (strike.whole, strike.crash)
-            self.reported.pop(key, None)
-            self.reported[key] = (now + self.retention_seconds, strike)
+        for key, (ends, strike) in list(self.reported.items()):
+            is_withdrawn = not (
+                strike.pardoned or self.quarantine.find_seconds_left(strike, now)
+            )
+            if ends <= now or is_withdrawn:
+                del self.reported[key]
+        return tuple(reported.strike for reported in self.reported.values())
+
+    def _report(self, strike: Strike, ends: float) -> None:
+        key = (strike.whole, strike.crash)
+        self.reported.pop(key, None)
+        self.reported[key] = ReportedStrike(ends, strike)
         while len(self.reported) > MAX_REPORTED:
             del self.reported[next(iter(self.reported))]
+
+    def _adopt(self, strikes: tuple[Strike, ...], gone: str, now: float) -> bool:
+        """List strikes that no record lists any more, if it is this node's turn.
+
+        :param gone: the node whose record listed them.
+        :returns: whether any were added.
+        """
+        listed = {
+            (strike.whole, strike.crash)
+            for others in self.listed.values()
+            for strike in others
+        }
+        added = 0
+        for strike in strikes:
+            key = (strike.whole, strike.crash)
+            if key in self.reported or key in listed or not self._lasts(strike, now):
+                continue
+            if self._is_adopter(strike, gone):
+                seconds_left = self.quarantine.find_seconds_left(strike, now)
+                lifetime_ms = round(seconds_left * MS_PER_SECOND)
+                adopted = msgspec.structs.replace(strike, lifetime_ms=lifetime_ms)
+                self._report(adopted, now + seconds_left)
+                added += 1
+        if added:
+            log.bind(node=gone, strikes=added).info("strikes of another node listed")
+        return added > 0
+
+    def _lasts(self, strike: Strike, now: float) -> bool:
+        """Return whether a strike counts long enough to be listed by another node."""
+        seconds_left = min(
+            self.quarantine.find_seconds_left(strike, now),
+            self._find_seconds_left(strike),
+        )
+        return seconds_left >= self.settings.min_adoption.total_seconds()
+
+    def _is_adopter(self, strike: Strike, gone: str) -> bool:
+        """Return whether this node is one of those that list a strike from now on."""
+        position = compute_ring_position(f"{strike.crash}/{self.node}")
+        ahead = sum(
+            compute_ring_position(f"{strike.crash}/{node}") < position
+            for node in self.list_members()
+            if node != gone
+        )
+        return ahead < ADOPTERS
+
+    def _find_old_lifetime(self, strike: Strike) -> float:
+        """Return how long a strike lasts that may be old, in seconds."""
+        min_seconds = self.settings.min_lifetime.total_seconds()
+        return max(min_seconds, self._find_seconds_left(strike))
+
+    def _find_seconds_left(self, strike: Strike) -> float:
+        """Return the time until a strike expires by the time of day, in seconds."""
+        if not strike.expires_ms:
+            return float("inf")
+        return (strike.expires_ms - self._unix_ms()) / MS_PER_SECOND
+
+    def _unix_ms(self) -> int:
+        return round(self.clock.now().timestamp() * MS_PER_SECOND)
+
+
+def find_new_lifetime(strike: Strike) -> float:
+    """Return how long a strike lasts that a record has just listed, in seconds."""
+    if not strike.lifetime_ms:
+        return float("inf")
+    return strike.lifetime_ms / MS_PER_SECOND
--- a/tests/test_strikes.py
+++ b/tests/test_strikes.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from daisylink.clock import ManualClock
 from daisylink.errors import ResultCode
 from daisylink.request import Fingerprint, QuarantineStatus
 from daisylink.serving import Quarantine
@@ -16,19 +17,21 @@
 
 CULPRIT = Fingerprint(b"h", b"culprit")
 INNOCENT = Fingerprint(b"h", b"innocent")
-RETENTION_SECONDS = StrikeReporterSettings().retention.total_seconds()
+LIFETIME_SECONDS = SIDECAR_QUARANTINE_SETTINGS.strike_lifetime.total_seconds()
 PROPAGATION_SECONDS = 2.0
 
 
 class StrikeReporterTests(unittest.TestCase):
     def setUp(self):
         self.quarantine = Quarantine(SIDECAR_QUARANTINE_SETTINGS)
-        self.reporter = StrikeReporter(StrikeReporterSettings(), "n", self.quarantine)
+        self.reporter = StrikeReporter(
+            StrikeReporterSettings(), "n", self.quarantine, ManualClock(), lambda: ["n"]
+        )
 
     def test_a_crash_is_reported_for_a_limited_time(self):
         self.reporter.record_crash([CULPRIT, CULPRIT, INNOCENT], 1.0)
         self.assertEqual(len(self.reporter.list_current(2.0)), 2)
-        self.assertEqual(self.reporter.list_current(1.0 + RETENTION_SECONDS), ())
+        self.assertEqual(self.reporter.list_current(1.0 + LIFETIME_SECONDS), ())
 
     def test_strikes_of_an_answered_request_are_withdrawn_everywhere(self):
         self.reporter.record_crash([CULPRIT, INNOCENT], 1.0)
