max_body_bytes counts to the byte

Ruled out: framing, as a length and chunks give the same; 99,328 bytes pass.

Change: CallerLimits has body_bytes, which applies beside the limit of the route; the platform's adapter rounds the latter up.

--- a/src/daisylink/platform/_configuration.py
+++ b/src/daisylink/platform/_configuration.py
@@ -1,6 +1,7 @@
 """The operator's configuration in the format of the store."""
 
 import hashlib
+import math
 from collections.abc import Iterable
 from datetime import UTC, datetime
 
@@ -231,7 +232,7 @@
         idempotent=route.kind == IDEMPOTENT,
         priority=rank_priority(route.priority),
         deadline_ms=_parse_milliseconds(route.timeout),
-        body_limit_kb=limits.max_body_bytes // KILOBYTE,
+        body_limit_kb=math.ceil(limits.max_body_bytes / KILOBYTE),
         split=shares,
         max_attempts=route.max_attempts,
         slo_ms=_parse_milliseconds(route.slo),
@@ -248,6 +249,7 @@
         limits.max_header_bytes,
         parse_duration(limits.header_timeout).total_seconds(),
         parse_duration(limits.idle_timeout).total_seconds(),
+        limits.max_body_bytes,
     )
 
 
--- a/src/daisylink/request/_plan.py
+++ b/src/daisylink/request/_plan.py
@@ -107,7 +107,7 @@
     route = entry.route
     if route.methods and head.method.decode("latin-1") not in route.methods:
         return make_refusal(ResultCode.REQUEST_METHOD)
-    body_limit = route.body_limit_kb * KILOBYTE
+    body_limit = min(route.body_limit_kb * KILOBYTE, version.limits.body_bytes)
     if head.length is not None and head.length > body_limit:
         return make_refusal(ResultCode.REQUEST_BODY_TOO_LARGE)
     deadline_ms = entry.deadline_ms
--- a/src/daisylink/version/_rows.py
+++ b/src/daisylink/version/_rows.py
@@ -53,11 +53,13 @@
     :param header_bytes: maximum size of a request's head.
     :param header_seconds: maximum time between the first and last byte of a head.
     :param idle_seconds: timeout of a connection that is idle between requests.
+    :param body_bytes: maximum size of a request's body, beside its route's limit.
     """
 
     header_bytes: int = 16 * 1024
     header_seconds: float = 10.0
     idle_seconds: float = 75.0
+    body_bytes: int = 1024 * 1024 * 1024
 
 
 class Route(NamedTuple):
