Heads that another node has checked may be longer

Cause: a node applied the callers' limits to heads that another node had taken and added its own headers to, and measured them by its own version (DENIED: 431 within some 60 bytes of max_header_bytes, or with 97 headers and more). By the same count, a head that came in two reads was measured with its separators and line ends, one in one read without. Ruled out: a different sum at the two nodes; both use the same.

Change: find_head_limits gives heads from nodes 256 KiB and 32 headers more, and incomplete heads 1 KiB for framing.

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -11,13 +11,17 @@
 import httptools
 
 from daisylink.connection._caller_timeouts import WriteProgress, enforce_timeouts
-from daisylink.connection._held_bytes import REQUEST_BYTES, HeldBytes
+from daisylink.connection._head_limits import (
+    MAX_STORED_HEADERS,
+    find_head_limits,
+    measure_head,
+)
+from daisylink.connection._held_bytes import REQUEST_BYTES, HeldBytes, sum_held_bytes
 from daisylink.connection._shared_reads import SharedReadProtocol
 from daisylink.errors import RequestError, ResultCode
 from daisylink.logs import get_logger
 from daisylink.request import Exchange, encode_refusal, make_refusal, parse_head
 
-MAX_HEADERS = 100
 # Requests that are read behind the first one of a connection, and their body bytes.
 MAX_PIPELINED = 64
 MAX_PIPELINED_BYTES = 256 * 1024
@@ -141,7 +145,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are dropped."""
-        if self.is_reading_head and len(self.headers) <= MAX_HEADERS:
+        if self.is_reading_head and len(self.headers) <= MAX_STORED_HEADERS:
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -255,15 +259,8 @@
 
     def count_held_bytes(self) -> HeldBytes:
         """Return the bytes that wait for the caller or for its requests' next hops."""
-        exchanges = self.open_requests
-        return HeldBytes(
-            sum(len(exchange.pending_output) for exchange in exchanges),
-            self.transport.get_write_buffer_size(),
-            sum(len(exchange.body.kept) for exchange in exchanges),
-            sum(exchange.count_unsent_bytes() for exchange in exchanges),
-            self.unparsed_bytes
-            + sum(exchange.head_bytes + REQUEST_BYTES for exchange in exchanges),
-        )
+        written_bytes = self.transport.get_write_buffer_size()
+        return sum_held_bytes(self.open_requests, written_bytes, self.unparsed_bytes)
 
     def end_largest_request(self) -> None:
         """End the request that holds most bytes, or the connection if it does."""
@@ -367,13 +364,9 @@
 
     def _check_head_size(self) -> int:
         """Refuse a complete head that is too large; return its size in bytes."""
-        size = len(self.url)
-        for name, value in self.headers:
-            size += len(name) + len(value)
-        if (
-            size > self.gateway.caller_limits.header_bytes
-            or len(self.headers) > MAX_HEADERS
-        ):
+        size = measure_head(self.url, self.headers)
+        limits = find_head_limits(self.gateway, self.is_relay)
+        if size > limits.max_bytes or len(self.headers) > limits.max_headers:
             self._set_parse_error("head too large", ResultCode.REQUEST_HEAD_TOO_LARGE)
         return size
 
@@ -393,7 +386,8 @@
             self.unparsed_bytes = 0
             return
         self.unparsed_bytes += size
-        if self.unparsed_bytes > self.gateway.caller_limits.header_bytes:
+        limits = find_head_limits(self.gateway, self.is_relay)
+        if self.unparsed_bytes > limits.max_partial_bytes:
             self._set_parse_error("head too large", ResultCode.REQUEST_HEAD_TOO_LARGE)
 
     def _close_unread(self) -> None:
--- /dev/null
+++ b/src/daisylink/connection/_head_limits.py
@@ -0,0 +1,52 @@
+"""Limits on the heads of requests."""
+
+from typing import Any, NamedTuple
+
+# Headers of a request from a caller.
+MAX_HEADERS = 100
+# What another node may have added to a head, which it has checked itself, perhaps by a
+# version with higher limits.
+RELAY_EXTRA_BYTES = 256 * 1024
+RELAY_EXTRA_HEADERS = 32
+MAX_STORED_HEADERS = MAX_HEADERS + RELAY_EXTRA_HEADERS
+# Separators and line ends, which are no part of a head's size, until it is complete.
+FRAMING_BYTES = 1024
+
+
+class HeadLimits(NamedTuple):
+    """Limits on one head.
+
+    :param max_bytes: of its target and headers.
+    :param max_headers: number of headers.
+    """
+
+    max_bytes: int
+    max_headers: int
+
+    @property
+    def max_partial_bytes(self) -> int:
+        """Return how many bytes of an incomplete head may have been received."""
+        return self.max_bytes + FRAMING_BYTES
+
+
+def find_head_limits(gateway: Any, is_relay: bool) -> HeadLimits:
+    """Return the limits on the heads of a connection.
+
+    :param gateway: the process's :class:`~daisylink.serving.Gateway`.
+    :param is_relay: whether the peer is another node.
+    """
+    max_bytes = gateway.caller_limits.header_bytes
+    if is_relay:
+        return HeadLimits(
+            max_bytes + RELAY_EXTRA_BYTES, MAX_HEADERS + RELAY_EXTRA_HEADERS
+        )
+    return HeadLimits(max_bytes, MAX_HEADERS)
+
+
+def measure_head(target: bytes, headers: list[tuple[bytes, bytes]]) -> int:
+    """Return the size of a complete head in bytes, without separators.
+
+    :param target: path and query as received.
+    :param headers: pairs of name and value.
+    """
+    return len(target) + sum(len(name) + len(value) for name, value in headers)
--- a/src/daisylink/connection/_held_bytes.py
+++ b/src/daisylink/connection/_held_bytes.py
@@ -40,6 +40,25 @@
         return sum(self)
 
 
+def sum_held_bytes(
+    exchanges: list[Any], written_bytes: int, unparsed_bytes: int
+) -> HeldBytes:
+    """Return the bytes held for one connection.
+
+    :param exchanges: its requests, each a :class:`~daisylink.request.Exchange`.
+    :param written_bytes: bytes in its write buffer.
+    :param unparsed_bytes: bytes of a head that is incomplete.
+    """
+    head_bytes = sum(exchange.head_bytes + REQUEST_BYTES for exchange in exchanges)
+    return HeldBytes(
+        sum(len(exchange.pending_output) for exchange in exchanges),
+        written_bytes,
+        sum(len(exchange.body.kept) for exchange in exchanges),
+        sum(exchange.count_unsent_bytes() for exchange in exchanges),
+        unparsed_bytes + head_bytes,
+    )
+
+
 def count_held_bytes(callers: Iterable[Any]) -> HeldBytes:
     """Return the bytes held for all connections.
 
--- a/tests/test_unreadable_requests.py
+++ b/tests/test_unreadable_requests.py
@@ -189,3 +189,34 @@
             with self.subTest(size=size):
                 if b"HTTP/1.1 431" not in caller.received:
                     self.assertNotIn(b"HTTP/1.1 431", relay.received)
+
+    def test_headers_that_nodes_add_do_not_count(self):
+        """A request with as many headers as allowed was refused by the next node."""
+        extra = "X-Many: 1\r\n" * 97
+        caller = self.node.connect()
+        caller.send(make_request("r1", extra=extra))
+        relay = PeerEnd(self.node.loop, self.node.gateway.create_relay_connection())
+        hop = "daisylink-hop: one 800 i urgent - - 0 0 -\r\n"
+        load = "daisylink-wait: no\r\n"
+        relay.send(make_request("r2", extra=extra + hop + load))
+        self.settle()
+        self.assertNotIn(b"HTTP/1.1 431", caller.received)
+        self.assertNotIn(b"HTTP/1.1 431", relay.received)
+
+
+class DividedHeadTests(SimulatedTestCase):
+    def test_a_head_at_the_limit_may_come_in_two_reads(self):
+        """Its separators and line ends counted only if it was divided."""
+        lines = [f"x-{number}: {'y' * 160}" for number in range(95)]
+        extra = "\r\n".join(lines) + "\r\n"
+        names = sum(len(line) - 2 for line in lines)
+        extra += f"x-last: {'z' * (16_384 - names - 120)}\r\n"
+        data = make_request("r1", extra=extra)
+        self.assertGreater(len(data), 16_384)
+        for reads in ([data], [data[:-1], data[-1:]]):
+            caller = self.node.connect()
+            for read in reads:
+                caller.send(read)
+                self.settle()
+            with self.subTest(reads=len(reads)):
+                self.assertNotIn(b"HTTP/1.1 431", caller.received)
