The limit drill counts a leave from when a machine was told of it

Cause: the drill kept one time for "was told" for limits and leaves, and all arrivals of a server, those during an earlier limit too. A server that names a limit and says later that it leaves is reported as reached past the bound by the requests that came while it named the limit, 2 s and more after the first one.

Evidence: with the drill before, a machine that was told of a limit 5 s ago, and of no leave, counts as late (trial: 1, should be 0). The hypothesis that a node forgets the word was looked for in PeerNotices: it keeps a leave until the server's next start.

Change: a time for each header; an arrival has an age for each. What is counted after a leave is as strict as before.

--- a/bench/limit_drill.py
+++ b/bench/limit_drill.py
@@ -14,6 +14,7 @@
 import os
 import tempfile
 from collections import Counter
+from typing import NamedTuple
 
 from bench.leave_drill import Drill, Slot, keep_folder
 from daisylink.standin import CallerClient
@@ -34,6 +35,22 @@
 BOUND_FACTOR = 1.5
 BOUND_SLACK = 5
 DRAIN_SECONDS = 2.0
+LIMIT_HEADER = "server-limit"
+LEAVING_HEADER = "server-leaving"
+
+
+class Arrival(NamedTuple):
+    """A request that reached a server.
+
+    :param at: when it did, in seconds of the drill's clock.
+    :param limit_age: seconds since its entry machine was told the server's limit, -1
+        if it was not, or was killed since.
+    :param leaving_age: the same for the server's leaving.
+    """
+
+    at: float
+    limit_age: float
+    leaving_age: float
 
 
 class NamingServer(ServerStandIn):
@@ -52,8 +69,7 @@
     async def handle_request(self, writer, method, target, headers, body):
         if headers.get("x-daisylink-target-instance") == self.instance:
             entry = int(headers["x-daisylink-request-id"].partition("-")[0])
-            age = self.drill.get_told_age(instance=self.instance, entry=entry)
-            self.arrivals.append((self.drill.now(), age))
+            self.arrivals.append(self.drill.make_arrival(self.instance, entry))
         await super().handle_request(writer, method, target, headers, body)
 
 
@@ -122,21 +138,27 @@
         self.killed_at = {}
 
     def forget(self, server):
-        for key in [key for key in self.told_at if key[0] == server.instance]:
+        for key in [key for key in self.told_at if key[1] == server.instance]:
             del self.told_at[key]
 
-    def get_told_age(self, instance, entry):
+    def make_arrival(self, instance, entry):
+        """Return the arrival of a request at a server now."""
+        limit_age = self.get_told_age(LIMIT_HEADER, instance, entry)
+        leaving_age = self.get_told_age(LEAVING_HEADER, instance, entry)
+        return Arrival(self.now(), limit_age, leaving_age)
+
+    def get_told_age(self, header, instance, entry):
         """Return how long ago a machine was told, -1 if it was not, or killed since."""
-        told_at = self.told_at.get((instance, entry))
+        told_at = self.told_at.get((header, instance, entry))
         if told_at is None or self.killed_at.get(entry, 0.0) >= told_at:
             return -1.0
         return self.now() - told_at
 
     def max_in_window(self, server, since):
         times = [
-            time
-            for time, age in server.arrivals
-            if time >= since and age > TOLD_SECONDS
+            arrival.at
+            for arrival in server.arrivals
+            if arrival.at >= since and arrival.limit_age > TOLD_SECONDS
         ]
         return max(
             (
@@ -147,7 +169,7 @@
         )
 
     def count_after_leaving(self, server):
-        return sum(age > DRAIN_SECONDS for _, age in server.arrivals)
+        return sum(arrival.leaving_age > DRAIN_SECONDS for arrival in server.arrivals)
 
     async def make_servers_leave(self, end):
         """Let a few servers at a time name a limit or leave."""
@@ -180,11 +202,10 @@
         finally:
             caller.close()
         self.outcomes[response.status] += 1
-        is_told = {"server-limit", "server-leaving"} & set(response.headers)
-        if is_told and "x-instance" in response.headers:
-            instance = response.headers["x-instance"]
-            if self.get_told_age(instance, entry) < 0:
-                self.told_at[instance, entry] = self.now()
+        instance = response.headers.get("x-instance")
+        for header in {LIMIT_HEADER, LEAVING_HEADER} & set(response.headers):
+            if instance and self.get_told_age(header, instance, entry) < 0:
+                self.told_at[header, instance, entry] = self.now()
 
 
 async def play(seed, seconds, sources, logs):
