--- a/tests/connection_machine.py
+++ b/tests/connection_machine.py
@@ -48,7 +48,10 @@
 }
 CALLER_ACTS = ("stop reading", "stop reading", "read on", "leave", *GARBAGE)
 SERVER_ACTS = ("stop reading", "read on", "close", "reset", *NO_ANSWERS)
-PROCESS_ACTS = (0.02, 0.02, 0.1, 0.3, 0.3, 1.0, "freeze", "stop")
+PROCESS_ACTS = (0.02, 0.02, 0.1, 0.3, 0.3, 1.0, "freeze", "reload", "stop")
+FIRST_VERSION = 12
+# Of successive versions, by turns.
+PRIORITIES = (2, 0)
 BODY_SIZES = (0, 1, 3000, 20_000, 70_000)
 READ_SIZES = (1, 30, 110, 4000, 20_050, 64_000, 300_000)
 
@@ -61,6 +64,7 @@
         configure_logging("CRITICAL")
         self.node = SimulatedNode(runs_once_prefix="/y/")
         self.node.gateway.held_limit.set_memory(MEMORY_MB)
+        self.version = FIRST_VERSION
         self.callers = []
         self.servers = []
         self.count = 0
@@ -199,6 +203,8 @@
                 # A request that ended meanwhile has its time after the pause.
                 self.node.loop.seconds += 3.0
                 self.node.advance(SLACK_SECONDS)
+            case "reload":
+                self.reload()
             case "stop":
                 self.node.gateway.begin_stop()
             case float():
@@ -268,6 +274,13 @@
 
     # Helpers
 
+    def reload(self):
+        """Put the next version into force, with requests in progress."""
+        self.version += 1
+        priority = PRIORITIES[self.version % len(PRIORITIES)]
+        self.node.install(self.version, priority=priority)
+        self.node.advance(0.01)
+
     def add_request(self, caller, runs_once=False, size=0, is_chunked=False):
         self.count += 1
         name = f"r{self.count}."
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -265,21 +265,28 @@
         announcement = Announcement(SERVER_ADDRESS, POOL, slots, instance="i-1", born=1)
         local_server.handle_announcement(announcement, self.loop.time())
         members.set_own_record(local_server.update_record(own_record, 0.0))
-        decoder = platform.ConfigurationDecoder()
+        self.decoder = platform.ConfigurationDecoder()
+        self.slots = slots
+        self.runs_once_prefix = runs_once_prefix
+        self.install(**route)
+        self.loop.settle()
+
+    def install(self, number=12, **route):
+        """Put a version into force, as when the operator changes the configuration."""
         configuration = msgspec.json.decode(make_configuration(**route))
+        configuration["version"] = f"r{number}"
         for resource in configuration["resources"]:
             if resource["resource_type"] == "services":
-                resource["spec"]["max_conns"] = max(slots, MAX_CONNECTIONS)
-        if runs_once_prefix:
+                resource["spec"]["max_conns"] = max(self.slots, MAX_CONNECTIONS)
+        if self.runs_once_prefix:
             first = configuration["resources"][0]
-            kind = {"prefix": runs_once_prefix, "kind": "non_idempotent"}
+            kind = {"prefix": self.runs_once_prefix, "kind": "non_idempotent"}
             other = {**first, "metadata": {"name": "once"}}
             other["spec"] = {**first["spec"], **kind}
             configuration["resources"].append(other)
-        version = decoder.decode(msgspec.json.encode(configuration))
+        version = self.decoder.decode(msgspec.json.encode(configuration))
         self.gateway.version = version
         self.gateway.update_admission()
-        self.loop.settle()
 
     def _accept(self, end):
         if not self.server_reads:
