Benchmarks of the request path share one node on fake transports

Cause: bench.hotpath, bench.keys and bench.refusal_cost set up the same fleet of one node, line by line.

--- a/bench/hotpath.py
+++ b/bench/hotpath.py
@@ -5,23 +5,16 @@
 Usage: python -m bench.hotpath [calls] [--profile]
 """
 
-import asyncio
 import cProfile
 import os
 import pstats
-import random
 import sys
 import time
 
-from daisylink.clock import SystemClock
-from daisylink.commands import Operations
-from daisylink.connection import HopConnection
+from bench.single_node import start_single_node
 from daisylink.logs import configure_json_logging
 from daisylink.loop import LoopRunner
-from daisylink.process import ControlClient
-from daisylink.standin import LocalFleet, Placement
-from daisylink.store import ConsulStore
-from tests.support import HOST, make_content
+from tests.support import HOST
 
 BATCHES = 20
 BODY = b"x" * 100
@@ -32,53 +25,12 @@
 RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 2\r\n\r\nok"
 
 
-class FakeTransport:
-    """Transport that counts the bytes written and discards them."""
-
-    def __init__(self):
-        self.written = 0
-
-    def write(self, data):
-        self.written += len(data)
-
-    def is_closing(self):
-        return False
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def get_extra_info(self, name):
-        return None
-
-    def set_write_buffer_limits(self, high):
-        pass
-
-    def pause_reading(self):
-        pass
-
-    def resume_reading(self):
-        pass
-
-    def close(self):
-        pass
-
-    abort = close
+async def run(application, calls, profile):
+    async with start_single_node(application) as node:
+        measure(node.connect_caller(), node.hop, calls, profile)
 
 
-async def run(application, calls, profile):
-    fleet = LocalFleet(application, 1)
-    await fleet.start([Placement("z", "a")])
-    store = ConsulStore(fleet.platform.address)
-    client = ControlClient(lambda *_: None)
-    operations = Operations(store, client, SystemClock(), random.Random(1))
-    await operations.accept(make_content("a"), "")
-    await fleet.wait_for_servers()
-    gateway = fleet.nodes[0].gateway
-    hop = HopConnection(gateway.hop_pool, gateway.server_address)
-    hop.connection_made(FakeTransport())
-    gateway.hop_pool.release(hop)
-    caller = gateway.create_caller_connection()
-    caller.connection_made(FakeTransport())
+def measure(caller, hop, calls, profile):
     for _ in range(1000):
         caller.data_received(REQUEST)
         hop.data_received(RESPONSE)
@@ -96,10 +48,6 @@
     print(f"{min(batches) * 1e6:.1f} us a call, fastest of {BATCHES} batches")
     if profile:
         pstats.Stats(profiler).sort_stats("tottime").print_stats(35)
-    await fleet.close()
-    await store.close()
-    await client.close()
-    await asyncio.sleep(0)
 
 
 def main():
--- a/bench/keys.py
+++ b/bench/keys.py
@@ -7,7 +7,6 @@
 Usage: python -m bench.keys [calls]
 """
 
-import asyncio
 import os
 import random
 import statistics
@@ -15,18 +14,13 @@
 import time
 import tracemalloc
 
-from bench.hotpath import BODY, RESPONSE, FakeTransport
-from daisylink.clock import SystemClock
-from daisylink.commands import Operations
-from daisylink.connection import HopConnection
+from bench.hotpath import BODY, RESPONSE
+from bench.single_node import start_single_node
 from daisylink.logs import configure_json_logging
 from daisylink.loop import LoopRunner
-from daisylink.process import ControlClient
 from daisylink.request import _exchange
-from daisylink.standin import LocalFleet, Placement
-from daisylink.store import ConsulStore
 from daisylink.version import NO_TENANTS, Tenant, TenantTable
-from tests.support import HOST, make_content
+from tests.support import HOST
 
 TENANTS = 82
 KEYS = 10_000
@@ -93,21 +87,14 @@
 async def run(application, calls):
     keys = make_keys()
     table = measure_table(keys)
-    fleet = LocalFleet(application, 1)
-    await fleet.start([Placement("z", "a")])
-    store = ConsulStore(fleet.platform.address)
-    client = ControlClient(lambda *_: None)
-    operations = Operations(store, client, SystemClock(), random.Random(SEED))
-    await operations.accept(make_content("a"), "")
-    await fleet.wait_for_servers()
-    gateway = fleet.nodes[0].gateway
-    hop = HopConnection(gateway.hop_pool, gateway.server_address)
-    hop.connection_made(FakeTransport())
-    gateway.hop_pool.release(hop)
-    caller = gateway.create_caller_connection()
-    caller.connection_made(FakeTransport())
+    async with start_single_node(application, SEED) as node:
+        measure_calls(node, keys, table, calls)
+
+
+def measure_calls(node, keys, table, calls):
+    caller, hop = node.connect_caller(), node.hop
     requests = [make_request(key) for key in keys[:BATCH_CALLS]]
-    variants = Variants(gateway, table)
+    variants = Variants(node.gateway, table)
     rounds = max(1, calls // BATCH_CALLS)
     seconds = {name: [] for name in variants.tables}
     for number in range(rounds + 2):
@@ -130,10 +117,6 @@
         ratio = statistics.median(mine / other for mine, other in pairs)
         verdict = "held" if ratio <= bound else "MISSED"
         print(f"{name}: ratio {ratio:.3f}, bound {bound:.2f} {verdict}")
-    await fleet.close()
-    await store.close()
-    await client.close()
-    await asyncio.sleep(0)
 
 
 def main():
--- a/bench/refusal_cost.py
+++ b/bench/refusal_cost.py
@@ -6,30 +6,23 @@
 Usage: python -m bench.refusal_cost [requests] [--profile NAME]
 """
 
-import asyncio
 import cProfile
 import os
 import pstats
-import random
 import sys
 import time
 
-from bench.hotpath import RESPONSE, FakeTransport
-from daisylink.clock import SystemClock
-from daisylink.commands import Operations
-from daisylink.connection import HopConnection
+from bench.hotpath import RESPONSE
+from bench.single_node import start_single_node
 from daisylink.errors import ResultCode
 from daisylink.logs import configure_json_logging
 from daisylink.loop import LoopRunner
-from daisylink.process import ControlClient
 from daisylink.request import RequestPlan
 from daisylink.serving import _placer, _pool_answers
 from daisylink.serving._admission import AdmissionLimits
 from daisylink.serving._waiting_queue import QueuedRequest
-from daisylink.standin import LocalFleet, Placement
-from daisylink.store import ConsulStore
 from daisylink.version import Priority
-from tests.support import HOST, make_content
+from tests.support import HOST
 
 BATCHES = 20
 QUEUED = 256
@@ -87,21 +80,13 @@
 
 
 async def run(application, requests, profiled):
-    fleet = LocalFleet(application, 1)
-    await fleet.start([Placement("z", "a")])
-    store = ConsulStore(fleet.platform.address)
-    client = ControlClient(lambda *_: None)
-    operations = Operations(store, client, SystemClock(), random.Random(1))
-    await operations.accept(make_content("a"), "")
-    await fleet.wait_for_servers()
-    gateway = fleet.nodes[0].gateway
-    hop = HopConnection(gateway.hop_pool, gateway.server_address)
-    hop.connection_made(FakeTransport())
-    gateway.hop_pool.release(hop)
-    caller = gateway.create_caller_connection()
-    relay = gateway.create_relay_connection()
-    for connection in (caller, relay):
-        connection.connection_made(FakeTransport())
+    async with start_single_node(application) as node:
+        compare(node, requests, profiled)
+
+
+def compare(node, requests, profiled):
+    gateway, hop = node.gateway, node.hop
+    caller, relay = node.connect_caller(), node.connect_relay()
 
     def serve():
         caller.data_received(ENTERING)
@@ -126,10 +111,6 @@
     for name, cost in costs.items():
         print(f"| {name} | {cost:.1f} | {cost / costs['served']:.2f} |")
     print("refused at once:", gateway.placer.refused_at_once)
-    await fleet.close()
-    await store.close()
-    await client.close()
-    await asyncio.sleep(0)
 
 
 def main():
