--- a/bench/pace_start.py
+++ b/bench/pace_start.py
@@ -257,7 +257,7 @@
             slowness = node.admission.slowness.average(began_at, now)
             ratio = (now - began_at) / usual / slowness
             concurrency.record(
-                ServerOutcome.ANSWERED, node.admission.in_use, now, ratio
+                ServerOutcome.ANSWERED, node.admission.in_use, now, ratio=ratio
             )
         else:
             concurrency.record(ServerOutcome.ANSWERED, node.admission.in_use, now)
