--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -82,3 +82,30 @@
             caller.close()
 
         self.run_machines(scenario)
+
+
+class CrossingRequestTests(SidecarTestCase):
+    def test_a_request_that_crosses_the_close_cuts_no_response(self):
+        """The kernel resets a connection that is closed with unread bytes."""
+
+        async def scenario(_store, machine):
+            machine.server.service_seconds = 0.3
+            machine.server.make_raw_response = lambda name: make_response(name, BODY)
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(caller, tuple(machine.addresses[0]))
+            await loop.sock_sendall(caller, make_request("r1"))
+            await self.wait_for(lambda: machine.server.runs)
+            stop = asyncio.ensure_future(machine.sidecar.stop())
+            await self.wait_for(lambda: not machine.sidecar.gateway.callers)
+            await loop.sock_sendall(caller, make_request("r2"))
+            response = b""
+            while piece := await loop.sock_recv(caller, SOCKET_BYTES):
+                response += piece
+            caller.close()
+            await stop
+            self.assertTrue(response.endswith(BODY))
+
+        self.run_machines(scenario)
