A close loses nothing that its caller has not received

Cause: a connection was closed while bytes of its caller were unread, such as a request that crosses the close; the kernel resets it then and drops what it had taken of the response. Callers that read slowly saw a cut response (LOST), at a planned stop and wherever a response closes its connection. A stop did not wait for what the kernel had not sent.

Ruled out: the process's own buffers (empty when the response was cut); shown with two sockets: 12,288 of 300,000 bytes arrive if 3,000 bytes are unread at the close.

Change: CallerConnection.close() ends the sending side, discards what still comes, 64 KiB at most, and closes when the caller does, or 2 s after it has acknowledged everything (connection/_lingering_close.py). Requests behind the closing response are cancelled at once. A stop waits for bytes that the kernel has not sent. PartialHead moves to the module of the head limits.

test_requests_in_front_of_an_unreadable_one_are_answered asserts that the sending side is ended, which is how a close begins now; PeerEnd closes when the process has ended its side, as callers do.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -586,11 +586,18 @@
     ),
     Mutant(
         "a body in front of a head counts as its bytes",
-        "connection/_caller.py",
-        "        if self.has_parsed:\n",
-        "        if self.has_parsed and not self.is_reading_head:\n",
+        "connection/_head_limits.py",
+        "        self.size = 0 if self.has_parsed else self.size + size\n",
+        "        self.size += size\n",
         "tests.test_unreadable_requests",
     ),
+    Mutant(
+        "a connection is closed with unread bytes",
+        "connection/_caller.py",
+        "        self.lingering = LingeringClose(self.transport, self.gateway.now())\n",
+        "        self.transport.close()\n",
+        "tests.test_planned_stop",
+    ),
     Mutant(
         "a request in front of unreadable bytes is not started",
         "connection/_caller.py",
--- a/bench/single_node.py
+++ b/bench/single_node.py
@@ -44,7 +44,7 @@
     def close(self):
         pass
 
-    abort = close
+    abort = write_eof = close
 
 
 class SingleNode(NamedTuple):
--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -13,10 +13,12 @@
 from daisylink.connection._caller_timeouts import WriteProgress, enforce_timeouts
 from daisylink.connection._head_limits import (
     MAX_STORED_HEADERS,
+    PartialHead,
     find_head_limits,
     measure_head,
 )
 from daisylink.connection._held_bytes import REQUEST_BYTES, HeldBytes, sum_held_bytes
+from daisylink.connection._lingering_close import LingeringClose, count_unsent_bytes
 from daisylink.connection._shared_reads import SharedReadProtocol
 from daisylink.errors import RequestError, ResultCode
 from daisylink.logs import get_logger
@@ -54,9 +56,7 @@
         self.needs_start = False
         self.requests_in_read = 0
         self.is_reading_head = False
-        # Bytes since the last one of a complete head or of a body.
-        self.unparsed_bytes = 0
-        self.has_parsed = False
+        self.partial_head = PartialHead()
         self.head_started_at = 0.0
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
@@ -66,6 +66,7 @@
         # The response to a request that cannot be read, when its turn comes.
         self.rest_refusal = b""
         self.is_closing = False
+        self.lingering: LingeringClose | None = None
         self.is_paused = False
         self.is_write_paused = False
         self.write_progress = WriteProgress(gateway.now())
@@ -86,11 +87,13 @@
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes and start or continue the requests in them."""
+        if self.lingering is not None:
+            self.lingering.discard(len(data))
         if self.is_closing or self.is_rest_unread:
             return
         self.last_read_at = self.gateway.now()
         self.requests_in_read = 0
-        self.has_parsed = False
+        self.partial_head.begin_read()
         continued = self.parsing
         try:
             self.parser.feed_data(data)
@@ -102,7 +105,10 @@
             return
         except httptools.HttpParserError as error:
             self.parse_error = self.parse_error or RequestError(str(error))
-        self._count_unparsed(len(data))
+        self.partial_head.end_read(len(data))
+        limits = find_head_limits(self.gateway, self.is_relay)
+        if self.partial_head.size > limits.max_partial_bytes:
+            self._set_parse_error("head too large", ResultCode.REQUEST_HEAD_TOO_LARGE)
         if self.parse_error is not None:
             self.refuse_rest(self.parse_error.code)
         if continued is not None:
@@ -150,7 +156,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the complete head and create its exchange."""
-        self.has_parsed = True
+        self.partial_head.has_parsed = True
         self.is_reading_head = False
         head_bytes = self._check_head_size()
         if self.parse_error is not None:
@@ -188,13 +194,13 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a piece of the body to its exchange."""
-        self.has_parsed = True
+        self.partial_head.has_parsed = True
         if self.parsing is not None:
             self.parsing.handle_body(data)
 
     def on_message_complete(self) -> None:
         """End the body of the request."""
-        self.has_parsed = True
+        self.partial_head.has_parsed = True
         exchange, self.parsing = self.parsing, None
         if exchange is not None:
             exchange.handle_body_end()
@@ -209,9 +215,9 @@
 
     @property
     def is_drained(self) -> bool:
-        """Return whether no response is due and none waits to be written."""
+        """Return whether no response is due and none is on its way to the caller."""
         is_idle = self.current is None and not self.pipelined
-        return is_idle and not self.transport.get_write_buffer_size()
+        return is_idle and not count_unsent_bytes(self.transport)
 
     def has_started_after(self, exchange: Exchange) -> bool:
         """Return whether a request pipelined after this one has started."""
@@ -260,7 +266,7 @@
     def count_held_bytes(self) -> HeldBytes:
         """Return the bytes that wait for the caller or for its requests' next hops."""
         written_bytes = self.transport.get_write_buffer_size()
-        return sum_held_bytes(self.open_requests, written_bytes, self.unparsed_bytes)
+        return sum_held_bytes(self.open_requests, written_bytes, self.partial_head.size)
 
     def end_largest_request(self) -> None:
         """End the request that holds most bytes, or the connection if it does."""
@@ -301,10 +307,19 @@
             self._close_unread()
 
     def close(self) -> None:
+        """Close when the caller has received everything and has closed."""
+        if self.is_closing:
+            return
+        self._cancel_requests()
+        self.lingering = LingeringClose(self.transport, self.gateway.now())
+        if self.is_paused:
+            self.is_paused = False
+            self.transport.resume_reading()
+
+    def close_at_once(self) -> None:
         """Close after all buffered data is written."""
-        self.is_closing = True
-        if self.transport is not None:
-            self.transport.close()
+        self._cancel_requests()
+        self.transport.close()
 
     def close_if_idle(self) -> None:
         """Close unless a request is in progress or partly received."""
@@ -375,21 +390,6 @@
     ) -> None:
         self.parse_error = self.parse_error or RequestError(message, code)
 
-    def _count_unparsed(self, size: int) -> None:
-        """Count what the parser gathers: parts of a head, or of a trailer.
-
-        What precedes them in a read belongs to other requests and does not count.
-
-        :param size: bytes of a read that was parsed.
-        """
-        if self.has_parsed:
-            self.unparsed_bytes = 0
-            return
-        self.unparsed_bytes += size
-        limits = find_head_limits(self.gateway, self.is_relay)
-        if self.unparsed_bytes > limits.max_partial_bytes:
-            self._set_parse_error("head too large", ResultCode.REQUEST_HEAD_TOO_LARGE)
-
     def _close_unread(self) -> None:
         """Close the connection, whose rest is not read."""
         if self.is_closing:
--- a/src/daisylink/connection/_caller_timeouts.py
+++ b/src/daisylink/connection/_caller_timeouts.py
@@ -46,6 +46,8 @@
     waiting_bytes = caller.transport.get_write_buffer_size()
     if caller.write_progress.is_stalled(waiting_bytes, now):
         caller.abort()
+    elif caller.lingering is not None:
+        caller.lingering.enforce_timeout(now)
     elif caller.current is None:
         _end_idle(caller, now)
     else:
--- a/src/daisylink/connection/_head_limits.py
+++ b/src/daisylink/connection/_head_limits.py
@@ -29,6 +29,27 @@
         return self.max_bytes + FRAMING_BYTES
 
 
+class PartialHead:
+    """Bytes that the parser gathers: parts of a head, or of a trailer.
+
+    :ivar size: bytes since the last one of a complete head or of a body.
+    :ivar has_parsed: whether the parser has completed something in the present read.
+        What precedes a partial head in a read belongs to other requests.
+    """
+
+    def __init__(self):
+        self.size = 0
+        self.has_parsed = False
+
+    def begin_read(self) -> None:
+        """Begin to parse the bytes of a read."""
+        self.has_parsed = False
+
+    def end_read(self, size: int) -> None:
+        """Count the bytes of a read that was parsed."""
+        self.size = 0 if self.has_parsed else self.size + size
+
+
 def find_head_limits(gateway: Any, is_relay: bool) -> HeadLimits:
     """Return the limits on the heads of a connection.
 
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -365,7 +365,7 @@
         self.slots.close()
         self.in_flight_tracker.close()
         for caller in list(self.callers):
-            caller.close()
+            caller.close_at_once()
         self.hop_pool.close()
 
     def _count(self, exchange: Exchange, code: str) -> None:
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -104,6 +104,7 @@
         self.is_writing_paused = False
         self.is_ended = False
         self.closing = False
+        self.is_eof_written = False
 
     def get_extra_info(self, name, default=None):
         return ("10.9.9.9", 1) if name == "peername" else default
@@ -140,6 +141,12 @@
             self.protocol.resume_writing()
         if self.closing and not self.buffer:
             self.end(None)
+        elif self.is_eof_written and not self.buffer and self.peer.closes_at_end:
+            self.loop.call_soon(self.receive_eof)
+
+    def receive_eof(self):
+        if not self.closing and not self.protocol.eof_received():
+            self.close()
 
     def pause_reading(self):
         self.is_reading_paused = True
@@ -154,6 +161,13 @@
         if not self.buffer:
             self.end(None)
 
+    def can_write_eof(self):
+        return True
+
+    def write_eof(self):
+        self.is_eof_written = True
+        self.hand_on()
+
     def abort(self):
         self.closing = True
         self.buffer.clear()
@@ -170,6 +184,7 @@
 
     :ivar received: all bytes that the process has handed on.
     :ivar is_reading: whether the peer reads what arrives.
+    :ivar closes_at_end: whether it closes when the process has ended its side.
     """
 
     def __init__(self, loop, protocol):
@@ -178,6 +193,7 @@
         self.received = bytearray()
         self.unread_bytes = 0
         self.is_reading = True
+        self.closes_at_end = True
         self.undelivered = bytearray()
         self.delivered_bytes = 0
         protocol.connection_made(self.transport)
