--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -106,8 +106,7 @@
         except httptools.HttpParserError as error:
             self.parse_error = self.parse_error or RequestError(str(error))
         self.partial_head.end_read(len(data))
-        limits = find_head_limits(self.gateway, self.is_relay)
-        if self.partial_head.size > limits.max_partial_bytes:
+        if self.partial_head.is_too_large(self.gateway, self.is_relay):
             self._set_parse_error("head too large", ResultCode.REQUEST_HEAD_TOO_LARGE)
         if self.parse_error is not None:
             self.refuse_rest(self.parse_error.code)
--- a/src/daisylink/connection/_head_limits.py
+++ b/src/daisylink/connection/_head_limits.py
@@ -49,6 +49,17 @@
         """Count the bytes of a read that was parsed."""
         self.size = 0 if self.has_parsed else self.size + size
 
+    def is_too_large(self, gateway: Any, is_relay: bool) -> bool:
+        """Return whether the bytes exceed the limit of a connection.
+
+        :param gateway: the process's :class:`~daisylink.serving.Gateway`.
+        :param is_relay: whether the peer is another node.
+        """
+        if not self.size:
+            return False
+        limits = find_head_limits(gateway, is_relay)
+        return self.size > limits.max_partial_bytes
+
 
 def find_head_limits(gateway: Any, is_relay: bool) -> HeadLimits:
     """Return the limits on the heads of a connection.
