--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -63,17 +63,33 @@
         self.assertTrue(wait.done())
 
 
+async def connect_slow_reader(machine):
+    """Return a socket of a caller whose kernel receives little at a time."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(caller, tuple(machine.addresses[0]))
+    return caller
+
+
+async def read_to_end(caller):
+    """Return what a caller receives until its connection ends."""
+    loop = asyncio.get_running_loop()
+    response = b""
+    while piece := await loop.sock_recv(caller, SOCKET_BYTES):
+        response += piece
+    return response
+
+
 class StoppingSidecarTests(SidecarTestCase):
     def test_a_planned_stop_does_not_cut_responses_of_slow_readers(self):
         """review/2: the process ended while its write buffers held responses."""
 
         async def scenario(_store, machine):
             machine.server.make_raw_response = lambda name: make_response(name, BODY)
-            caller = socket.socket()
-            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
-            caller.setblocking(False)
             loop = asyncio.get_running_loop()
-            await loop.sock_connect(caller, tuple(machine.addresses[0]))
+            caller = await connect_slow_reader(machine)
             gateway = machine.sidecar.gateway
             await self.wait_for(lambda: gateway.callers)
             (connection,) = gateway.callers
@@ -85,9 +101,7 @@
             stop = asyncio.ensure_future(machine.sidecar.stop())
             await asyncio.sleep(LISTEN_SECONDS)
             self.assertFalse(stop.done())
-            response = b""
-            while piece := await loop.sock_recv(caller, SOCKET_BYTES):
-                response += piece
+            response = await read_to_end(caller)
             self.assertTrue(response.endswith(BODY))
             await stop
             caller.close()
@@ -102,20 +116,15 @@
         async def scenario(_store, machine):
             machine.server.service_seconds = 0.3
             machine.server.make_raw_response = lambda name: make_response(name, BODY)
-            caller = socket.socket()
-            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
-            caller.setblocking(False)
             loop = asyncio.get_running_loop()
-            await loop.sock_connect(caller, tuple(machine.addresses[0]))
+            caller = await connect_slow_reader(machine)
             await loop.sock_sendall(caller, make_request("r1"))
             await self.wait_for(lambda: machine.server.runs)
             stop = asyncio.ensure_future(machine.sidecar.stop())
             callers = machine.sidecar.gateway.callers
             await self.wait_for(lambda: all(c.is_closing for c in callers))
             await loop.sock_sendall(caller, make_request("r2"))
-            response = b""
-            while piece := await loop.sock_recv(caller, SOCKET_BYTES):
-                response += piece
+            response = await read_to_end(caller)
             caller.close()
             await stop
             self.assertTrue(response.endswith(BODY))
