Log why an answer breaks off and which requests end with it

The lines that nodes wrote ("request ended", outcome cut) told neither why the answer broke off, nor whether anything of it had been written, nor how many requests waited in front. So these could not be told apart: the server reset the connection, a deadline passed, the bound on held bytes, a parse error.

Change: the hop logs an answer that cannot be read, with the parser's words. The end of an exchange that closes its caller's connection logs the requests in front and behind.

--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -104,7 +104,7 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._log_unexpected(error)
+            self._log_parse_error(error)
             self.is_reusable = False
             if not self.is_ended:
                 self.is_broken = True
@@ -128,12 +128,20 @@
             if not reusable:
                 self.transport.close()
 
-    def _log_unexpected(self, error: httptools.HttpParserError) -> None:
-        """Log an error of this node's own code, which the parser wraps."""
+    def _log_parse_error(self, error: httptools.HttpParserError) -> None:
+        """Log a response that cannot be read, or an error of this node's own code."""
         if isinstance(error, httptools.HttpParserCallbackError):
             log.bind(address=self.address).opt(exception=error.__context__).error(
                 "a response could not be handled"
             )
+            return
+        fields = {
+            "address": self.address,
+            "request": self.sender.exchange.head.request_id.decode("latin-1"),
+            "status": self.status,
+            "is_whole": self.is_ended,
+        }
+        log.bind(**fields).info("a response cannot be read: {}", error)
 
     def _has_too_many_useless_bytes(self, size: int) -> bool:
         """Count the bytes received since the last ones that were passed on.
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -297,11 +297,25 @@
             self.pending_output.clear()
             self.send_refusal(make_refusal(ResultCode.REQUEST_ANSWER_LOST))
             return
+        self._log_cut()
         self.done = True
         self._release()
         self.gateway.record_cut(self)
         self.caller.abort()
 
+    def _log_cut(self) -> None:
+        """Log that the connection closes, and which requests end with it."""
+        requests = self.caller.open_requests
+        place = requests.index(self) if self in requests else 0
+        fields = {
+            "request": self.head.request_id.decode("latin-1"),
+            "in_front": place,
+            "behind": len(requests) - place - 1,
+            "behind_begun": sum(other.started for other in requests[place + 1 :]),
+            "unwritten_bytes": sum(map(len, self.response.pending)),
+        }
+        log.bind(**fields).info("a connection is closed on a response that is lost")
+
     # The response
 
     def replay(self, packed: bytes) -> None:
