A lost answer of which the caller has nothing costs its own request only

Cause: whether an answer had begun was asked of the parser. With the head and bytes that are no chunk in one segment, the head was neither written nor held for its turn when the answer broke off, so the end of the exchange took it for one that was partly out and reset the connection.

Change: a response knows whether a part of it was handed on. Until then a loss ends the attempt: the request is sent to another server where it may be (before, one that waited for its turn was answered 502 at once), else answered 502 in its turn. All ends of an exchange go through one method, which closes the connection only if a part is out.

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -235,6 +235,7 @@
             return
         if exchange is self.current:
             self._write(data)
+            exchange.response.is_handed_on = exchange.response.started
             if self.is_write_paused:
                 exchange.pause_response()
             return
@@ -275,7 +276,7 @@
             self.abort()
             self._cancel_requests()
         else:
-            largest.end_to_free_memory()
+            largest.fail(ResultCode.REQUEST_OVERLOADED)
 
     def update_flow_control(self) -> None:
         """Pause or resume reading from the caller as buffers allow."""
@@ -348,6 +349,7 @@
         if exchange.pending_output:
             data, exchange.pending_output = exchange.pending_output, bytearray()
             self._write(data)
+            exchange.response.is_handed_on = exchange.response.started
         if not self.is_write_paused:
             exchange.resume_response()
 
--- a/src/daisylink/connection/_caller_timeouts.py
+++ b/src/daisylink/connection/_caller_timeouts.py
@@ -72,7 +72,7 @@
     """End the current request if its response or its body does not go on."""
     if exchange.is_responding:
         if exchange.is_response_stalled(now, STALL_SECONDS):
-            exchange.abort()
+            exchange.fail(ResultCode.REQUEST_ANSWER_LOST)
         return
     is_waiting_for_body = (
         not exchange.is_body_complete
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -220,6 +220,11 @@
         """Return whether the whole request body was received."""
         return self.body.done
 
+    @property
+    def is_response_handed_on(self) -> bool:
+        """Return whether a part of the response was written to the caller."""
+        return self.response.is_handed_on
+
     def count_held_bytes(self) -> int:
         """Return all bytes that are held for the request."""
         buffered = len(self.pending_output) + len(self.body.kept)
@@ -251,23 +256,21 @@
         if self.sender.hop is not None:
             self.sender.hop.resume_reading()
 
-    def end_to_free_memory(self) -> None:
-        """End the request because the process holds too many bytes."""
-        if self.is_responding:
-            self.abort()
-        else:
-            self.fail(ResultCode.REQUEST_OVERLOADED)
-
     def fail(self, code: ResultCode) -> None:
-        """End the request because of an error of its caller or of this node.
+        """End the request, with a refusal if its caller has got nothing of a response.
+
+        Otherwise the caller's connection closes, and the requests behind this one end
+        too. If a server may have begun the request, the refusal does not promise that
+        it was not run.
 
-        If a server may have begun it, the answer does not promise that it was not run.
+        :param code: why the request ends.
         """
         if self.done:
             return
-        if self.is_responding:
-            self.abort()
+        if self.is_response_handed_on:
+            self._cut()
             return
+        self.drop_response()
         refusal = make_refusal(code)
         if self.sender.head_sent and refusal.status in NOT_RUN_STATUSES:
             refusal = make_refusal(ResultCode.REQUEST_ANSWER_LOST)
@@ -285,18 +288,17 @@
         self._release()
         self.gateway.record_cancelled(self)
 
-    def abort(self) -> None:
-        """Close the caller's connection because the rest of the response is lost.
-
-        While the response waits for its turn on the connection, a refusal can still
-        replace it.
-        """
-        if self.done:
+    def drop_response(self) -> None:
+        """Drop a response of which the caller has got nothing, for another one."""
+        if not self.is_responding:
             return
+        self.response = ForwardedResponse()
         if self.pending_output:
             self.pending_output.clear()
-            self.send_refusal(make_refusal(ResultCode.REQUEST_ANSWER_LOST))
-            return
+            self.has_sent_continue = False
+
+    def _cut(self) -> None:
+        """Close the caller's connection because the rest of the response is lost."""
         self._log_cut()
         self.done = True
         self._release()
@@ -304,15 +306,13 @@
         self.caller.abort()
 
     def _log_cut(self) -> None:
-        """Log that the connection closes, and which requests end with it."""
-        requests = self.caller.open_requests
-        place = requests.index(self) if self in requests else 0
+        """Log that the connection closes, and how many requests end with it."""
+        _, *behind = self.caller.open_requests
         fields = {
             "request": self.head.request_id.decode("latin-1"),
-            "in_front": place,
-            "behind": len(requests) - place - 1,
-            "behind_begun": sum(other.started for other in requests[place + 1 :]),
-            "unwritten_bytes": sum(map(len, self.response.pending)),
+            "status": self.response.status,
+            "behind": len(behind),
+            "behind_begun": sum(other.started for other in behind),
         }
         log.bind(**fields).info("a connection is closed on a response that is lost")
 
--- a/src/daisylink/request/_response.py
+++ b/src/daisylink/request/_response.py
@@ -42,10 +42,15 @@
 
 
 class ForwardedResponse:
-    """A response in transit, with its body reframed for the caller."""
+    """A response in transit, with its body reframed for the caller.
+
+    :ivar started: whether its head has arrived.
+    :ivar is_handed_on: whether a part of it was written to the caller.
+    """
 
     def __init__(self):
         self.started = False
+        self.is_handed_on = False
         self.status = 0
         self.replayed = False
         self.chunked = False
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -254,6 +254,7 @@
             self.search.record_tried(self.target)
         self._record_failure()
         self.end_attempt()
+        self.exchange.drop_response()
         if self.exchange.is_relay:
             self.exchange.send_refusal(make_refusal(ResultCode.REQUEST_ANSWER_LOST))
             return
@@ -315,7 +316,7 @@
             return
         self._record_failure()
         self._record_attempt("LATE")
-        self.exchange.abort()
+        self.exchange.fail(ResultCode.REQUEST_ANSWER_LOST)
 
     def owns_response(self, headers: list[Header]) -> bool:
         """Return whether a response belongs to this request, not to an earlier one."""
@@ -391,8 +392,8 @@
             self.gateway.record_server_lost(fingerprint_exchange(self.exchange))
         elif self.target:
             self.gateway.in_flight_tracker.record_connection_lost(self.target)
-        if self.exchange.is_responding:
+        if self.exchange.is_response_handed_on:
             self._record_failure()
-            self.exchange.abort()
+            self.exchange.fail(ResultCode.REQUEST_ANSWER_LOST)
         else:
             self._handle_loss()
