Hold an answer until it is whole while servers work at requests behind it

Callers saw: their connection closed on requests that had been passed on to sound servers, because the answer in front of these broke off midway.

Change: while requests behind it are in progress, the answer whose turn it is is held until it is whole, up to 64 KiB; one that breaks off is repeated or replaced by 502. Behind an answer of which a part is out, no request starts before its turn.

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -218,6 +218,11 @@
         is_idle = self.current is None and not self.pipelined
         return is_idle and not count_unsent_bytes(self.transport)
 
+    @property
+    def is_mid_response(self) -> bool:
+        """Return whether a part of the current response was handed on."""
+        return self.current is not None and self.current.is_response_handed_on
+
     def has_started_after(self, exchange: Exchange) -> bool:
         """Return whether a request pipelined after this one has started."""
         behind = list(self.pipelined)
@@ -226,21 +231,23 @@
         return any(other.started for other in behind)
 
     def write(self, exchange: Exchange, data: bytes) -> None:
-        """Write to the caller, or buffer the bytes until the request is current.
+        """Write to the caller, or hold the bytes until they can be handed on.
 
         The rest of the response is not read while the caller does not read, or while
         too much of it waits for its turn.
         """
         if self.is_closing:
             return
-        if exchange is self.current:
-            self._write(data)
-            exchange.response.is_handed_on = exchange.response.started
-            if self.is_write_paused:
+        if exchange is not self.current:
+            exchange.pending_output += data
+            if len(exchange.pending_output) > MAX_WAITING_BYTES:
                 exchange.pause_response()
             return
-        exchange.pending_output += data
-        if len(exchange.pending_output) > MAX_WAITING_BYTES:
+        if self._must_hold(exchange, len(data)):
+            exchange.pending_output += data
+            return
+        self._hand_on(exchange, data)
+        if self.is_write_paused:
             exchange.pause_response()
 
     def finish(self, exchange: Exchange, keep_alive: bool) -> None:
@@ -250,6 +257,7 @@
         """
         if exchange is not self.current:
             return
+        self._hand_on(exchange)
         self.current = None
         if not keep_alive:
             self.close()
@@ -343,15 +351,35 @@
         self.transport.write(data)
 
     def _take_turn(self, exchange: Exchange) -> None:
-        """Write the buffered part of a response, and read on."""
+        """Write the held part of a response if it can be handed on, and read on."""
         if self.is_closing:
             return
+        if exchange.done or not self._must_hold(exchange):
+            self._hand_on(exchange)
+        if not self.is_write_paused:
+            exchange.resume_response()
+
+    def _must_hold(self, exchange: Exchange, size: int = 0) -> bool:
+        """Return whether the current response is not handed on before it is whole.
+
+        If it broke off after a part of it, the connection would have to close on the
+        requests behind it, which servers work at.
+
+        :param size: bytes to add to those that are held.
+        """
+        if not self.pipelined or exchange.response.is_handed_on:
+            return False
+        is_small = len(exchange.pending_output) + size <= MAX_WAITING_BYTES
+        return is_small and self.has_started_after(exchange)
+
+    def _hand_on(self, exchange: Exchange, data: bytes = b"") -> None:
+        """Write the held part of a response and what follows it."""
         if exchange.pending_output:
+            exchange.pending_output += data
             data, exchange.pending_output = exchange.pending_output, bytearray()
+        if data:
             self._write(data)
             exchange.response.is_handed_on = exchange.response.started
-        if not self.is_write_paused:
-            exchange.resume_response()
 
     def _cancel_requests(self) -> None:
         self.is_closing = True
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -83,8 +83,7 @@
         """Plan the request and make the first attempt.
 
         :param is_first: whether all earlier requests of the connection are answered.
-            A later pipelined request starts early only if it is idempotent, because
-            the connection may close before its turn, and not while the node stops.
+            A later pipelined request starts early only if that risks nothing.
         """
         if self.started or self.done:
             return
@@ -105,8 +104,7 @@
         else:
             version = self.gateway.version
             plan = self._plan_entering(version, now)
-        may_begin = isinstance(plan, RequestPlan) and plan.idempotent
-        if not is_first and (self.gateway.stopping or not may_begin):
+        if not is_first and not self._may_start_early(plan):
             return
         self.started = True
         self.head = remove_credentials(self.head, self.gateway.version)
@@ -131,6 +129,16 @@
                 plan.deadline - now, self._handle_deadline
             )
 
+    def _may_start_early(self, plan: RequestPlan | Refusal) -> bool:
+        """Return whether the request may start before its turn.
+
+        The connection may close before it: when the node stops, or when the rest of a
+        response is lost of which the caller has a part.
+        """
+        if self.gateway.stopping or self.caller.is_mid_response:
+            return False
+        return isinstance(plan, RequestPlan) and plan.idempotent
+
     def _handle_quota(self, decision: Decision) -> None:
         """Handle the decision on the tenant's quota that was waited for."""
         if self.done:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -16,6 +16,7 @@
         resume_response=lambda: None,
         body=SimpleNamespace(kept=b""),
         done=False,
+        started=False,
         response=SimpleNamespace(started=True, is_handed_on=False),
         sender=SimpleNamespace(hop=None),
         start=lambda: None,
