Start requests of HTTP/1.0 connections in their turn

Callers saw: an answer without a length ends with the connection on HTTP/1.0, and requests behind it that had been passed on to servers ended with it, without an answer.

Cause: idempotent requests that are sent ahead are started before their turn. Whether the connection stays open is known only with the answer's head.

Change: on HTTP/1.0 they start in their turn; what was not passed on may be sent again.

Test: OldCallerTests; on the code before the second request had reached the server.

--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -132,10 +132,11 @@
     def _may_start_early(self, plan: RequestPlan | Refusal) -> bool:
         """Return whether the request may start before its turn.
 
-        The connection may close before it: when the node stops, or when the rest of a
-        response is lost of which the caller has a part.
+        The connection may close before it: when the node stops, when the rest of a
+        response is lost of which the caller has a part, or after a response without a
+        length to HTTP/1.0.
         """
-        if self.gateway.stopping or self.caller.is_mid_response:
+        if self.gateway.stopping or self.caller.is_mid_response or self.is_http_1_0:
             return False
         return isinstance(plan, RequestPlan) and plan.idempotent
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -7,6 +7,7 @@
 from daisylink.connection._caller import CallerConnection
 from daisylink.errors import ResultCode
 from daisylink.version import CallerLimits
+from tests.simulated_network import CallerTestCase, make_request, make_response
 
 
 def make_exchange(pending_output=()):
@@ -87,3 +88,20 @@
             self.caller.data_received(b"GET / HTTP/1.1\r\n"[3 * now : 3 * now + 3])
             self.caller.enforce_timeouts(float(now))
         self.assertIn(b"408", b"".join(self.written)[:20])
+
+
+class OldCallerTests(CallerTestCase):
+    def test_an_answer_without_a_length_loses_no_request_behind_it(self):
+        """It ends with the connection, which closed on requests at their servers."""
+        names = "first", "second"
+        requests = [
+            make_request(name, extra="Connection: keep-alive\r\n") for name in names
+        ]
+        self.send(b"".join(requests).replace(b"HTTP/1.1", b"HTTP/1.0"))
+        self.node.find_server_end("first").send(
+            make_response("first", b"3\r\none\r\n0\r\n\r\n", chunked=True)
+        )
+        self.settle()
+        self.assertTrue(self.caller.received.endswith(b"\r\n\r\none"))
+        self.assertTrue(self.caller.is_closed)
+        self.assertEqual(len(self.node.server_ends), 1)
