The bound on held bytes ends a whole answer that waits, not its connection

Callers saw: when the process held too many bytes and most of them were a whole answer waiting for its turn, the connection was reset, with the request in front of it at which a server worked.

Change: the answer is replaced by a refusal with an unknown outcome, in its turn. Only if that frees little is the connection closed, as before.

Test: test_a_whole_answer_that_waits_is_given_up_alone; on the code before the first request got no answer.

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -280,11 +280,10 @@
         """End the request that holds most bytes, or the connection if it does."""
         largest = max(self.open_requests, key=Exchange.count_held_bytes, default=None)
         written = self.transport.get_write_buffer_size()
-        if largest is None or largest.done or largest.count_held_bytes() <= written:
+        holds_most = largest is not None and largest.count_held_bytes() > written
+        if not holds_most or not largest.free_memory():
             self.abort()
             self._cancel_requests()
-        else:
-            largest.fail(ResultCode.REQUEST_OVERLOADED)
 
     def update_flow_control(self) -> None:
         """Pause or resume reading from the caller as buffers allow."""
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -32,6 +32,8 @@
 MS_PER_SECOND = 1000
 # Time for the rest of a response that has begun before its deadline.
 LATE_RESPONSE_SECONDS = 0.25
+# A refusal takes some 300 bytes.
+MIN_REPLACED_BYTES = 4 * 1024
 
 log = get_logger("request")
 
@@ -265,6 +267,23 @@
         if self.sender.hop is not None:
             self.sender.hop.resume_reading()
 
+    def free_memory(self) -> bool:
+        """End the request because the process holds too many bytes.
+
+        A whole response that waits for its turn is replaced by a refusal. Its request
+        is then counted twice, as answered and as refused.
+
+        :returns: whether that frees anything worth it.
+        """
+        if not self.done:
+            self.fail(ResultCode.REQUEST_OVERLOADED)
+            return True
+        if len(self.pending_output) < MIN_REPLACED_BYTES:
+            return False
+        self.pending_output.clear()
+        self._write_refusal(make_refusal(ResultCode.REQUEST_ANSWER_LOST))
+        return True
+
     def fail(self, code: ResultCode) -> None:
         """End the request, with a refusal if its caller has got nothing of a response.
 
@@ -387,6 +406,10 @@
 
     def send_refusal(self, refusal: Refusal) -> None:
         """End the request and send the refusal to the caller."""
+        self._write_refusal(refusal)
+        self.finish()
+
+    def _write_refusal(self, refusal: Refusal) -> None:
         close = not self.keeps_connection
         self.refusal = refusal
         extra = self.format_load_headers() if self.is_relay else ()
@@ -396,7 +419,6 @@
             data = data[: data.index(b"\r\n\r\n") + 4]
         self.caller.write(self, data)
         self.gateway.record_refused(self, refusal)
-        self.finish()
 
     def finish(self, result: RunResult = RunResult.UNKNOWN) -> None:
         """End the request, whose response was passed on.
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -216,6 +216,21 @@
             ends[rest.partition(b"\r\n")[0].decode()] = end
         return ends
 
+    def test_a_whole_answer_that_waits_is_given_up_alone(self):
+        """Its connection was closed on the request in front, which a server had."""
+        caller = self.node.connect()
+        caller.send(make_request("first") + make_request("second"))
+        self.settle()
+        ends = self.find_ends()
+        ends["second"].send(make_response("second", b"x" * 60_000))
+        self.settle()
+        self.node.callers[0].end_largest_request()
+        ends["first"].send(make_response("first", b"one"))
+        self.settle()
+        self.assertIn(b"\r\n\r\none", caller.received)
+        self.assertIn(b"HTTP/1.1 502", caller.received)
+        self.assertFalse(caller.is_closed)
+
     def test_the_connection_that_holds_most_is_ended(self):
         limit = self.node.gateway.held_limit
         limit.set_memory(2)
