An unexpected error in a request ends none in front of it

Callers saw: if this node's own code failed while it read a request, the connection was reset, with the requests in front at which servers worked.

Change: the rest of the connection is not read, as after bytes that cannot be read: the requests in front are answered, the one that failed gets 503 (502 if a server may have begun it), then the connection closes.

Test: test_an_error_in_a_request_ends_none_in_front_of_it; fails on the code before.

--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -101,8 +101,7 @@
             self.parse_error = RequestError("upgrade is not served")
         except httptools.HttpParserCallbackError as error:
             log.opt(exception=error.__context__).error("a request could not be handled")
-            self.abort()
-            return
+            self._set_parse_error("internal error", ResultCode.REQUEST_NO_SERVER)
         except httptools.HttpParserError as error:
             self.parse_error = self.parse_error or RequestError(str(error))
         self.partial_head.end_read(len(data))
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -1,5 +1,8 @@
 """Each request that a caller sends has an end in time, and a true one."""
 
+from unittest.mock import patch
+
+from tests.connection_model import read_messages
 from tests.simulated_network import (
     CallerTestCase,
     SimulatedNode,
@@ -78,6 +81,19 @@
         self.assertFalse(self.caller.is_closed)
 
 
+class UnexpectedErrorTests(CallerTestCase):
+    def test_an_error_in_a_request_ends_none_in_front_of_it(self):
+        """Their connection was reset, though servers worked at them."""
+        self.send(make_request("first"))
+        with patch("daisylink.connection._caller.parse_head", side_effect=KeyError):
+            self.send(make_request("second"))
+        self.answer("first")
+        answers = read_messages(bytes(self.caller.received))
+        self.assertEqual([answer.first[1] for answer in answers], ["200", "503"])
+        self.assertEqual(answers[0].body, b"first")
+        self.assertTrue(self.caller.is_closed)
+
+
 class LateResponseTests(CallerTestCase):
     """A response that has begun ends soon after the deadline, whole or cut."""
 
