A status that is none is no answer

Cause: one comparison, status < 200, divided interim from final responses, nothing asked whether the number is a status, and a body was passed on unless its response was stray.

Change: 100, 102 and 103 without framing are interim, 200 to 599 are final; anything else is no response. Its connection is aborted and the attempt has lost its answer at once: the request is repeated where it may be, else answered 502; requests in front and behind are untouched. A body is passed on only after its own final head. One that names another request is skipped, and the connection is not used again.

--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -11,7 +11,10 @@
 from daisylink.request import ResponseHead
 
 HTTP_CONTINUE = 100
-FIRST_FINAL_STATUS = 200
+INTERIM_STATUSES = frozenset({HTTP_CONTINUE, 102, 103})
+FINAL_STATUSES = range(200, 600)
+# Headers that an interim response must not have, as it has no body (RFC 9110, 15.2).
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 BODILESS_STATUSES = frozenset({204, 304})
 # Time in which the peer's machine must acknowledge sent bytes, in milliseconds: two
 # retransmissions. A connection may go silent for good while new ones work.
@@ -48,6 +51,8 @@
         self.is_ended = False
         self.is_stray = False
         self.is_broken = False
+        # Whether a stray response had a status that is none.
+        self.is_distrusted = False
         self.useless_bytes = 0
         self.has_body_bytes = False
         self.is_read_paused = False
@@ -104,18 +109,14 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._log_parse_error(error)
             self.is_reusable = False
-            if not self.is_ended:
-                self.is_broken = True
-                self.transport.abort()
-                return
-        if self.sender is not sender:
+            if self.sender is sender:
+                self._handle_parse_error(error)
+        if self.is_broken or self.sender is not sender:
             return
         if self._has_too_many_useless_bytes(len(data)):
             log.bind(address=self.address).warning("bytes without end are no response")
-            self.is_broken = True
-            self.transport.abort()
+            self._break_off()
             return
         sender.exchange.flush_response()
         gateway.held_limit.record_received(len(data))
@@ -128,20 +129,32 @@
             if not reusable:
                 self.transport.close()
 
-    def _log_parse_error(self, error: httptools.HttpParserError) -> None:
-        """Log a response that cannot be read, or an error of this node's own code."""
+    def _handle_parse_error(self, error: httptools.HttpParserError) -> None:
+        """Break the response off, unless it is whole or broken off already."""
+        if self.is_broken:
+            return
         if isinstance(error, httptools.HttpParserCallbackError):
             log.bind(address=self.address).opt(exception=error.__context__).error(
                 "a response could not be handled"
             )
-            return
+        else:
+            self._log_unreadable(str(error))
+        if not self.is_ended:
+            self._break_off()
+
+    def _log_unreadable(self, reason: str) -> None:
         fields = {
             "address": self.address,
             "request": self.sender.exchange.head.request_id.decode("latin-1"),
-            "status": self.status,
+            "status": self.parser.get_status_code(),
             "is_whole": self.is_ended,
         }
-        log.bind(**fields).info("a response cannot be read: {}", error)
+        log.bind(**fields).info("a response cannot be read: {}", reason)
+
+    def _break_off(self) -> None:
+        """Abort, because what the peer sends is no response."""
+        self.is_broken = True
+        self.transport.abort()
 
     def _has_too_many_useless_bytes(self, size: int) -> bool:
         """Count the bytes received since the last ones that were passed on.
@@ -204,11 +217,18 @@
 
     def on_headers_complete(self) -> None:
         """Pass the head to the sender, unless it is interim or stray."""
+        if self.is_stray or self.is_broken:
+            return
         status = self.parser.get_status_code()
-        if status < FIRST_FINAL_STATUS or self.is_stray:
+        if self._is_interim(status):
             return
         if not self.sender.owns_response(self.headers):
             self.is_stray = True
+            self.is_distrusted |= status not in FINAL_STATUSES
+            return
+        if status not in FINAL_STATUSES:
+            self._log_unreadable("its status is none of a final response")
+            self._break_off()
             return
         self.status = status
         bodiless = self.is_head_request or status in BODILESS_STATUSES
@@ -216,21 +236,30 @@
         self.ends_at_close = (
             not bodiless and self.content_length is None and not chunked
         )
-        self.is_reusable = self.parser.should_keep_alive() and not self.ends_at_close
+        can_be_kept = not self.ends_at_close and not self.is_distrusted
+        self.is_reusable = can_be_kept and self.parser.should_keep_alive()
         head = ResponseHead(status, self.headers, self.content_length, bodiless)
         self.sender.handle_response_head(head)
         if self.is_head_request:
             self.is_reusable = False
             self.is_ended = True
 
+    def _is_interim(self, status: int) -> bool:
+        """Return whether a response is followed by the final one."""
+        if status not in INTERIM_STATUSES:
+            return False
+        return all(name not in FRAMING_HEADERS for name, _ in self.headers)
+
     def on_body(self, data: bytes) -> None:
         """Pass a piece of the body to the sender."""
-        if self.sender is not None and not self.is_stray:
+        if self.sender is not None and self.status and not self.is_stray:
             self.has_body_bytes = True
             self.sender.handle_response_body(data)
 
     def on_message_complete(self) -> None:
         """End a final, interim or stray response."""
+        if self.is_broken:
+            return
         if self.is_stray:
             self.is_stray = False
             self.is_reusable = self.is_reusable and not self.is_ended
