A response to HEAD has no body

Callers saw: bytes that a faulty server sends in the segment of the head of a response to HEAD were passed on as a body, which the caller would take for the next answer.

Cause: the parser isn't told the request's method and goes on with a body; the end of the response at its head was not asked when the body came. Found by reading, beside the statuses that are none.

Test: test_a_response_to_head_has_no_body; fails on the code before.

--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -252,7 +252,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a piece of the body to the sender."""
-        if self.sender is not None and self.status and not self.is_stray:
+        is_own = self.status and not self.is_stray and not self.is_ended
+        if self.sender is not None and is_own:
             self.has_body_bytes = True
             self.sender.handle_response_body(data)
 
--- a/tests/test_response_status.py
+++ b/tests/test_response_status.py
@@ -104,3 +104,10 @@
         self.assertEqual(self.read_statuses(), ["200"])
         self.assertTrue(self.caller.received.endswith(b"\r\n\r\nown"))
         self.assertTrue(end.is_closed)
+
+    def test_a_response_to_head_has_no_body(self):
+        """Bytes in the segment of its head were passed on as a body."""
+        (name,) = self.request("only", method="HEAD")
+        self.answer_status(name, "200", "a length")
+        self.assertTrue(self.caller.received.endswith(b"\r\n\r\n"))
+        self.assertNotIn(b"spoiled", self.caller.received)
