--- a/src/daisylink/connection/_caller.py
+++ b/src/daisylink/connection/_caller.py
@@ -19,6 +19,7 @@
 )
 from daisylink.connection._held_bytes import REQUEST_BYTES, HeldBytes, sum_held_bytes
 from daisylink.connection._lingering_close import LingeringClose, count_unsent_bytes
+from daisylink.connection._response_order import ResponseOrder
 from daisylink.connection._shared_reads import SharedReadProtocol
 from daisylink.errors import RequestError, ResultCode
 from daisylink.logs import get_logger
@@ -27,8 +28,6 @@
 # Requests that are read behind the first one of a connection, and their body bytes.
 MAX_PIPELINED = 64
 MAX_PIPELINED_BYTES = 256 * 1024
-# Bytes of a response that wait for its turn before no more of it is read.
-MAX_WAITING_BYTES = 64 * 1024
 
 log = get_logger("caller")
 
@@ -52,6 +51,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.current: Exchange | None = None
         self.pipelined: deque[Exchange] = deque()
+        self.response_order = ResponseOrder(self)
         self.parsing: Exchange | None = None
         self.needs_start = False
         self.requests_in_read = 0
@@ -230,24 +230,9 @@
         return any(other.started for other in behind)
 
     def write(self, exchange: Exchange, data: bytes) -> None:
-        """Write to the caller, or hold the bytes until they can be handed on.
-
-        The rest of the response is not read while the caller does not read, or while
-        too much of it waits for its turn.
-        """
-        if self.is_closing:
-            return
-        if exchange is not self.current:
-            exchange.pending_output += data
-            if len(exchange.pending_output) > MAX_WAITING_BYTES:
-                exchange.pause_response()
-            return
-        if self._must_hold(exchange, len(data)):
-            exchange.pending_output += data
-            return
-        self._hand_on(exchange, data)
-        if self.is_write_paused:
-            exchange.pause_response()
+        """Write to the caller, or hold the bytes until they can be handed on."""
+        if not self.is_closing:
+            self.response_order.write(exchange, data)
 
     def finish(self, exchange: Exchange, keep_alive: bool) -> None:
         """Continue with the next request, or close the connection.
@@ -256,14 +241,14 @@
         """
         if exchange is not self.current:
             return
-        self._hand_on(exchange)
+        self.response_order.hand_on(exchange)
         self.current = None
         if not keep_alive:
             self.close()
             return
         if self.pipelined:
             self.current = self.pipelined.popleft()
-            self._take_turn(self.current)
+            self.response_order.take_turn(self.current)
             self.gateway.loop.call_soon(self._start_next, self.current)
         elif self.is_rest_unread:
             self._close_unread()
@@ -344,41 +329,11 @@
         """
         enforce_timeouts(self, now)
 
-    def _write(self, data: bytes | bytearray) -> None:
+    def write_bytes(self, data: bytes | bytearray) -> None:
+        """Write bytes that are due on the connection now."""
         self.write_progress.record_written(len(data))
         self.transport.write(data)
 
-    def _take_turn(self, exchange: Exchange) -> None:
-        """Write the held part of a response if it can be handed on, and read on."""
-        if self.is_closing:
-            return
-        if exchange.done or not self._must_hold(exchange):
-            self._hand_on(exchange)
-        if not self.is_write_paused:
-            exchange.resume_response()
-
-    def _must_hold(self, exchange: Exchange, size: int = 0) -> bool:
-        """Return whether the current response is not handed on before it is whole.
-
-        If it broke off after a part of it, the connection would have to close on the
-        requests behind it, which servers work at.
-
-        :param size: bytes to add to those that are held.
-        """
-        if not self.pipelined or exchange.response.is_handed_on:
-            return False
-        is_small = len(exchange.pending_output) + size <= MAX_WAITING_BYTES
-        return is_small and self.has_started_after(exchange)
-
-    def _hand_on(self, exchange: Exchange, data: bytes = b"") -> None:
-        """Write the held part of a response and what follows it."""
-        if exchange.pending_output:
-            exchange.pending_output += data
-            data, exchange.pending_output = exchange.pending_output, bytearray()
-        if data:
-            self._write(data)
-            exchange.response.is_handed_on = exchange.response.started
-
     def _cancel_requests(self) -> None:
         self.is_closing = True
         for exchange in self.open_requests:
@@ -421,5 +376,5 @@
         """Close the connection, whose rest is not read."""
         if self.is_closing:
             return
-        self._write(self.rest_refusal)
+        self.write_bytes(self.rest_refusal)
         self.close()
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -6,13 +6,12 @@
 """
 
 import asyncio
-import math
+from collections.abc import Callable
 from typing import Any
 
 from daisylink.errors import ResultCode
 from daisylink.logs import get_logger
-from daisylink.quota import Admitted, Decision, MustAsk, Refused
-from daisylink.request._authorization import remove_credentials
+from daisylink.quota import Decision
 from daisylink.request._body import RequestBody
 from daisylink.request._decision import RunResult
 from daisylink.request._head import LOAD_HEADER, PACE_HEADER, RequestHead
@@ -23,13 +22,12 @@
     encode_refusal,
     make_refusal,
 )
-from daisylink.request._plan import RequestPlan, plan_relayed, plan_request
+from daisylink.request._plan import RequestPlan
 from daisylink.request._recording import REPLAY_HEADER, build_replay
 from daisylink.request._response import ForwardedResponse
 from daisylink.request._sender import RequestSender
-from daisylink.version import Version
+from daisylink.request._start import apply_quota, start_request
 
-MS_PER_SECOND = 1000
 # Time for the rest of a response that has begun before its deadline.
 LATE_RESPONSE_SECONDS = 0.25
 # A refusal takes some 300 bytes.
@@ -89,79 +87,27 @@
         """
         if self.started or self.done:
             return
-        try:
-            self._start(is_first)
-        except Exception:
-            log.bind(request=self.head.request_id).exception("a request failed")
-            self.fail(ResultCode.REQUEST_NO_SERVER)
+        self._run_step(start_request, is_first)
 
-    def _start(self, is_first: bool) -> None:
-        now = self.gateway.now()
-        if self.is_relay:
-            plan = plan_relayed(self.head, self.started_at)
-            version_number = self.head.hop_metadata.version
-            self.gateway.record_peer_version(version_number, self.caller.peer_host)
-            if self.head.told_limit is not None:
-                self.gateway.notices.record_told_limit(self.head.told_limit)
-        else:
-            version = self.gateway.version
-            plan = self._plan_entering(version, now)
-        if not is_first and not self._may_start_early(plan):
-            return
-        self.started = True
-        self.head = remove_credentials(self.head, self.gateway.version)
-        if isinstance(plan, Refusal):
-            self.send_refusal(plan)
-            return
-        self.plan = plan
-        if plan.deadline <= now:
-            self.send_refusal(make_refusal(ResultCode.REQUEST_DEADLINE_NOT_RUN))
-            return
-        if self.body.size > plan.body_limit:
-            self.send_refusal(make_refusal(ResultCode.REQUEST_BODY_TOO_LARGE))
-            return
-        if self.is_relay or not plan.tenant:
-            self.sender.begin(now)
-        else:
-            check = self.gateway.quota.check
-            self._apply_quota(check(plan.tenant, self._handle_quota))
+    def handle_quota(self, decision: Decision) -> None:
+        """Handle the decision on the tenant's quota that was waited for."""
         if not self.done:
-            # A request that is refused at once needs no timer.
-            self.timer = self.gateway.loop.call_later(
-                plan.deadline - now, self._handle_deadline
-            )
-
-    def _may_start_early(self, plan: RequestPlan | Refusal) -> bool:
-        """Return whether the request may start before its turn.
-
-        The connection may close before it: when the node stops, when the rest of a
-        response is lost of which the caller has a part, or after a response without a
-        length to HTTP/1.0.
-        """
-        if self.gateway.stopping or self.caller.is_mid_response or self.is_http_1_0:
-            return False
-        return isinstance(plan, RequestPlan) and plan.idempotent
+            self._run_step(apply_quota, decision)
 
-    def _handle_quota(self, decision: Decision) -> None:
-        """Handle the decision on the tenant's quota that was waited for."""
-        if self.done:
-            return
+    def _run_step(self, step: Callable[..., None], argument: Any) -> None:
+        """Run a step of the start; an unexpected error ends the request."""
         try:
-            self._apply_quota(decision)
+            step(self, argument)
         except Exception:
             log.bind(request=self.head.request_id).exception("a request failed")
             self.fail(ResultCode.REQUEST_NO_SERVER)
 
-    def _apply_quota(self, decision: Decision) -> None:
-        self.quota_number = 0
-        match decision:
-            case Admitted():
-                self.sender.begin(self.gateway.now())
-            case Refused(retry):
-                retry_ms = math.ceil(retry * MS_PER_SECOND)
-                self.send_refusal(make_refusal(ResultCode.REQUEST_OVER_QUOTA, retry_ms))
-            case MustAsk(number):
-                self.quota_number = number
+    def start_timer(self, seconds: float) -> None:
+        """Start the timer of the request's deadline.
+
+        :param seconds: time that is left.
+        """
+        self.timer = self.gateway.loop.call_later(seconds, self._handle_deadline)
 
     def _handle_deadline(self) -> None:
         if self.quota_number:
@@ -173,19 +119,6 @@
         else:
             self.sender.handle_deadline()
 
-    def _plan_entering(self, version: Version | None, now: float) -> Any:
-        """Plan a request that enters at this node, by its parent's if it is a call."""
-        gateway = self.gateway
-        request_id = self.head.request_id
-        is_call = gateway.running.is_call(request_id)
-        ages = None if is_call else gateway.ages
-        # Time in which the request waited for its turn on its connection has passed.
-        arrived_at = self.started_at
-        plan = plan_request(self.head, version, arrived_at, gateway.pick_target, ages)
-        if isinstance(plan, Refusal) or not is_call:
-            return plan
-        return gateway.running.plan_call(request_id, plan, now)
-
     def handle_body(self, data: bytes) -> None:
         """Handle a piece of the request body."""
         if self.done:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -49,6 +49,7 @@
     def test_buffered_output_is_written_before_the_rest(self):
         self.caller.write(self.first, b"first ")
         self.caller.finish(self.first, keep_alive=True)
+        self.assertEqual(b"".join(self.written), b"first head half ")
         self.caller.write(self.second, b"rest")
         self.assertEqual(b"".join(self.written), b"first head half rest")
 
