A request that a server runs to its end withdraws strikes that came meanwhile

Cause, by the nodes' own lines on: three crashes within 1 ms, their strikes at all other nodes within 4 ms, then 4,474 requests refused with 5022 and no pardon. Only a request that was begun as a suspect withdrew its strikes; the page that ran at some twenty slots when the strikes arrived ended well and said nothing, and nothing of it was begun any more. docs/incidents/popular-page-refused.md has the other hypotheses.

Change: whatever ends well at a server withdraws the strikes that its node knows by then.

--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -22,6 +22,7 @@
 from daisylink.request._quarantine_check import (
     check_quarantine,
     fingerprint_exchange,
+    has_strike,
     refuse_quarantined,
 )
 from daisylink.request._recording import ResponseRecorder, find_key
@@ -128,15 +129,24 @@
         if recording is not None:
             packed = recording.pack() if is_answered else b""
             self.gateway.complete_claim(self.exchange, result, packed)
-        if self.suspect is not None:
-            self.gateway.end_suspect(self.suspect, is_answered)
-            self.suspect = None
+        self._end_quarantine(is_answered)
         if self.is_sent:
             request_id = self.exchange.head.request_id
             self.gateway.running.end(request_id, is_answered, self.gateway.now())
         kind = self.exchange.plan.route
         self.gateway.slots.free_slot(self.acquired_at, kind, has_run)
 
+    def _end_quarantine(self, is_answered: bool) -> None:
+        """Pardon a request that the server has run to its end.
+
+        Strikes may have arrived only after the run began.
+        """
+        if self.suspect is not None:
+            self.gateway.end_suspect(self.suspect)
+        if is_answered and has_strike(self.exchange):
+            self.gateway.on_suspect_answered(fingerprint_exchange(self.exchange))
+        self.suspect = None
+
     def _send(self) -> None:
         self.is_sent = True
         exchange = self.exchange
--- a/src/daisylink/request/_quarantine_check.py
+++ b/src/daisylink/request/_quarantine_check.py
@@ -26,17 +26,30 @@
 
     :param exchange: the :class:`~daisylink.request.Exchange` of the request.
     """
-    gateway = exchange.gateway
-    quarantine = gateway.quarantine
-    if quarantine.is_empty:
-        return QuarantineStatus.CLEAR
-    if not quarantine.has_strike_on_head(
-        digest_head(exchange.head, exchange.plan.tenant)
-    ):
+    if not _may_have_strike(exchange):
         return QuarantineStatus.CLEAR
     if not exchange.body.is_recognizable:
         return QuarantineStatus.NEEDS_BODY
-    return quarantine.find_status(fingerprint_exchange(exchange), gateway.now())
+    gateway = exchange.gateway
+    return gateway.quarantine.find_status(fingerprint_exchange(exchange), gateway.now())
+
+
+def has_strike(exchange: Any) -> bool:
+    """Return whether a request counts as one that may crash servers.
+
+    :param exchange: the :class:`~daisylink.request.Exchange` of the request.
+    """
+    status = check_quarantine(exchange)
+    return status in (QuarantineStatus.SUSPECT, QuarantineStatus.QUARANTINED)
+
+
+def _may_have_strike(exchange: Any) -> bool:
+    """Return whether a request with the same head has a strike."""
+    quarantine = exchange.gateway.quarantine
+    if quarantine.is_empty:
+        return False
+    head = digest_head(exchange.head, exchange.plan.tenant)
+    return quarantine.has_strike_on_head(head)
 
 
 def refuse_quarantined(exchange: Any, may_have_run: bool = False) -> None:
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -274,14 +274,12 @@
             return
         writer.close()
 
-    def end_suspect(self, fingerprint: Fingerprint, answered: bool) -> None:
-        """Record that a suspect no longer runs; one that was answered is pardoned."""
+    def end_suspect(self, fingerprint: Fingerprint) -> None:
+        """Record that a suspect no longer runs."""
         self.quarantine.end(fingerprint)
-        if answered:
-            self.on_suspect_answered(fingerprint)
 
     def on_suspect_answered(self, fingerprint: Fingerprint) -> None:
-        """Publish the pardon of a suspect; replaced by the node."""
+        """Publish the pardon of a request with strikes; replaced by the node."""
 
     def on_server_crashed(self, lost_requests: tuple[Fingerprint, ...]) -> None:
         """Publish the requests that were in flight at a crash; replaced by the node."""
