A rejection is no evidence that a request crashes no server

Cause: a suspect that its server rejects with 429 or 503 counted as answered and lost its strikes at all nodes, though the server had not run it. A request that crashes servers would have begun to count from zero again at a busy server.

Change: only statuses that do not promise "not run" withdraw strikes.

--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -18,7 +18,7 @@
     RunResult,
 )
 from daisylink.request._fingerprint import Fingerprint
-from daisylink.request._outcome import make_refusal
+from daisylink.request._outcome import NOT_RUN_STATUSES, make_refusal
 from daisylink.request._quarantine_check import (
     check_quarantine,
     fingerprint_exchange,
@@ -141,9 +141,10 @@
 
         Strikes may have arrived only after the run began.
         """
+        has_run = is_answered and self.exchange.response.status not in NOT_RUN_STATUSES
         if self.suspect is not None:
             self.gateway.end_suspect(self.suspect)
-        if is_answered and has_strike(self.exchange):
+        if has_run and has_strike(self.exchange):
             self.gateway.on_suspect_answered(fingerprint_exchange(self.exchange))
         self.suspect = None
 
--- a/tests/test_popular_request.py
+++ b/tests/test_popular_request.py
@@ -9,7 +9,7 @@
 from daisylink.request._body import RequestBody
 from daisylink.serving import Strike
 from daisylink.sidecar._strikes import SIDECAR_QUARANTINE_SETTINGS
-from tests.connection_model import read_messages
+from tests.connection_model import make_answer_head, read_messages
 from tests.simulated_network import HOST, CallerTestCase, make_request
 
 CRASHES = SIDECAR_QUARANTINE_SETTINGS.crash_limit
@@ -37,6 +37,11 @@
         now = self.node.loop.time()
         self.node.gateway.quarantine.merge_strikes(tuple(strikes), now)
 
+    def answer_status(self, name, status):
+        head = make_answer_head(name, "Content-Length: 0", status)
+        self.node.find_server_end(name).send(head)
+        self.settle()
+
     def test_one_that_ends_well_withdraws_the_strikes(self):
         """Only requests that were begun as suspects did."""
         self.send(make_request("page"))
@@ -44,6 +49,15 @@
         self.answer("page")
         self.assertEqual(self.pardoned, [fingerprint("page")])
 
+    def test_a_rejection_withdraws_none(self):
+        """The server has not run it, so it may crash the next one."""
+        for status in ("503 Busy", "429 Busy"):
+            name = status[:3]
+            self.add_strikes(name, 1)
+            self.send(make_request(name))
+            self.answer_status(name, status)
+        self.assertEqual(self.pardoned, [])
+
     def test_requests_without_strikes_cost_no_record(self):
         self.add_strikes("page")
         self.send(make_request("other"))
