Crashes of one moment are one piece of evidence against a request

The strikes did not say when the servers had crashed.

Change: crashes within 250 ms of each other, by the time of day in the strikes, count once, for one moment of each request. A repeat of a request that has lost an attempt always counts: the entry node says so to the next one (header daisylink-lost, ignored by earlier releases), which lists it in the strike. daisylink-node, whose strikes have no time, counts each crash as before.

--- a/src/daisylink/process/_node.py
+++ b/src/daisylink/process/_node.py
@@ -58,6 +58,7 @@
     ClaimOutcome,
     Exchange,
     Fingerprint,
+    LostRequest,
     RunResult,
 )
 from daisylink.serving._burn import BurnReply
@@ -344,10 +345,9 @@
         if not will_run and isinstance(outcome, ClaimGranted):
             self._handle_event(ClaimEnded(exchange, RunResult.NOT_RUN))
 
-    def _report_crash(self, fingerprints: tuple[Fingerprint, ...]) -> None:
-        log.warning(
-            "backend server crashed with {} requests in flight", len(fingerprints)
-        )
+    def _report_crash(self, lost: tuple[LostRequest, ...]) -> None:
+        log.warning("backend server crashed with {} requests in flight", len(lost))
+        fingerprints = tuple(request.fingerprint for request in lost)
         self._handle_event(ServerCrashed(fingerprints))
 
     def _report_answered(self, fingerprint: Fingerprint) -> None:
--- a/src/daisylink/request/__init__.py
+++ b/src/daisylink/request/__init__.py
@@ -27,6 +27,7 @@
 from daisylink.request._exchange import Exchange
 from daisylink.request._fingerprint import (
     Fingerprint,
+    LostRequest,
     compute_fingerprint,
     digest_head,
 )
@@ -96,6 +97,7 @@
     "Header",
     "HeaderNames",
     "HopMetadata",
+    "LostRequest",
     "NoServer",
     "Outcome",
     "PoolFull",
--- a/src/daisylink/request/_fingerprint.py
+++ b/src/daisylink/request/_fingerprint.py
@@ -24,6 +24,16 @@
     whole: bytes
 
 
+class LostRequest(NamedTuple):
+    """A request whose connection a backend server dropped.
+
+    :param is_repeat: whether the request had lost an attempt before this one.
+    """
+
+    fingerprint: Fingerprint
+    is_repeat: bool
+
+
 def digest_head(head: RequestHead, tenant: str) -> bytes:
     """Return the digest of the parts of a head that a resend repeats.
 
--- a/src/daisylink/request/_head.py
+++ b/src/daisylink/request/_head.py
@@ -17,6 +17,8 @@
 MAY_NOT_WAIT = b"no"
 CALL_HEADER = b"daisylink-call"
 IS_CALL = b"1"
+LOST_HEADER = b"daisylink-lost"
+HAS_LOST_ATTEMPT = b"1"
 OWN_PREFIX = b"daisylink-"
 MAX_NUMBER_DIGITS = 9
 LIMIT_FIELDS = 3
@@ -64,6 +66,8 @@
         earlier releases state none.
     :param is_call: whether a backend server makes the relayed request for one that it
         runs; nodes of earlier releases do not say so.
+    :param has_lost_attempt: whether an earlier attempt of the relayed request lost its
+        server or node; nodes of earlier releases do not say so.
     """
 
     method: bytes
@@ -80,6 +84,7 @@
     may_wait: bool = True
     tenant: str = ""
     is_call: bool = False
+    has_lost_attempt: bool = False
 
     @property
     def path(self) -> str:
@@ -147,6 +152,7 @@
     may_wait = True
     tenant = ""
     is_call = False
+    has_lost_attempt = False
     forwarded: list[Header] = []
     for item in headers:
         name, value = item
@@ -183,6 +189,8 @@
             tenant = value.decode("utf-8", "replace")
         elif name == CALL_HEADER and is_relay:
             is_call = value == IS_CALL
+        elif name == LOST_HEADER and is_relay:
+            has_lost_attempt = value == HAS_LOST_ATTEMPT
     if host is None:
         raise RequestError("missing Host header")
     if is_relay and hop is None:
@@ -205,6 +213,7 @@
         may_wait,
         tenant,
         is_call,
+        has_lost_attempt,
     )
 
 
--- a/src/daisylink/request/_next_hop_head.py
+++ b/src/daisylink/request/_next_hop_head.py
@@ -5,9 +5,11 @@
 from daisylink.request._head import (
     CALL_HEADER,
     DEPTH_HEADER,
+    HAS_LOST_ATTEMPT,
     HOP_HEADER,
     IS_CALL,
     LIMIT_HEADER,
+    LOST_HEADER,
     MAY_NOT_WAIT,
     TENANT_HEADER,
     WAIT_HEADER,
@@ -36,25 +38,16 @@
         return _make_server_head(exchange.head, exchange.plan, gateway)
     expect = exchange.head.expects_continue and not exchange.has_sent_continue
     told_limit = gateway.notices.find_told_limit(sender.target_record)
-    return _make_relay_head(
-        exchange.head, exchange.plan, gateway, expect, told_limit, sender.may_wait
-    )
+    return _make_relay_head(sender, expect, told_limit)
 
 
-def _make_relay_head(
-    head: RequestHead,
-    plan: RequestPlan,
-    gateway: Any,
-    expect: bool,
-    told_limit: ToldLimit | None,
-    may_wait: bool,
-) -> bytes:
+def _make_relay_head(sender: Any, expect: bool, told_limit: ToldLimit | None) -> bytes:
     """Return the head for the node of the chosen backend server.
 
-    :param told_limit: limit of that server as this node knows it.
     :param expect: whether to send ``Expect: 100-continue``.
-    :param may_wait: whether the request may wait there for a slot.
+    :param told_limit: limit of that server as this node knows it.
     """
+    head, plan, gateway = sender.exchange.head, sender.exchange.plan, sender.gateway
     now = gateway.now()
     hop = HopMetadata(
         plan.pool,
@@ -72,7 +65,9 @@
         extra.append((LIMIT_HEADER, encode_told_limit(told_limit)))
     if plan.is_call:
         extra.append((CALL_HEADER, IS_CALL))
-    if not may_wait:
+    if sender.attempts.has_lost_attempt:
+        extra.append((LOST_HEADER, HAS_LOST_ATTEMPT))
+    if not sender.may_wait:
         extra.append((WAIT_HEADER, MAY_NOT_WAIT))
     if plan.tenant:
         extra.append((TENANT_HEADER, plan.tenant.encode()))
--- a/src/daisylink/request/_quarantine_check.py
+++ b/src/daisylink/request/_quarantine_check.py
@@ -8,7 +8,12 @@
 
 from daisylink.errors import ResultCode
 from daisylink.request._decision import QuarantineStatus
-from daisylink.request._fingerprint import Fingerprint, compute_fingerprint, digest_head
+from daisylink.request._fingerprint import (
+    Fingerprint,
+    LostRequest,
+    compute_fingerprint,
+    digest_head,
+)
 from daisylink.request._outcome import make_refusal
 
 
@@ -21,6 +26,16 @@
     return compute_fingerprint(exchange.head, tenant, exchange.body.digest())
 
 
+def describe_lost(exchange: Any) -> LostRequest:
+    """Return what is known of a request whose connection its server has dropped.
+
+    :param exchange: the :class:`~daisylink.request.Exchange` of the request.
+    """
+    has_lost_attempt = exchange.sender.attempts.has_lost_attempt
+    is_repeat = has_lost_attempt or exchange.head.has_lost_attempt
+    return LostRequest(fingerprint_exchange(exchange), is_repeat)
+
+
 def check_quarantine(exchange: Any) -> QuarantineStatus:
     """Return whether a request is known to crash servers.
 
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -31,7 +31,7 @@
     Refusal,
     make_refusal,
 )
-from daisylink.request._quarantine_check import EntryCheck, fingerprint_exchange
+from daisylink.request._quarantine_check import EntryCheck, describe_lost
 from daisylink.request._response import ResponseHead, is_own_response
 from daisylink.request._response_reader import find_refusal
 from daisylink.request._slot_search import SlotSearch
@@ -389,7 +389,7 @@
         if self.local_run is not None:
             self.gateway.record_server_outcome(failed=True)
             self.local_run.record_lost()
-            self.gateway.record_server_lost(fingerprint_exchange(self.exchange))
+            self.gateway.record_server_lost(describe_lost(self.exchange))
         elif self.target:
             self.gateway.in_flight_tracker.record_connection_lost(self.target)
         if self.exchange.is_response_handed_on:
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -14,6 +14,7 @@
     Exchange,
     Fingerprint,
     HeaderNames,
+    LostRequest,
     Refusal,
     RequestPlan,
     RetryBudget,
@@ -97,7 +98,7 @@
         self.placer = Placer(balancer)
         self.server_health = ServerHealth(balancer.rng)
         self.burn_tracker = BurnTracker()
-        self.lost_requests: list[Fingerprint] = []
+        self.lost_requests: list[LostRequest] = []
         self.probes: set[asyncio.Task] = set()
         self.admission = Admission()
         self.version_gate = VersionGate(
@@ -247,14 +248,14 @@
         self.server_health.record(failed, now)
         self.pace.record_outcome(failed, rejected, self.server_health.is_unwell(now))
 
-    def record_server_lost(self, fingerprint: Fingerprint) -> None:
+    def record_server_lost(self, lost: LostRequest) -> None:
         """Record a request whose connection the local backend server dropped.
 
         Requests lost within :data:`CRASH_CHECK_DELAY_SECONDS` are examined together.
         """
         if not self.lost_requests:
             self.loop.call_later(CRASH_CHECK_DELAY_SECONDS, self._start_crash_check)
-        self.lost_requests.append(fingerprint)
+        self.lost_requests.append(lost)
 
     def _start_crash_check(self) -> None:
         task = self.loop.create_task(self._probe_server())
@@ -281,7 +282,7 @@
     def on_suspect_answered(self, fingerprint: Fingerprint) -> None:
         """Publish the pardon of a request with strikes; replaced by the node."""
 
-    def on_server_crashed(self, lost_requests: tuple[Fingerprint, ...]) -> None:
+    def on_server_crashed(self, lost_requests: tuple[LostRequest, ...]) -> None:
         """Publish the requests that were in flight at a crash; replaced by the node."""
 
     def on_local_server_changed(self) -> None:
--- a/src/daisylink/serving/_quarantine.py
+++ b/src/daisylink/serving/_quarantine.py
@@ -30,6 +30,8 @@
     :param expires_ms: when it expires, in milliseconds of Unix time, 0 if not stated.
     :param lifetime_ms: how long it lasted when the record listed it first, in
         milliseconds, 0 for the whole lifetime.
+    :param is_repeat: whether the request had lost an attempt before, so that the crash
+        says more than one of another server at the same moment.
     """
 
     head: bytes
@@ -38,6 +40,7 @@
     pardoned: bool = False
     expires_ms: int = 0
     lifetime_ms: int = 0
+    is_repeat: bool = False
 
 
 class QuarantineSettings(NamedTuple):
@@ -46,11 +49,15 @@
     :param strike_lifetime: how long a strike lasts.
     :param crash_limit: number of crashes after which a request is refused.
     :param isolates_suspects: whether requests with a strike run one at a time.
+    :param same_moment: time within which crashes of several servers count as one: what
+        ends them at once is hardly a request, though it may be in flight at each. With
+        none, each crash counts.
     """
 
     strike_lifetime: timedelta = timedelta(seconds=60)
     crash_limit: int = 2
     isolates_suspects: bool = True
+    same_moment: timedelta = timedelta(0)
 
 
 class KnownStrike(NamedTuple):
@@ -58,10 +65,14 @@
 
     :param ends: when it expires, in seconds of the monotonic clock.
     :param pardoned: whether it was pardoned.
+    :param crashed_at: when the server crashed, in seconds of the monotonic clock.
+    :param is_repeat: whether the request had lost an attempt before.
     """
 
     ends: float
     pardoned: bool
+    crashed_at: float
+    is_repeat: bool
 
 
 class Quarantine:
@@ -70,6 +81,7 @@
     def __init__(self, settings: QuarantineSettings):
         self.strike_lifetime = settings.strike_lifetime.total_seconds()
         self.crash_limit = settings.crash_limit
+        self.same_moment = settings.same_moment.total_seconds()
         self.isolates_suspects = settings.isolates_suspects
         self.strikes: dict[bytes, dict[str, KnownStrike]] = {}
         self.heads: dict[bytes, set[bytes]] = {}
@@ -89,6 +101,7 @@
         strikes: tuple[Strike, ...],
         now: float,
         find_lifetime: Callable[[Strike], float] | None = None,
+        find_age: Callable[[Strike], float] | None = None,
     ) -> list[Strike]:
         """Merge strikes and pardons.
 
@@ -98,6 +111,7 @@
         :param now: seconds of the monotonic clock.
         :param find_lifetime: returns how long a strike lasts from now, in seconds; by
             default each one lasts for the whole lifetime.
+        :param find_age: returns how long ago the crash was, in seconds; 0 by default.
         :returns: those that were new.
         """
         fresh = []
@@ -109,7 +123,10 @@
             lifetime = self.strike_lifetime
             if find_lifetime is not None:
                 lifetime = min(lifetime, find_lifetime(strike))
-            crashes[strike.crash] = KnownStrike(now + lifetime, strike.pardoned)
+            crashed_at = now - find_age(strike) if find_age is not None else now
+            crashes[strike.crash] = KnownStrike(
+                now + lifetime, strike.pardoned, crashed_at, strike.is_repeat
+            )
             self.heads.setdefault(strike.head, set()).add(strike.whole)
             fresh.append(strike)
         while len(self.strikes) > MAX_FINGERPRINTS:
@@ -134,11 +151,12 @@
 
     def find_status(self, fingerprint: Fingerprint, now: float) -> QuarantineStatus:
         """Return whether a request is clear, a suspect or quarantined."""
-        crashes = self.strikes.get(fingerprint.whole, {})
-        live = sum(held.ends > now and not held.pardoned for held in crashes.values())
-        if live >= self.crash_limit:
+        live = self._list_live(fingerprint, now)
+        if not live:
+            return QuarantineStatus.CLEAR
+        if self._count_evidence(live) >= self.crash_limit:
             return QuarantineStatus.QUARANTINED
-        return QuarantineStatus.SUSPECT if live else QuarantineStatus.CLEAR
+        return QuarantineStatus.SUSPECT
 
     def retry_ms(self, fingerprint: Fingerprint, now: float) -> int:
         """Return the milliseconds until the strikes of a request expire."""
@@ -166,6 +184,28 @@
             if all(held.ends <= now for held in crashes.values()):
                 self._forget(whole)
 
+    def _list_live(self, fingerprint: Fingerprint, now: float) -> list[KnownStrike]:
+        """Return the strikes of a request that are in force."""
+        crashes = self.strikes.get(fingerprint.whole, {})
+        return [
+            held for held in crashes.values() if held.ends > now and not held.pardoned
+        ]
+
+    def _count_evidence(self, live: list[KnownStrike]) -> int:
+        """Return the number of crashes, of which those of one moment count once.
+
+        Only one moment is left out: a request that crashes servers may come again so
+        soon that two crashes of it fall together, but hardly each time.
+        """
+        if not self.same_moment:
+            return len(live)
+        times = [held.crashed_at for held in live if not held.is_repeat]
+        together = [
+            sum(0 <= other - time <= self.same_moment for other in times)
+            for time in times
+        ]
+        return len(live) - max(0, max(together, default=1) - 1)
+
     def _forget(self, whole: bytes) -> None:
         self.strikes.pop(whole, None)
         for head, wholes in list(self.heads.items()):
--- a/src/daisylink/sidecar/_strike_driver.py
+++ b/src/daisylink/sidecar/_strike_driver.py
@@ -5,7 +5,7 @@
 from daisylink.clock import Clock
 from daisylink.logs import get_logger
 from daisylink.registry import MemberTable
-from daisylink.request import Fingerprint
+from daisylink.request import Fingerprint, LostRequest
 from daisylink.serving import Gateway, Strike
 from daisylink.sidecar._strikes import StrikeReporter, StrikeReporterSettings
 
@@ -56,7 +56,7 @@
         if self.reporter.handle_member_removed(node, self.now()):
             self.on_changed()
 
-    def _handle_crash(self, lost: tuple[Fingerprint, ...]) -> None:
+    def _handle_crash(self, lost: tuple[LostRequest, ...]) -> None:
         log.bind(in_flight=len(lost)).warning("backend server crashed")
         self.reporter.record_crash(lost, self.now())
         self.on_changed()
--- a/src/daisylink/sidecar/_strikes.py
+++ b/src/daisylink/sidecar/_strikes.py
@@ -13,7 +13,7 @@
 
 from daisylink.clock import Clock
 from daisylink.logs import get_logger
-from daisylink.request import Fingerprint
+from daisylink.request import Fingerprint, LostRequest
 from daisylink.serving import Quarantine, QuarantineSettings, Strike
 from daisylink.serving._records import compute_ring_position
 
@@ -21,7 +21,10 @@
 # cause it, and a request may crash at most three servers. One that is answered loses
 # its strikes, so they may last.
 SIDECAR_QUARANTINE_SETTINGS = QuarantineSettings(
-    strike_lifetime=timedelta(minutes=10), crash_limit=3, isolates_suspects=False
+    strike_lifetime=timedelta(minutes=10),
+    crash_limit=3,
+    isolates_suspects=False,
+    same_moment=timedelta(milliseconds=250),
 )
 # All slots of a server at two crashes; the oldest strikes are dropped first.
 MAX_REPORTED = 32
@@ -87,14 +90,14 @@
         # Strikes in the newest record of each other node, if it lists any.
         self.listed: dict[str, tuple[Strike, ...]] = {}
 
-    def record_crash(self, lost: Iterable[Fingerprint], now: float) -> None:
+    def record_crash(self, lost: Iterable[LostRequest], now: float) -> None:
         """Record a strike for each request that was in flight at a crash."""
         crash = f"{self.node}/{now:.3f}"
         lifetime = self.quarantine.strike_lifetime
         expires_ms = self._unix_ms() + round(lifetime * MS_PER_SECOND)
         strikes = [
-            Strike(item.head, item.whole, crash, expires_ms=expires_ms)
-            for item in dict.fromkeys(lost)
+            Strike(*fingerprint, crash, expires_ms=expires_ms, is_repeat=is_repeat)
+            for fingerprint, is_repeat in merge_lost(lost).items()
         ]
         for strike in self.quarantine.merge_strikes(tuple(strikes), now):
             self._report(strike, now + lifetime)
@@ -124,7 +127,7 @@
             find_lifetime = find_new_lifetime
             if is_starting:
                 find_lifetime = self._find_old_lifetime
-            self.quarantine.merge_strikes(strikes, now, find_lifetime)
+            self.quarantine.merge_strikes(strikes, now, find_lifetime, self._find_age)
         return self._adopt(former, node, now) if former else False
 
     def handle_member_removed(self, node: str, now: float) -> bool:
@@ -207,10 +210,27 @@
             return float("inf")
         return (strike.expires_ms - self._unix_ms()) / MS_PER_SECOND
 
+    def _find_age(self, strike: Strike) -> float:
+        """Return how long ago the crash of a strike was by the time of day, in seconds.
+
+        Without an expiry, from a node of an earlier release, it counts as just now.
+        """
+        if not strike.expires_ms:
+            return 0.0
+        return self.quarantine.strike_lifetime - self._find_seconds_left(strike)
+
     def _unix_ms(self) -> int:
         return round(self.clock.now().timestamp() * MS_PER_SECOND)
 
 
+def merge_lost(lost: Iterable[LostRequest]) -> dict[Fingerprint, bool]:
+    """Return the requests that a crash has lost, and whether each was a repeat."""
+    merged: dict[Fingerprint, bool] = {}
+    for fingerprint, is_repeat in lost:
+        merged[fingerprint] = is_repeat or merged.get(fingerprint, False)
+    return merged
+
+
 def find_new_lifetime(strike: Strike) -> float:
     """Return how long a strike lasts that a record has just listed, in seconds."""
     if not strike.lifetime_ms:
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -25,6 +25,7 @@
     MemberRecord,
     Metrics,
     Quarantine,
+    ServerState,
 )
 from daisylink.sidecar._strikes import SIDECAR_QUARANTINE_SETTINGS
 from tests.platform_standin import SEAL
@@ -33,6 +34,7 @@
 HOST = "a.example"
 POOL = "one"
 SERVER_ADDRESS = "10.0.0.1:9000"
+OTHER_RELAY_ADDRESS = "10.0.0.2:8000"
 SLOTS = 8
 MAX_CONNECTIONS = 120
 READ_BYTES = 64 * 1024
@@ -256,6 +258,7 @@
     """A gateway with a backend server that the test plays.
 
     :ivar server_ends: the server's ends of its connections, the oldest first.
+    :ivar relay_ends: another node's ends of its connections, after :meth:`add_node`.
     """
 
     def __init__(self, slots=SLOTS, runs_once_prefix="", **route):
@@ -276,6 +279,7 @@
             origin=POOL,
         )
         self.server_ends = []
+        self.relay_ends = []
         self.server_reads = True
         self.loop.listeners[SERVER_ADDRESS] = self._accept
         announcement = Announcement(SERVER_ADDRESS, POOL, slots, instance="i-1", born=1)
@@ -309,6 +313,26 @@
             end.stop_reading()
         self.server_ends.append(end)
 
+    def add_node(self):
+        """Add another node, whose relay listener the test plays."""
+        self.loop.listeners[OTHER_RELAY_ADDRESS] = self.relay_ends.append
+        record = MemberRecord(
+            "n2",
+            "a",
+            0,
+            relay=OTHER_RELAY_ADDRESS,
+            pool=POOL,
+            server=ServerState.SERVING,
+            slots=self.slots,
+        )
+        self.gateway.balancer.directory.put(record)
+
+    def find_ends(self, name) -> list[PeerEnd]:
+        """Return the server's and the other node's ends that carry a request."""
+        mark = f"/x/{name} ".encode()
+        ends = [*self.server_ends, *self.relay_ends]
+        return [end for end in ends if mark in end.received]
+
     def connect(self) -> PeerEnd:
         """Open a connection as a caller."""
         return PeerEnd(self.loop, self.gateway.create_caller_connection())
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -32,6 +32,15 @@
         self.assertIs(quarantine.find_status(INNOCENT, 2.0), QuarantineStatus.CLEAR)
         self.assertIs(quarantine.find_status(CULPRIT, 62.0), QuarantineStatus.CLEAR)
 
+    def test_strikes_that_arrive_in_one_message_count_each(self):
+        """Their times tell nothing where only the receipt is known."""
+        quarantine = Quarantine(QuarantineSettings())
+        both = (strike(CULPRIT, "one"), strike(CULPRIT, "two"))
+        quarantine.merge_strikes(both, 0.0)
+        self.assertIs(
+            quarantine.find_status(CULPRIT, 1.0), QuarantineStatus.QUARANTINED
+        )
+
     def test_suspects_run_one_at_a_time_and_a_response_clears_them(self):
         quarantine = Quarantine(QuarantineSettings())
         both = (strike(CULPRIT, "one"), strike(INNOCENT, "one"))
--- a/tests/test_unreadable_requests.py
+++ b/tests/test_unreadable_requests.py
@@ -182,6 +182,7 @@
                 local_run=None,
                 target_record=self.node.gateway.own_record,
                 may_wait=True,
+                attempts=SimpleNamespace(has_lost_attempt=False),
             )
             relay = PeerEnd(self.node.loop, self.node.gateway.create_relay_connection())
             relay.send(make_next_hop_head(sender))
