Try a quarantined request again, at one server of the fleet at a time

Change: 30 s after the last crash, and 120 s after one of that trial, a refused request may run once more, then no more while its strikes last. All nodes choose the same node from the members and crashes that they know; it lets one run and refuses the others meanwhile. One sound answer clears it for the fleet. Callers are told when to come back instead of in ten minutes.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -605,6 +605,27 @@
         "        if not status:\n",
         "tests.test_response_status",
     ),
+    Mutant(
+        "a request that ran before its strikes arrived withdraws none",
+        "request/_local_run.py",
+        "        if has_run and has_strike(self.exchange):\n",
+        "        if has_run and self.suspect is not None:\n",
+        "tests.test_popular_request",
+    ),
+    Mutant(
+        "crashes of one moment count each",
+        "serving/_quarantine.py",
+        "        if not self.same_moment:\n",
+        "        if True:\n",
+        "tests.test_popular_request",
+    ),
+    Mutant(
+        "every node tries a quarantined request",
+        "serving/_suspect_trials.py",
+        "        if record is None or record.node != self.directory.own_record.node:\n",
+        "        if record is None:\n",
+        "tests.test_suspect_trials",
+    ),
     Mutant(
         "nothing bounds the bytes held by the process",
         "connection/_held_bytes.py",
--- a/specs/run.py
+++ b/specs/run.py
@@ -4,9 +4,25 @@
 
 from minicheck import check_liveness, check_safety
 
-from specs import acceptance, distribution, keys, membership, quota, store_era
+from specs import (
+    acceptance,
+    distribution,
+    keys,
+    membership,
+    quarantine,
+    quota,
+    store_era,
+)
 
-ALL_SPECS = (acceptance, distribution, membership, keys, store_era, quota)
+ALL_SPECS = (
+    acceptance,
+    distribution,
+    membership,
+    keys,
+    store_era,
+    quota,
+    quarantine,
+)
 MAX_STATES = 400_000
 
 
--- a/src/daisylink/errors.py
+++ b/src/daisylink/errors.py
@@ -269,7 +269,7 @@
         "Do not send it again.",
     ),
     ResultCode.REQUEST_QUARANTINED: CodeInfo(
-        "This very request was in flight when two backend servers crashed.",
+        "This very request was in flight when two or more backend servers crashed.",
         "Look at the request; it is refused until the stated time.",
     ),
     ResultCode.REQUEST_RATE_LIMITED: CodeInfo(
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from daisylink.errors import ResultCode
+from daisylink.logs import get_logger
 from daisylink.request._decision import (
     ClaimGranted,
     ClaimKnown,
@@ -30,6 +31,8 @@
 KEY_RETRY_MS = 500
 SUSPECT_RETRY_SECONDS = 0.02
 
+log = get_logger("request")
+
 
 class LocalRun:
     """One attempt to run a request at this node, which holds a slot.
@@ -136,6 +139,20 @@
         kind = self.exchange.plan.route
         self.gateway.slots.free_slot(self.acquired_at, kind, has_run)
 
+    def _begin_trial(self) -> bool:
+        """Return whether a quarantined request runs as a trial; refuse it if not."""
+        exchange = self.exchange
+        fingerprint = fingerprint_exchange(exchange)
+        now = self.gateway.now()
+        if self.gateway.trials.begin(fingerprint, exchange.plan.pool, now):
+            self.suspect = fingerprint
+            log.bind(request=exchange.head.request_id.decode("latin-1")).info(
+                "a quarantined request is tried again"
+            )
+            return True
+        refuse_quarantined(exchange)
+        return False
+
     def _end_quarantine(self, is_answered: bool) -> None:
         """Pardon a request that the server has run to its end.
 
@@ -168,8 +185,7 @@
                 exchange.send_continue()
                 return False
             case QuarantineStatus.QUARANTINED:
-                refuse_quarantined(exchange)
-                return False
+                return self._begin_trial()
         fingerprint = fingerprint_exchange(exchange)
         if self.gateway.quarantine.begin(fingerprint):
             self.suspect = fingerprint
--- a/src/daisylink/request/_quarantine_check.py
+++ b/src/daisylink/request/_quarantine_check.py
@@ -92,6 +92,8 @@
     def __init__(self, sender: Any):
         self.sender = sender
         self.awaits_body = False
+        # Record of the only node that the request may be sent to, None for any.
+        self.trial_node: Any = None
 
     def passes(self) -> bool:
         """Return whether an attempt may be made now.
@@ -99,8 +101,12 @@
         Otherwise the request is refused, or waits for its body.
         """
         exchange = self.sender.exchange
+        self.trial_node = None
         match check_quarantine(exchange):
             case QuarantineStatus.QUARANTINED:
+                self.trial_node = self._find_trial_node()
+                if self.trial_node is not None:
+                    return True
                 refuse_quarantined(exchange, may_have_run=self.sender.head_sent)
                 return False
             case QuarantineStatus.NEEDS_BODY:
@@ -109,6 +115,17 @@
                 return False
         return True
 
+    def _find_trial_node(self) -> Any:
+        """Return the record of the node that may try the request, None without one.
+
+        Only the first attempt of a request may be a trial.
+        """
+        if self.sender.attempt > 1:
+            return None
+        exchange = self.sender.exchange
+        trials, now = exchange.gateway.trials, exchange.gateway.now()
+        return trials.find_node(fingerprint_exchange(exchange), exchange.plan.pool, now)
+
     def end_wait(self) -> bool:
         """End the wait for the body; return whether the request waited for it."""
         awaited, self.awaits_body = self.awaits_body, False
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -116,7 +116,7 @@
         gateway = self.gateway
         event = self._find_obstacle(gateway.now())
         if event is None:
-            placement = gateway.place(self.exchange.plan, self.search)
+            placement = self._place()
             event = NoServer() if placement is None else None
         if event is not None:
             self._perform(self.attempts.handle(event, gateway.now()))
@@ -131,6 +131,13 @@
         else:
             self._connect(record.relay)
 
+    def _place(self) -> Any:
+        """Return the record of the next node and whether the request may wait there."""
+        trial_node = self.entry_check.trial_node
+        if trial_node is not None:
+            return trial_node, True
+        return self.gateway.place(self.exchange.plan, self.search)
+
     def handle_body_recognizable(self) -> None:
         """Continue if the request waited until its body tells it from others."""
         if self.entry_check.end_wait():
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -45,6 +45,7 @@
 from daisylink.serving._server_pace import ServerPace
 from daisylink.serving._slot_dispatcher import SlotDispatcher
 from daisylink.serving._splitter import Splitter
+from daisylink.serving._suspect_trials import SuspectTrials
 from daisylink.version import CallerLimits, RouteEntry, RouteTarget, Version
 
 # Refusals between nodes, which the entry node's line names in its trail.
@@ -95,6 +96,7 @@
         self.local_server = local_server
         self.metrics = metrics
         self.quarantine = quarantine
+        self.trials = SuspectTrials(quarantine, balancer.directory)
         self.placer = Placer(balancer)
         self.server_health = ServerHealth(balancer.rng)
         self.burn_tracker = BurnTracker()
--- a/src/daisylink/serving/_quarantine.py
+++ b/src/daisylink/serving/_quarantine.py
@@ -17,6 +17,8 @@
 
 MAX_FINGERPRINTS = 1000
 MS_PER_SECOND = 1000
+# Time for a trial and for the news of its end.
+MIN_RETRY_SECONDS = 1.0
 
 
 class Strike(msgspec.Struct, frozen=True, array_like=True):
@@ -52,12 +54,15 @@
     :param same_moment: time within which crashes of several servers count as one: what
         ends them at once is hardly a request, though it may be in flight at each. With
         none, each crash counts.
+    :param trial_delays: times after the last crash at which a refused request is tried
+        again, one for each trial that crashed a server too; then no more.
     """
 
     strike_lifetime: timedelta = timedelta(seconds=60)
     crash_limit: int = 2
     isolates_suspects: bool = True
     same_moment: timedelta = timedelta(0)
+    trial_delays: tuple[timedelta, ...] = ()
 
 
 class KnownStrike(NamedTuple):
@@ -82,6 +87,7 @@
         self.strike_lifetime = settings.strike_lifetime.total_seconds()
         self.crash_limit = settings.crash_limit
         self.same_moment = settings.same_moment.total_seconds()
+        self.trial_delays = [delay.total_seconds() for delay in settings.trial_delays]
         self.isolates_suspects = settings.isolates_suspects
         self.strikes: dict[bytes, dict[str, KnownStrike]] = {}
         self.heads: dict[bytes, set[bytes]] = {}
@@ -158,11 +164,34 @@
             return QuarantineStatus.QUARANTINED
         return QuarantineStatus.SUSPECT
 
+    def count_crashes(self, fingerprint: Fingerprint, now: float) -> int:
+        """Return the number of crashes that count against a request."""
+        return len(self._list_live(fingerprint, now))
+
+    def find_trial_at(self, fingerprint: Fingerprint, now: float) -> float:
+        """Return when a refused request may be tried again, infinite if it may not.
+
+        The crashes after those that made it refused were trials.
+
+        :param now: seconds of the monotonic clock.
+        """
+        live = self._list_live(fingerprint, now)
+        crashed_at = sorted(held.crashed_at for held in live)
+        if len(crashed_at) < self.crash_limit:
+            return float("inf")
+        last_moment = crashed_at[self.crash_limit - 1] + self.same_moment
+        trials = sum(at > last_moment for at in crashed_at)
+        if trials >= len(self.trial_delays):
+            return float("inf")
+        return crashed_at[-1] + self.trial_delays[trials]
+
     def retry_ms(self, fingerprint: Fingerprint, now: float) -> int:
-        """Return the milliseconds until the strikes of a request expire."""
+        """Return the milliseconds until a refused request may run again."""
         crashes = self.strikes.get(fingerprint.whole, {})
         ends = max((held.ends for held in crashes.values()), default=now)
-        return max(1, round((ends - now) * MS_PER_SECOND))
+        trial_ends = self.find_trial_at(fingerprint, now) + MIN_RETRY_SECONDS
+        earliest = max(now + MIN_RETRY_SECONDS, trial_ends)
+        return max(1, round((min(ends, earliest) - now) * MS_PER_SECOND))
 
     def begin(self, fingerprint: Fingerprint) -> bool:
         """Start the run of a suspect, one at a time if suspects are isolated.
@@ -174,6 +203,10 @@
         self.running.add(fingerprint.whole)
         return True
 
+    def is_running(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a suspect with this content runs."""
+        return fingerprint.whole in self.running
+
     def end(self, fingerprint: Fingerprint) -> None:
         """Record that a suspect no longer runs."""
         self.running.discard(fingerprint.whole)
--- a/src/daisylink/sidecar/_strike_driver.py
+++ b/src/daisylink/sidecar/_strike_driver.py
@@ -62,5 +62,7 @@
         self.on_changed()
 
     def _handle_answered(self, fingerprint: Fingerprint) -> None:
-        self.reporter.record_answered(fingerprint, self.now())
-        self.on_changed()
+        withdrawn = self.reporter.record_answered(fingerprint, self.now())
+        if withdrawn:
+            log.bind(strikes=withdrawn).info("strikes withdrawn after an answer")
+            self.on_changed()
--- a/src/daisylink/sidecar/_strikes.py
+++ b/src/daisylink/sidecar/_strikes.py
@@ -25,6 +25,7 @@
     crash_limit=3,
     isolates_suspects=False,
     same_moment=timedelta(milliseconds=250),
+    trial_delays=(timedelta(seconds=30), timedelta(minutes=2)),
 )
 # All slots of a server at two crashes; the oldest strikes are dropped first.
 MAX_REPORTED = 32
@@ -102,15 +103,19 @@
         for strike in self.quarantine.merge_strikes(tuple(strikes), now):
             self._report(strike, now + lifetime)
 
-    def record_answered(self, fingerprint: Fingerprint, now: float) -> None:
+    def record_answered(self, fingerprint: Fingerprint, now: float) -> int:
         """Withdraw the strikes of a request that was answered.
 
         Another request crashed the server.
+
+        :returns: the number of strikes withdrawn.
         """
         pardons = self.quarantine.make_pardons(fingerprint)
         ends = now + self.settings.pardon_retention.total_seconds()
-        for pardon in self.quarantine.merge_strikes(pardons, now):
+        withdrawn = self.quarantine.merge_strikes(pardons, now)
+        for pardon in withdrawn:
             self._report(pardon, ends)
+        return len(withdrawn)
 
     def handle_record(
         self, node: str, strikes: tuple[Strike, ...], now: float, is_starting: bool
