Send no request that may run once behind an answer without an id

Cause: a faulty server sends an answer once more, at the point where the next one is expected.

Change: a connection whose last answer bore no id takes no request that may run once, and none at all after an answer that is not a rejection. An answer with its own id makes it trusted again. If no other connection is idle one of these is closed, as servers limit their connections.

--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -53,6 +53,8 @@
         self.is_broken = False
         # Whether a stray response had a status that is none.
         self.is_distrusted = False
+        # Whether a late copy of the last response could be taken for the next one.
+        self.may_repeat = False
         self.useless_bytes = 0
         self.has_body_bytes = False
         self.is_read_paused = False
@@ -239,6 +241,7 @@
         can_be_kept = not self.ends_at_close and not self.is_distrusted
         self.is_reusable = can_be_kept and self.parser.should_keep_alive()
         head = ResponseHead(status, self.headers, self.content_length, bodiless)
+        self.may_repeat = self.sender.may_be_repeated(head)
         self.sender.handle_response_head(head)
         if self.is_head_request:
             self.is_reusable = False
--- a/src/daisylink/connection/_hop_pool.py
+++ b/src/daisylink/connection/_hop_pool.py
@@ -29,22 +29,33 @@
         self.connect_tasks: set[asyncio.Task] = set()
 
     def acquire(
-        self, address: str, max_idle_seconds: float = float("inf")
+        self,
+        address: str,
+        max_idle_seconds: float = float("inf"),
+        runs_once: bool = False,
     ) -> HopConnection | None:
         """Return an idle connection to an address, or None.
 
         :param max_idle_seconds: longest time since its last use.
+        :param runs_once: whether the request may run only once; it gets no connection
+            on which a late copy of the last response may come. If there is no other,
+            one of these is closed, because servers limit their connections.
         """
-        idle = self.idle.get(address)
+        idle = self.idle.get(address, ())
         now = self.gateway.now()
-        while idle:
-            if now - idle[-1].idle_since > max_idle_seconds:
+        for index in reversed(range(len(idle))):
+            hop = idle[index]
+            if now - hop.idle_since > max_idle_seconds:
                 return None
-            hop = idle.pop()
+            if runs_once and hop.may_repeat:
+                continue
+            del idle[index]
             if now - hop.idle_since > hop.idle_limit_seconds:
                 hop.transport.close()
             elif not hop.transport.is_closing():
                 return hop
+        if idle:
+            idle.pop(0).transport.close()
         return None
 
     def open(self, address: str, sender: Any, attempt: int) -> None:
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -183,9 +183,10 @@
         self._connect(self.gateway.server_address)
 
     def _connect(self, address: str) -> None:
-        runs_once = self.local_run is None and not self.exchange.plan.idempotent
-        max_idle = PROVEN_IDLE_SECONDS if runs_once else float("inf")
-        hop = self.gateway.hop_pool.acquire(address, max_idle)
+        runs_once = not self.exchange.plan.idempotent
+        is_relayed = self.local_run is None
+        max_idle = PROVEN_IDLE_SECONDS if runs_once and is_relayed else float("inf")
+        hop = self.gateway.hop_pool.acquire(address, max_idle, runs_once)
         if hop is not None:
             self._attach(hop)
             return
@@ -332,6 +333,13 @@
         request_id = self.exchange.head.request_id
         return is_own_response(headers, request_id, self.gateway.header_names)
 
+    def may_be_repeated(self, head: ResponseHead) -> bool:
+        """Return whether a late copy of a response could be taken for the next one."""
+        if self.local_run is None:
+            return False
+        start = self.server_record.server_start
+        return self.gateway.answer_identity.may_be_repeated(head, start)
+
     # Events from the next hop
 
     def handle_response_head(self, head: ResponseHead) -> None:
@@ -359,10 +367,12 @@
         :param hop: the connection that it came on.
         :param reusable: whether the connection can serve another request.
         """
-        if reusable and self.exchange.body.done:
+        refusal = self.hop_refusal
+        # A copy of a rejection costs an idempotent request nothing but a retry.
+        is_own = refusal is not None or not hop.may_repeat
+        if reusable and is_own and self.exchange.body.done:
             self.hop = None
             self.gateway.hop_pool.release(hop)
-        refusal = self.hop_refusal
         if refusal is not None:
             self._handle_refusal(refusal)
             return
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -24,6 +24,7 @@
 )
 from daisylink.rollout import VersionGate
 from daisylink.serving._admission import Admission, AdmissionLimits
+from daisylink.serving._answer_identity import AnswerIdentity
 from daisylink.serving._burn import HISTORY_INTERVAL, BurnTracker
 from daisylink.serving._in_flight import InFlightTracker
 from daisylink.serving._load_balancer import LoadBalancer
@@ -118,6 +119,7 @@
             lambda: loop.call_soon(self.on_local_server_changed),
         )
         self.header_names = header_names
+        self.answer_identity = AnswerIdentity(header_names)
         self.ages = AgeEstimator()
         self.running = RunningRequests(header_names.call_separator)
         self.claims_keys = claims_keys
