Do not take a cut head and the next one for one answer

Cause: a copy that a faulty server cuts off in its head and the answer right behind it make one head: the status of the copy, or its "not executed", and the id and seal of the answer. The request was sent to another server, or answered 503, though it ran.

Change: a reason phrase or header value that contains a status line makes a head unreadable: the answer is lost, 502 or a retry where that is allowed.

Test: CutCopyTests; on the code before all four cuts fail, in one segment and in two.

--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -1,6 +1,7 @@
 """Connections to the next hop: a backend server, or another node."""
 
 import asyncio
+import re
 import socket
 from typing import Any
 
@@ -15,6 +16,8 @@
 FINAL_STATUSES = range(200, 600)
 # Headers that an interim response must not have, as it has no body (RFC 9110, 15.2).
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+STATUS_LINE_START = b"HTTP/1."
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
 BODILESS_STATUSES = frozenset({204, 304})
 # Time in which the peer's machine must acknowledge sent bytes, in milliseconds: two
 # retransmissions. A connection may go silent for good while new ones work.
@@ -50,6 +53,8 @@
         self.status = 0
         self.is_ended = False
         self.is_stray = False
+        # Whether the head was cut off and goes on with that of another response.
+        self.is_merged = False
         self.is_broken = False
         # Whether a stray response had a status that is none.
         self.is_distrusted = False
@@ -193,11 +198,19 @@
         A response after the request's own is stray: it belongs to no request.
         """
         self.is_stray = self.is_ended
+        self.is_merged = False
         self.headers = []
         self.content_length = None
 
+    def on_status(self, reason: bytes) -> None:
+        """Look for the status line of another response in the reason phrase."""
+        if STATUS_LINE.search(reason):
+            self.is_merged = True
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are dropped."""
+        if STATUS_LINE_START in value and STATUS_LINE.search(value):
+            self.is_merged = True
         if self.status or self.is_stray or len(self.headers) > MAX_HEADERS:
             return
         name = name.lower()
@@ -221,6 +234,10 @@
         """Pass the head to the sender, unless it is interim or stray."""
         if self.is_stray or self.is_broken:
             return
+        if self.is_merged:
+            self._log_unreadable("it holds the head of another one")
+            self._break_off()
+            return
         status = self.parser.get_status_code()
         if self._is_interim(status):
             return
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -40,6 +40,47 @@
     return f"{head}Content-Length: 2\r\n\r\nok".encode()
 
 
+class CutCopyTests(CallerTestCase):
+    """A copy that is cut off in its head, with the next answer right behind."""
+
+    def check_cut(self, cut, is_one_segment):
+        """Send a request that may run once; its answer follows a cut copy."""
+        self.use_node(SimulatedNode(runs_once_prefix="/y/"))
+        self.send(make_once("once"))
+        end = self.node.find_server_end("once")
+        if is_one_segment:
+            end.send(cut + make_response("once", b"once"))
+        else:
+            end.send(cut)
+            self.settle()
+            end.send(make_response("once", b"once"))
+        self.settle()
+        (answer,) = read_messages(bytes(self.caller.received))
+        self.assertEqual(answer.first[1], "502")
+        self.assertTrue(end.is_closed)
+
+    def test_two_heads_are_not_taken_for_one(self):
+        """The status of the copy and the id of the answer made a false rejection."""
+        for cut in (
+            b"HTTP/1.1 503 Bu",
+            b"HTTP/1.1 503 Busy\r\nX-Daisylink-Not-Executed: ",
+            b"HTTP/1.1 503 Busy\r\nContent-Type: te",
+            b"HTTP/1.0 200 ",
+        ):
+            for is_one_segment in (True, False):
+                with self.subTest(cut=cut, is_one_segment=is_one_segment):
+                    self.check_cut(cut, is_one_segment)
+
+    def test_other_mentions_of_the_protocol_are_passed_on(self):
+        self.send(make_request("only"))
+        response = make_response("only", b"only")
+        via = response.replace(b"\r\n", b"\r\nVia: HTTP/1.1 proxy, 1.0 other\r\n", 1)
+        self.node.find_server_end("only").send(via)
+        self.settle()
+        (answer,) = read_messages(bytes(self.caller.received))
+        self.assertEqual(answer.first[1], "200")
+
+
 class LateCopyTests(CallerTestCase):
     def start_node(self, knows_ids=True):
         """Use a new node, to whose server one connection is open."""
