Look up the request id of an answer once

The mends of late copies looked for the id in each answer twice and built the server's start each time.

--- a/src/daisylink/request/_response.py
+++ b/src/daisylink/request/_response.py
@@ -114,19 +114,12 @@
     return bool(header_names.target) and misdirected
 
 
-def is_own_response(
-    headers: list[Header], request_id: bytes, header_names: HeaderNames
-) -> bool:
-    """Return whether a response belongs to a request.
-
-    A response without a request id is accepted.
-    """
-    if not header_names.request_id:
-        return True
+def find_answer_id(headers: list[Header], header_names: HeaderNames) -> bytes | None:
+    """Return the id of the request that a response names, None if it names none."""
     for name, value in headers:
         if name == header_names.request_id:
-            return value == request_id
-    return True
+            return value
+    return None
 
 
 def has_server_proof(head: ResponseHead, header_names: HeaderNames) -> bool:
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -32,7 +32,7 @@
     make_refusal,
 )
 from daisylink.request._quarantine_check import EntryCheck, describe_lost
-from daisylink.request._response import ResponseHead, is_own_response
+from daisylink.request._response import ResponseHead, find_answer_id
 from daisylink.request._response_reader import find_refusal
 from daisylink.request._slot_search import SlotSearch
 from daisylink.request._slot_wait import SlotWait
@@ -66,6 +66,8 @@
         self.trail: list[str] = []
         self.hop: Any = None
         self.hop_refusal: Refusal | None = None
+        # The request id in the backend server's answer, None without one.
+        self.answer_id: bytes | None = None
         self.is_connecting = False
         self.head_sent = False
         self.local_run: LocalRun | None = None
@@ -327,18 +329,24 @@
         self.exchange.fail(ResultCode.REQUEST_ANSWER_LOST)
 
     def owns_response(self, headers: list[Header]) -> bool:
-        """Return whether a response belongs to this request, not to an earlier one."""
+        """Return whether a response belongs to this request, not to an earlier one.
+
+        One without a request id is accepted.
+        """
         if self.local_run is None:
             return True
-        request_id = self.exchange.head.request_id
-        return is_own_response(headers, request_id, self.gateway.header_names)
+        self.answer_id = find_answer_id(headers, self.gateway.header_names)
+        return self.answer_id is None or self.answer_id == self.exchange.head.request_id
 
     def may_be_repeated(self, head: ResponseHead) -> bool:
         """Return whether a late copy of a response could be taken for the next one."""
         if self.local_run is None:
             return False
-        start = self.server_record.server_start
-        return self.gateway.answer_identity.may_be_repeated(head, start)
+        identity = self.gateway.answer_identity
+        if self.answer_id is not None:
+            identity.record_id(self.server_record)
+            return False
+        return identity.may_be_repeated(head.status, self.server_record)
 
     # Events from the next hop
 
--- a/src/daisylink/serving/_answer_identity.py
+++ b/src/daisylink/serving/_answer_identity.py
@@ -6,34 +6,38 @@
 
 from http import HTTPStatus
 
-from daisylink.request import HeaderNames, ResponseHead
-from daisylink.serving._records import ServerStart
+from daisylink.serving._records import MemberRecord
 
 
 class AnswerIdentity:
     """Whether the answers of the server say which request they belong to.
 
-    :param header_names: names of the server's headers.
+    :param is_used: whether servers send request ids at all.
     """
 
-    def __init__(self, header_names: HeaderNames):
-        self.id_header = header_names.request_id
-        # The last start of the server that has sent a request id.
-        self.start_with_ids: ServerStart | None = None
+    def __init__(self, is_used: bool):
+        self.is_used = is_used
+        # This node's record when its server last sent a request id.
+        self.record_with_id: MemberRecord | None = None
 
-    def may_be_repeated(self, head: ResponseHead, start: ServerStart) -> bool:
-        """Return whether a copy of an answer would be taken for the next one.
+    def record_id(self, record: MemberRecord) -> None:
+        """Record that the server has sent a request id.
 
-        Servers that never send a request id are believed but for their rejections: a
-        copy of one would say that the next request has not run.
+        :param record: this node's record, which names the start of the server.
+        """
+        self.record_with_id = record
+
+    def may_be_repeated(self, status: int, record: MemberRecord) -> bool:
+        """Return whether a copy of an answer without an id passes for the next answer.
 
-        :param head: head of the answer.
-        :param start: the start of the server that sent it.
+        Servers that have never sent a request id are believed but for failures: a copy
+        of a rejection would say that the next request has not run.
+
+        :param status: status of the answer.
+        :param record: this node's record, which names the start of the server.
         """
-        if not self.id_header:
-            return False
-        if any(name == self.id_header for name, _ in head.headers):
-            self.start_with_ids = start
+        if not self.is_used:
             return False
-        is_failure = head.status >= HTTPStatus.BAD_REQUEST
-        return is_failure or start == self.start_with_ids
+        known = self.record_with_id
+        sends_ids = known is not None and known.server_start == record.server_start
+        return sends_ids or status >= HTTPStatus.BAD_REQUEST
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -119,7 +119,7 @@
             lambda: loop.call_soon(self.on_local_server_changed),
         )
         self.header_names = header_names
-        self.answer_identity = AnswerIdentity(header_names)
+        self.answer_identity = AnswerIdentity(bool(header_names.request_id))
         self.ages = AgeEstimator()
         self.running = RunningRequests(header_names.call_separator)
         self.claims_keys = claims_keys
