--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -9,7 +9,7 @@
 
 from daisylink.connection._shared_reads import SharedReadProtocol
 from daisylink.logs import get_logger
-from daisylink.request import ResponseHead
+from daisylink.request import ResponseHead, may_be_repeated, owns_response
 
 HTTP_CONTINUE = 100
 INTERIM_STATUSES = frozenset({HTTP_CONTINUE, 102, 103})
@@ -241,7 +241,7 @@
         status = self.parser.get_status_code()
         if self._is_interim(status):
             return
-        if not self.sender.owns_response(self.headers):
+        if not owns_response(self.sender, self.headers):
             self.is_stray = True
             self.is_distrusted |= status not in FINAL_STATUSES
             return
@@ -258,7 +258,7 @@
         can_be_kept = not self.ends_at_close and not self.is_distrusted
         self.is_reusable = can_be_kept and self.parser.should_keep_alive()
         head = ResponseHead(status, self.headers, self.content_length, bodiless)
-        self.may_repeat = self.sender.may_be_repeated(head)
+        self.may_repeat = may_be_repeated(self.sender, status)
         self.sender.handle_response_head(head)
         if self.is_head_request:
             self.is_reusable = False
--- a/src/daisylink/request/__init__.py
+++ b/src/daisylink/request/__init__.py
@@ -65,6 +65,7 @@
 from daisylink.request._plan import RequestPlan, plan_relayed, plan_request
 from daisylink.request._request_age import AgeEstimator
 from daisylink.request._response import ResponseHead
+from daisylink.request._response_reader import may_be_repeated, owns_response
 from daisylink.request._running import RunningRequests, inherit_plan
 from daisylink.request._sender import RequestSender
 from daisylink.request._slot_search import SlotSearch
@@ -126,6 +127,8 @@
     "encode_refusal",
     "inherit_plan",
     "make_refusal",
+    "may_be_repeated",
+    "owns_response",
     "parse_head",
     "plan_relayed",
     "plan_request",
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -160,7 +160,7 @@
         """
         has_run = is_answered and self.exchange.response.status not in NOT_RUN_STATUSES
         if self.suspect is not None:
-            self.gateway.end_suspect(self.suspect)
+            self.gateway.quarantine.end(self.suspect)
         if has_run and has_strike(self.exchange):
             self.gateway.on_suspect_answered(fingerprint_exchange(self.exchange))
         self.suspect = None
--- a/src/daisylink/request/_response_reader.py
+++ b/src/daisylink/request/_response_reader.py
@@ -4,9 +4,11 @@
 from typing import Any
 
 from daisylink.errors import ResultCode
+from daisylink.request._head import Header
 from daisylink.request._outcome import Refusal, make_refusal
 from daisylink.request._response import (
     ResponseHead,
+    find_answer_id,
     has_server_proof,
     is_replay,
     is_shed,
@@ -20,6 +22,34 @@
 REJECTING_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
+def owns_response(sender: Any, headers: list[Header]) -> bool:
+    """Return whether a response belongs to a request, not to an earlier one.
+
+    One without a request id is accepted.
+
+    :param sender: the :class:`~daisylink.request.RequestSender` that gets the response.
+    :param headers: pairs of lower-case name and value.
+    """
+    if sender.local_run is None:
+        return True
+    sender.answer_id = find_answer_id(headers, sender.gateway.header_names)
+    return sender.answer_id in (None, sender.exchange.head.request_id)
+
+
+def may_be_repeated(sender: Any, status: int) -> bool:
+    """Return whether a late copy of a response could be taken for the next one.
+
+    :param sender: the :class:`~daisylink.request.RequestSender` that gets the response.
+    """
+    if sender.local_run is None:
+        return False
+    identity = sender.gateway.answer_identity
+    if sender.answer_id is not None:
+        identity.record_id(sender.server_record)
+        return False
+    return identity.may_be_repeated(status, sender.server_record)
+
+
 def find_refusal(sender: Any, head: ResponseHead) -> Refusal | None:
     """Return the refusal that a response stands for, None to pass it on.
 
--- a/src/daisylink/request/_sender.py
+++ b/src/daisylink/request/_sender.py
@@ -21,7 +21,6 @@
 )
 from daisylink.request._body import MAX_REPLAY_BYTES
 from daisylink.request._decision import ClaimOutcome, RunResult
-from daisylink.request._head import Header
 from daisylink.request._local_run import LocalRun
 from daisylink.request._next_hop_head import make_next_hop_head
 from daisylink.request._outcome import (
@@ -32,7 +31,7 @@
     make_refusal,
 )
 from daisylink.request._quarantine_check import EntryCheck, describe_lost
-from daisylink.request._response import ResponseHead, find_answer_id
+from daisylink.request._response import ResponseHead
 from daisylink.request._response_reader import find_refusal
 from daisylink.request._slot_search import SlotSearch
 from daisylink.request._slot_wait import SlotWait
@@ -328,26 +327,6 @@
         self._record_attempt("LATE")
         self.exchange.fail(ResultCode.REQUEST_ANSWER_LOST)
 
-    def owns_response(self, headers: list[Header]) -> bool:
-        """Return whether a response belongs to this request, not to an earlier one.
-
-        One without a request id is accepted.
-        """
-        if self.local_run is None:
-            return True
-        self.answer_id = find_answer_id(headers, self.gateway.header_names)
-        return self.answer_id is None or self.answer_id == self.exchange.head.request_id
-
-    def may_be_repeated(self, head: ResponseHead) -> bool:
-        """Return whether a late copy of a response could be taken for the next one."""
-        if self.local_run is None:
-            return False
-        identity = self.gateway.answer_identity
-        if self.answer_id is not None:
-            identity.record_id(self.server_record)
-            return False
-        return identity.may_be_repeated(head.status, self.server_record)
-
     # Events from the next hop
 
     def handle_response_head(self, head: ResponseHead) -> None:
@@ -414,7 +393,7 @@
         if self.local_run is not None:
             self.gateway.record_server_outcome(failed=True)
             self.local_run.record_lost()
-            self.gateway.record_server_lost(describe_lost(self.exchange))
+            self.gateway.crash_check.record_lost(describe_lost(self.exchange))
         elif self.target:
             self.gateway.in_flight_tracker.record_connection_lost(self.target)
         if self.exchange.is_response_handed_on:
--- a/src/daisylink/serving/_gateway.py
+++ b/src/daisylink/serving/_gateway.py
@@ -26,6 +26,7 @@
 from daisylink.serving._admission import Admission, AdmissionLimits
 from daisylink.serving._answer_identity import AnswerIdentity
 from daisylink.serving._burn import HISTORY_INTERVAL, BurnTracker
+from daisylink.serving._crash_check import CrashCheck
 from daisylink.serving._in_flight import InFlightTracker
 from daisylink.serving._load_balancer import LoadBalancer
 from daisylink.serving._load_report import (
@@ -55,8 +56,6 @@
     for code in (ResultCode.REQUEST_NO_FREE_SLOT, ResultCode.REQUEST_VERSION_HELD)
 )
 SWEEP_INTERVAL_SECONDS = 1.0
-CRASH_CHECK_DELAY_SECONDS = 0.02
-PROBE_TIMEOUT_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.02
 DEFAULT_LIMITS = AdmissionLimits(slots=8, connections=64, queue=20)
 # For pools that state no queue length; deadlines and objectives bound the queue.
@@ -101,8 +100,7 @@
         self.placer = Placer(balancer)
         self.server_health = ServerHealth(balancer.rng)
         self.burn_tracker = BurnTracker()
-        self.lost_requests: list[LostRequest] = []
-        self.probes: set[asyncio.Task] = set()
+        self.crash_check = CrashCheck(self)
         self.admission = Admission()
         self.version_gate = VersionGate(
             balancer.directory.own_record.node, balancer.rollouts, self.now
@@ -252,37 +250,6 @@
         self.server_health.record(failed, now)
         self.pace.record_outcome(failed, rejected, self.server_health.is_unwell(now))
 
-    def record_server_lost(self, lost: LostRequest) -> None:
-        """Record a request whose connection the local backend server dropped.
-
-        Requests lost within :data:`CRASH_CHECK_DELAY_SECONDS` are examined together.
-        """
-        if not self.lost_requests:
-            self.loop.call_later(CRASH_CHECK_DELAY_SECONDS, self._start_crash_check)
-        self.lost_requests.append(lost)
-
-    def _start_crash_check(self) -> None:
-        task = self.loop.create_task(self._probe_server())
-        self.probes.add(task)
-        task.add_done_callback(self.probes.discard)
-
-    async def _probe_server(self) -> None:
-        """Check for a crash: a crashed server does not accept a new connection."""
-        lost_requests, self.lost_requests = tuple(self.lost_requests), []
-        host, _, port = self.server_address.rpartition(":")
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError, ValueError):
-            self.on_server_crashed(lost_requests)
-            self.record_server_unreachable()
-            return
-        writer.close()
-
-    def end_suspect(self, fingerprint: Fingerprint) -> None:
-        """Record that a suspect no longer runs."""
-        self.quarantine.end(fingerprint)
-
     def on_suspect_answered(self, fingerprint: Fingerprint) -> None:
         """Publish the pardon of a request with strikes; replaced by the node."""
 
