--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -254,9 +254,9 @@
     ),
     Mutant(
         "a stray answer is taken for the own one",
-        "request/_sender.py",
-        "            return True\n        request_id = self.exchange",
-        "            return True\n        return 1\n        request_id = self.exchange",
+        "request/_response_reader.py",
+        "    return sender.answer_id in (None, sender.exchange.head.request_id)\n",
+        "    return True\n",
         "tests.test_server_answers",
     ),
     Mutant(
@@ -599,7 +599,7 @@
         "tests.test_broken_answers.RequestsBehindTests",
     ),
     Mutant(
-        "a status that is none is passed on",
+        "an invalid status code is passed on",
         "connection/_hop.py",
         "        if status not in FINAL_STATUSES:\n",
         "        if not status:\n",
--- a/src/daisylink/connection/_hop.py
+++ b/src/daisylink/connection/_hop.py
@@ -56,7 +56,7 @@
         # Whether the head was cut off and goes on with that of another response.
         self.is_merged = False
         self.is_broken = False
-        # Whether a stray response had a status that is none.
+        # Whether a stray response had an invalid status code.
         self.is_distrusted = False
         # Whether a late copy of the last response could be taken for the next one.
         self.may_repeat = False
@@ -246,7 +246,7 @@
             self.is_distrusted |= status not in FINAL_STATUSES
             return
         if status not in FINAL_STATUSES:
-            self._log_unreadable("its status is none of a final response")
+            self._log_unreadable("its status code is invalid")
             self._break_off()
             return
         self.status = status
--- a/src/daisylink/connection/_response_order.py
+++ b/src/daisylink/connection/_response_order.py
@@ -53,7 +53,7 @@
         if exchange.pending_output:
             exchange.pending_output += data
             data, exchange.pending_output = exchange.pending_output, bytearray()
-        if data:
+        if data and not self.caller.is_closing:
             self.caller.write_bytes(data)
             exchange.response.is_handed_on = exchange.response.started
 
--- a/tests/test_response_status.py
+++ b/tests/test_response_status.py
@@ -1,4 +1,4 @@
-"""A status that is none never reaches a caller.
+"""An invalid status code never reaches a caller.
 
 A backend server in trouble sent a sound head with status 000. Its caller got the bytes
 of the body with no head before them, or waited until its timeout.
@@ -12,7 +12,7 @@
     make_response,
 )
 
-NO_STATUSES = ("000", "001", "099", "101", "150", "199", "600", "999")
+INVALID_STATUSES = ("000", "001", "099", "101", "150", "199", "600", "999")
 INTERIM_STATUSES = ("100", "102", "103")
 FRAMINGS = {
     "a length": ("Content-Length: 7", b"spoiled"),
@@ -49,8 +49,8 @@
         self.assertTrue(end.is_closed)
         self.assertFalse(self.caller.is_closed)
 
-    def test_a_status_that_is_none_is_replaced_at_once(self):
-        for status in NO_STATUSES:
+    def test_an_invalid_status_is_replaced_at_once(self):
+        for status in INVALID_STATUSES:
             for framing in FRAMINGS:
                 with self.subTest(status=status, framing=framing):
                     self.check_replaced(status, framing)
@@ -68,7 +68,7 @@
                     self.assertEqual(self.read_statuses(), ["502"])
 
     def test_requests_in_front_and_behind_are_answered(self):
-        for status in NO_STATUSES:
+        for status in INVALID_STATUSES:
             with self.subTest(status):
                 first, second, third = self.request("first", "second", "third")
                 self.answer_status(second, status, "a length")
