--- a/tests/connection_machine.py
+++ b/tests/connection_machine.py
@@ -28,11 +28,14 @@
     make_answer_head,
 )
 from tests.simulated_network import READ_BYTES, SimulatedNode
+from tests.test_response_status import FRAMINGS, INVALID_STATUSES
 
 TIMEOUT_SECONDS = 0.8
 SLACK_SECONDS = 0.5
 MEMORY_MB = 4
 MAX_CALLERS = 6
+# Longer answers are handed on while they arrive, and end the connection if they break.
+MAX_HELD_BYTES = 64 * 1024
 FLOOD = b"4000\r\n" + b"f" * 0x4000 + b"\r\n"
 GARBAGE = {
     "no request": b"BAD \x00 REQUEST\r\n\r\n",
@@ -52,6 +55,8 @@
 )
 SERVER_ACTS = ("stop reading", "read on", "close", "reset", *NO_ANSWERS)
 PROCESS_ACTS = (0.02, 0.02, 0.1, 0.3, 0.3, 1.0, "freeze", "reload", "stop")
+# With these callers are promised that a request has not run and never will.
+NOT_RUN_STATUSES = ("408", "421", "429", "503")
 FIRST_VERSION = 12
 # Of successive versions, by turns.
 PRIORITIES = (2, 0)
@@ -70,6 +75,8 @@
         self.version = FIRST_VERSION
         self.callers = []
         self.servers = []
+        self.rejected = set()
+        self.is_stopping = False
         self.count = 0
         self.connect()
         self.connect()
@@ -106,10 +113,12 @@
         caller = self.draw(data, self.open_callers)
         match act:
             case "stop reading":
+                caller.is_excused = True
                 caller.end.stop_reading()
             case "read on":
                 caller.end.resume_reading()
             case "leave":
+                caller.is_excused = True
                 caller.end.close()
             case "stay open":
                 caller.end.closes_at_end = False
@@ -140,7 +149,7 @@
         server = self.draw(data, self.waiting_servers)
         name = server.waiting.name
         head = b"" if server.is_open else make_answer_head(name, CHUNKED_LINE)
-        server.is_open = True
+        server.is_open = server.is_disturbed = True
         server.end.send(head + FLOOD * chunks)
         self.node.advance(0.01)
 
@@ -160,19 +169,58 @@
             name = server.waiting.name
             body = make_answer_body(name)
             head = make_answer_head(name, f"Content-Length: {len(body)}")
-            server.is_stuck = True
+            server.is_disturbed = server.is_stuck = True
             server.end.send((head + body)[:count])
             self.node.advance(0.01)
 
     @precondition(lambda self: self.waiting_servers)
-    @rule(data=st.data(), extra=st.booleans())
-    def reject(self, data, extra):
+    @rule(data=st.data(), extra=st.booleans(), has_id=st.booleans())
+    def reject(self, data, extra, has_id):
         server = self.draw(data, self.waiting_servers)
         if not server.is_open:
+            name = server.waiting.name
+            self.rejected.add(name)
             lines = "X-Daisylink-Not-Executed: 1\r\nContent-Length: 0"
-            head = make_answer_head(server.waiting.name, lines, "503 Full")
+            head = make_answer_head(name * has_id, lines, "503 Full")
             self.end_answer(server, head + head * extra)
 
+    @precondition(lambda self: self.copying_servers)
+    @rule(data=st.data(), cut=st.sampled_from((0, 0, 5, 17, 40, 70)))
+    def send_late_copy(self, data, cut):
+        """Send the last answer of the connection again, whole or cut."""
+        server = self.draw(data, self.copying_servers)
+        server.end.send(server.last_answer[: cut or None])
+        self.node.advance(0.01)
+
+    @precondition(lambda self: self.waiting_servers)
+    @rule(
+        data=st.data(),
+        status=st.sampled_from(INVALID_STATUSES),
+        framing=st.sampled_from(tuple(FRAMINGS)),
+    )
+    def answer_with_an_invalid_status(self, data, status, framing):
+        server = self.draw(data, self.waiting_servers)
+        if not server.is_open:
+            line, body = FRAMINGS[framing]
+            head = make_answer_head(server.waiting.name, line, f"{status} Spoiled")
+            server.is_disturbed = server.is_stuck = True
+            server.end.send(head + body)
+            self.node.advance(0.01)
+
+    @precondition(lambda self: self.waiting_servers)
+    @rule(data=st.data(), is_one_segment=st.booleans())
+    def spoil_answer(self, data, is_one_segment):
+        server = self.draw(data, self.waiting_servers)
+        if not server.is_open:
+            head = make_answer_head(server.waiting.name, CHUNKED_LINE)
+            server.is_disturbed = server.is_stuck = True
+            if not is_one_segment:
+                server.end.send(head)
+                self.node.advance(0.01)
+                head = b""
+            server.end.send(head + NO_ANSWERS["no bytes of HTTP"])
+            self.node.advance(0.01)
+
     @precondition(lambda self: self.waiting_servers)
     @rule(data=st.data())
     def answer_another_request(self, data):
@@ -186,6 +234,7 @@
     @rule(data=st.data(), act=st.sampled_from(SERVER_ACTS))
     def disturb_as_server(self, data, act):
         server = self.draw(data, self.open_servers)
+        server.is_disturbed |= act not in ("stop reading", "read on")
         match act:
             case "stop reading":
                 server.end.stop_reading()
@@ -211,6 +260,7 @@
             case "reload":
                 self.reload()
             case "stop":
+                self.is_stopping = True
                 self.node.gateway.begin_stop()
             case float():
                 self.node.advance(act)
@@ -248,6 +298,39 @@
                 is_late = seconds > TIMEOUT_SECONDS + SLACK_SECONDS
                 assert is_over or not is_late, "a request has no end"
 
+    @invariant()
+    def refusals_are_true(self):
+        """A request that may run once is refused only if no server can run it."""
+        arrived = {
+            message.name for server in self.all_servers for message in server.requests
+        }
+        for caller in self.callers:
+            answers = zip(caller.requests, caller.reader.read(), strict=False)
+            for request, answer in answers:
+                is_refused = request.runs_once and answer.first[1] in NOT_RUN_STATUSES
+                may_run = request.name in arrived - self.rejected
+                assert not (is_refused and may_run), "a request was refused and runs"
+
+    @invariant()
+    def no_connection_closes_on_requests_of_sound_servers(self):
+        if self.is_stopping or self.node.gateway.held_limit.ended_requests:
+            return
+        sound = {
+            message.name
+            for server in self.all_servers
+            if not server.is_disturbed
+            for message in server.requests[server.answered :]
+        }
+        for caller in self.callers:
+            is_excused = caller.is_excused or caller.is_garbled
+            if not caller.end.is_closed or is_excused:
+                continue
+            answers = caller.reader.read()
+            is_long = any(len(answer.body) > MAX_HELD_BYTES for answer in answers)
+            whole = sum(answer.is_whole for answer in answers)
+            lost = [request.name for request in caller.requests[whole:]]
+            assert is_long or not sound & set(lost), "a sound server's answer is lost"
+
     @invariant()
     def held_bytes_are_bounded(self):
         held = count_held_bytes(self.node.callers).total
@@ -318,6 +401,11 @@
     def open_servers(self):
         return [server for server in self.all_servers if not server.end.is_closed]
 
+    @property
+    def copying_servers(self):
+        servers = self.waiting_servers
+        return [server for server in servers if server.last_answer]
+
     @property
     def waiting_servers(self):
         return [server for server in self.open_servers if server.waiting is not None]
@@ -328,6 +416,7 @@
     def end_answer(self, server, data):
         server.answered = len(server.requests)
         server.is_open = False
+        server.last_answer = data
         server.end.send(data)
         self.node.advance(0.01)
 
--- a/tests/connection_model.py
+++ b/tests/connection_model.py
@@ -9,6 +9,8 @@
 from tests.platform_standin import SEAL
 from tests.simulated_network import HOST
 
+STATUS_LINE_START = b"HTTP/1.1 "
+
 
 class Message(NamedTuple):
     """A request or a response, as far as it has arrived.
@@ -131,6 +133,8 @@
 
     :ivar outgoing: bytes that it has not sent yet.
     :ivar is_garbled: whether it has sent bytes that are no request.
+    :ivar is_excused: whether its connection may close on requests: it has left, or has
+        stopped reading for a while.
     """
 
     def __init__(self, end):
@@ -138,6 +142,7 @@
         self.requests = []
         self.outgoing = bytearray()
         self.is_garbled = False
+        self.is_excused = False
         self.reader = MessageReader(end.received)
 
     def add(self, request):
@@ -152,10 +157,13 @@
     def check(self):
         """Check that each answer is whole, or cut, and belongs to its own request."""
         answers = self.reader.read()
+        rest = bytes(self.end.received[self.reader.start :][: len(STATUS_LINE_START)])
+        assert STATUS_LINE_START.startswith(rest), "bytes that are no answer"
         allowed = len(self.requests) + self.is_garbled
         assert len(answers) <= allowed, "an answer to no request"
         for number, answer in enumerate(answers):
             is_last = number == len(answers) - 1
+            assert 200 <= int(answer.first[1]) <= 599, "an invalid status"
             assert answer.is_whole or is_last, "an answer in another one's body"
             if answer.first[1] != "200":
                 continue
@@ -172,6 +180,8 @@
 
     :ivar is_open: whether it has begun an answer in chunks.
     :ivar is_stuck: whether it has sent a part of an answer and sends no more.
+    :ivar is_disturbed: whether it has broken an answer off, or the connection.
+    :ivar last_answer: the bytes of the last whole answer.
     """
 
     def __init__(self, end):
@@ -179,6 +189,8 @@
         self.answered = 0
         self.is_open = False
         self.is_stuck = False
+        self.is_disturbed = False
+        self.last_answer = b""
         self.reader = MessageReader(end.received)
 
     @property
@@ -201,7 +213,9 @@
 def make_answer_head(name, framing, status="200 OK"):
     """Return the head of an answer.
 
+    :param name: id of the request, "" for an answer without one.
     :param framing: the header line that frames its body, and others.
     """
-    head = f"HTTP/1.1 {status}\r\nX-Daisylink-Request-Id: {name}\r\n"
+    head = f"HTTP/1.1 {status}\r\n"
+    head += f"X-Daisylink-Request-Id: {name}\r\n" if name else ""
     return f"{head}X-Daisylink-Response-Seal: {SEAL}\r\n{framing}\r\n\r\n".encode()
--- a/tests/test_connection_machine.py
+++ b/tests/test_connection_machine.py
@@ -15,7 +15,10 @@
 
 class ConnectionMachineTests(unittest.TestCase):
     def test_callers_and_servers_get_what_they_are_owed(self):
-        """Guards against the kind of review/1 and review/4: divided, endless bytes."""
+        """Guards against the kinds of review/1, 4, 6 and 7, and invalid statuses.
+
+        Bytes are divided and endless, answers spoiled, invalid, late and repeated.
+        """
         profile = settings(
             SETTINGS,
             derandomize=True,
