--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A request that crashes servers comes again with another query each time."""
+"""A request crashes servers for one calling service, and is sound for another."""
 
 import asyncio
 import random
@@ -11,30 +11,37 @@
 from crashing import CrashingBackend, call_in_turn, send_poison  # noqa: E402
 from fleet import make_route, run_case  # noqa: E402
 
-PLAN = [(service, zone) for service in ("roster", "fieldfiles") for zone in "aabc"]
-PATH = "/report/7"
-SENDS = 14
+# The request goes to service "roster"; it crashes servers if it begins beside
+# "dispatch", and not if it begins beside "fieldfiles".
+PLAN = [
+    *(("roster", zone) for zone in "aabc"),
+    *(("dispatch", zone) for zone in "abc"),
+    *(("fieldfiles", zone) for zone in "aabc"),
+]
+TARGET = "/report/7"
+SENDS = 16
 SEND_SECONDS = 2.5
+SOUND_SECONDS = 0.2
 
 
 async def play(fleet):
     """Send the request again and again; return whether it came too often."""
     rng = random.Random(1)
-    routes = [
-        make_route("list", "/list/", "fieldfiles"),
-        make_route("report", "/report/", "roster"),
-    ]
-    await fleet.start(routes)
-    others = asyncio.ensure_future(call_in_turn(fleet, fleet.machines, "/list/1"))
-    callers = [item for item in fleet.machines if item.service == "fieldfiles"]
+    await fleet.start([make_route("report", "/report/", "roster")])
+    by_service = {}
+    for machine in fleet.machines:
+        by_service.setdefault(machine.service, []).append(machine)
+    sound = asyncio.ensure_future(
+        call_in_turn(fleet, by_service["fieldfiles"], TARGET, SOUND_SECONDS)
+    )
     for number in range(SENDS):
-        target = f"{PATH}?at={1700000000 + number}"
-        await send_poison(fleet, rng.choice(callers), target, f"p{number}")
+        machine = rng.choice(by_service["dispatch"])
+        await send_poison(fleet, machine, TARGET, f"p{number}")
         await asyncio.sleep(SEND_SECONDS)
-    others.cancel()
+    sound.cancel()
     return CrashingBackend.is_rule_broken(fleet.record)
 
 
 if __name__ == "__main__":
-    CrashingBackend.poison = (PATH, None)
+    CrashingBackend.poison = (TARGET, "dispatch")
     run_case(PLAN, play, FOLDER / "record.txt", backend_type=CrashingBackend)
