Answers to one service clear no other service's request that crashes servers

Cause: a request was known by tenant, host, method, target and body, without the calling service, which backend servers are told.

Change: strikes name their caller. They count against the content from all callers, until one caller's request is answered: that pardons its own strikes and binds the others' to their callers. A refused request of a caller that the crashes do not need to be explained is tried at once by one node. Why this works: the sound service's answers no longer touch the strikes of the crashing one, and a request that crashes servers for every service still has three strikes in all.

--- a/src/daisylink/process/_strike_broadcaster.py
+++ b/src/daisylink/process/_strike_broadcaster.py
@@ -25,7 +25,7 @@
         """Record and broadcast a strike for each request in flight at a crash."""
         crash = f"{self.node}/{now:.3f}"
         strikes = tuple(
-            Strike(item.head, item.whole, crash) for item in dict.fromkeys(fingerprints)
+            Strike.from_fingerprint(item, crash) for item in dict.fromkeys(fingerprints)
         )
         return self._broadcast(strikes[:MAX_STRIKES], now)
 
--- a/src/daisylink/request/_exchange.py
+++ b/src/daisylink/request/_exchange.py
@@ -148,6 +148,11 @@
         if self.sender.hop is not None:
             self.sender.hop.flush()
 
+    @property
+    def origin(self) -> str:
+        """Return the service of the node where the request entered."""
+        return self.plan.origin if self.is_relay else self.gateway.origin
+
     @property
     def can_read_body(self) -> bool:
         """Return whether more of the request body can be read now."""
--- a/src/daisylink/request/_fingerprint.py
+++ b/src/daisylink/request/_fingerprint.py
@@ -1,7 +1,9 @@
 """Request fingerprints, which recognise a request that crashes servers when resent.
 
 A resend has the content of the request before: its method, host and target, the tenant
-that sends it, and its body. It may enter at any node and be framed in another way.
+that sends it, and its body. It may enter at any node and be framed in another way. What
+backend servers are told of the calling service is part of the request too, but kept
+apart: the same content may crash servers for each caller, or for one of them only.
 """
 
 import hashlib
@@ -11,6 +13,7 @@
 
 HEAD_DIGEST_BYTES = 8
 WHOLE_DIGEST_BYTES = 16
+CALLER_DIGEST_BYTES = 4
 
 
 class Fingerprint(NamedTuple):
@@ -18,10 +21,13 @@
 
     :param head: digest of the parts of the head that a resend repeats.
     :param whole: digest of these parts and the body.
+    :param caller: digest of the calling service's name, empty if backend servers are
+        not told.
     """
 
     head: bytes
     whole: bytes
+    caller: bytes = b""
 
 
 class LostRequest(NamedTuple):
@@ -45,13 +51,20 @@
 
 
 def compute_fingerprint(
-    head: RequestHead, tenant: str, body_digest: bytes
+    head: RequestHead, tenant: str, body_digest: bytes, caller: str = ""
 ) -> Fingerprint:
     """Return the fingerprint of a request.
 
     :param tenant: name of the tenant that sends the request, "" for none.
     :param body_digest: digest of the content of the body.
+    :param caller: name of the calling service, "" if backend servers are not told.
     """
     digest = digest_head(head, tenant)
     whole = hashlib.blake2b(digest + body_digest, digest_size=WHOLE_DIGEST_BYTES)
-    return Fingerprint(digest, whole.digest())
+    return Fingerprint(digest, whole.digest(), _digest_caller(caller))
+
+
+def _digest_caller(name: str) -> bytes:
+    if not name:
+        return b""
+    return hashlib.blake2b(name.encode(), digest_size=CALLER_DIGEST_BYTES).digest()
--- a/src/daisylink/request/_local_run.py
+++ b/src/daisylink/request/_local_run.py
@@ -162,7 +162,9 @@
         if self.suspect is not None:
             self.gateway.quarantine.end(self.suspect)
         if has_run and has_strike(self.exchange):
-            self.gateway.on_suspect_answered(fingerprint_exchange(self.exchange))
+            fingerprint = fingerprint_exchange(self.exchange)
+            self.gateway.trials.record_answered(fingerprint)
+            self.gateway.on_suspect_answered(fingerprint)
         self.suspect = None
 
     def _send(self) -> None:
--- a/src/daisylink/request/_next_hop_head.py
+++ b/src/daisylink/request/_next_hop_head.py
@@ -15,7 +15,6 @@
     WAIT_HEADER,
     Header,
     HopMetadata,
-    RequestHead,
     ToldLimit,
     build_hop_head,
     encode_hop_metadata,
@@ -35,7 +34,7 @@
     """
     exchange, gateway = sender.exchange, sender.gateway
     if sender.local_run is not None:
-        return _make_server_head(exchange.head, exchange.plan, gateway)
+        return _make_server_head(exchange)
     expect = exchange.head.expects_continue and not exchange.has_sent_continue
     told_limit = gateway.notices.find_told_limit(sender.target_record)
     return _make_relay_head(sender, expect, told_limit)
@@ -74,16 +73,16 @@
     return build_hop_head(head, extra, expect)
 
 
-def _make_server_head(head: RequestHead, plan: RequestPlan, gateway: Any) -> bytes:
+def _make_server_head(exchange: Any) -> bytes:
     """Return the head for the local backend server."""
+    head, plan, gateway = exchange.head, exchange.plan, exchange.gateway
     header_names = gateway.header_names
-    origin = plan.origin if head.hop_metadata is not None else gateway.origin
     left_ms = _count_left_ms(plan.deadline, gateway.now())
     headers: list[Header] = [(header_names.deadline, b"%d" % left_ms)]
     if header_names.target:
         headers.append((header_names.target, gateway.own_record.instance.encode()))
     if header_names.origin:
-        headers.append((header_names.origin, origin.encode()))
+        headers.append((header_names.origin, exchange.origin.encode()))
     if header_names.tenant and plan.tenant:
         headers.append((header_names.tenant, plan.tenant.encode()))
     headers.append((DEPTH_HEADER, b"%d" % (head.depth + 1)))
--- a/src/daisylink/request/_quarantine_check.py
+++ b/src/daisylink/request/_quarantine_check.py
@@ -22,8 +22,10 @@
 
     :param exchange: the :class:`~daisylink.request.Exchange` of the request.
     """
-    tenant = exchange.plan.tenant
-    return compute_fingerprint(exchange.head, tenant, exchange.body.digest())
+    caller = exchange.origin if exchange.gateway.header_names.origin else ""
+    return compute_fingerprint(
+        exchange.head, exchange.plan.tenant, exchange.body.digest(), caller
+    )
 
 
 def describe_lost(exchange: Any) -> LostRequest:
--- a/src/daisylink/serving/__init__.py
+++ b/src/daisylink/serving/__init__.py
@@ -10,7 +10,12 @@
     LocalServerSettings,
 )
 from daisylink.serving._metrics import Metrics
-from daisylink.serving._quarantine import Quarantine, QuarantineSettings, Strike
+from daisylink.serving._quarantine import (
+    Quarantine,
+    QuarantineSettings,
+    Strike,
+    StrikeKey,
+)
 from daisylink.serving._records import (
     MemberRecord,
     MemberState,
@@ -41,5 +46,6 @@
     "ServerStart",
     "ServerState",
     "Strike",
+    "StrikeKey",
     "divide_retry_budget",
 ]
--- a/src/daisylink/serving/_quarantine.py
+++ b/src/daisylink/serving/_quarantine.py
@@ -5,13 +5,18 @@
 crash shows which one causes it. A request with strikes from several crashes is refused
 for a while. Once a request is answered, its strikes are withdrawn at all nodes (a
 pardon), because another request must have crashed the server.
+
+A strike counts against requests of the same content from all callers, until one from
+another caller is answered: then backend servers tell the callers apart, and the strike
+counts against its own caller only.
 """
 
 from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple
+from typing import NamedTuple, Self
 
 import msgspec
+from msgspec.structs import replace
 
 from daisylink.request import Fingerprint, QuarantineStatus
 
@@ -34,6 +39,9 @@
         milliseconds, 0 for the whole lifetime.
     :param is_repeat: whether the request had lost an attempt before, so that the crash
         says more than one of another server at the same moment.
+    :param caller: digest of the calling service's name, empty if it is not known.
+    :param is_caller_bound: whether the strike counts only against requests of its own
+        caller, because a request of another caller was answered.
     """
 
     head: bytes
@@ -43,6 +51,30 @@
     expires_ms: int = 0
     lifetime_ms: int = 0
     is_repeat: bool = False
+    caller: bytes = b""
+    is_caller_bound: bool = False
+
+    @classmethod
+    def from_fingerprint(cls, fingerprint: Fingerprint, crash: str, **fields) -> Self:
+        """Return a strike against a request.
+
+        :param fields: other fields of the strike, by name.
+        """
+        head, whole, caller = fingerprint
+        return cls(head, whole, crash, caller=caller, **fields)
+
+    @property
+    def key(self) -> "StrikeKey":
+        """Return what identifies the strike among those of all requests."""
+        return StrikeKey(self.whole, self.crash, self.caller)
+
+
+class StrikeKey(NamedTuple):
+    """Identifies a strike: its request, its crash and the caller's digest."""
+
+    whole: bytes
+    crash: str
+    caller: bytes
 
 
 class QuarantineSettings(NamedTuple):
@@ -72,16 +104,23 @@
     :param pardoned: whether it was pardoned.
     :param crashed_at: when the server crashed, in seconds of the monotonic clock.
     :param is_repeat: whether the request had lost an attempt before.
+    :param is_caller_bound: whether it counts only against its own caller's requests.
     """
 
     ends: float
     pardoned: bool
     crashed_at: float
     is_repeat: bool
+    is_caller_bound: bool
+
+    def is_at_least(self, strike: Strike) -> bool:
+        """Return whether no less of this strike was withdrawn than of another copy."""
+        known = (self.pardoned, self.is_caller_bound)
+        return known >= (strike.pardoned, strike.is_caller_bound)
 
 
 class Quarantine:
-    """The strikes that this node knows of, by fingerprint."""
+    """The strikes that this node knows of, by the digest of whole requests."""
 
     def __init__(self, settings: QuarantineSettings):
         self.strike_lifetime = settings.strike_lifetime.total_seconds()
@@ -89,7 +128,7 @@
         self.same_moment = settings.same_moment.total_seconds()
         self.trial_delays = [delay.total_seconds() for delay in settings.trial_delays]
         self.isolates_suspects = settings.isolates_suspects
-        self.strikes: dict[bytes, dict[str, KnownStrike]] = {}
+        self.strikes: dict[bytes, dict[StrikeKey, KnownStrike]] = {}
         self.heads: dict[bytes, set[bytes]] = {}
         self.running: set[bytes] = set()
 
@@ -109,10 +148,10 @@
         find_lifetime: Callable[[Strike], float] | None = None,
         find_age: Callable[[Strike], float] | None = None,
     ) -> list[Strike]:
-        """Merge strikes and pardons.
+        """Merge strikes and what was withdrawn of them.
 
         A pardon permanently overrides the strike of its crash, even if that strike
-        arrives later.
+        arrives later. So does the news that a strike is bound to its caller.
 
         :param now: seconds of the monotonic clock.
         :param find_lifetime: returns how long a strike lasts from now, in seconds; by
@@ -122,42 +161,73 @@
         """
         fresh = []
         for strike in strikes:
-            crashes = self.strikes.setdefault(strike.whole, {})
-            held = crashes.get(strike.crash)
-            if held is not None and held.pardoned >= strike.pardoned:
+            known = self.strikes.setdefault(strike.whole, {})
+            held = known.get(strike.key)
+            if held is not None and held.is_at_least(strike):
+                continue
+            fresh.append(strike)
+            if held is not None and not strike.pardoned:
+                known[strike.key] = held._replace(is_caller_bound=True)
                 continue
             lifetime = self.strike_lifetime
             if find_lifetime is not None:
                 lifetime = min(lifetime, find_lifetime(strike))
             crashed_at = now - find_age(strike) if find_age is not None else now
-            crashes[strike.crash] = KnownStrike(
-                now + lifetime, strike.pardoned, crashed_at, strike.is_repeat
+            known[strike.key] = KnownStrike(
+                now + lifetime,
+                strike.pardoned,
+                crashed_at,
+                strike.is_repeat,
+                strike.is_caller_bound,
             )
             self.heads.setdefault(strike.head, set()).add(strike.whole)
-            fresh.append(strike)
         while len(self.strikes) > MAX_FINGERPRINTS:
             self._forget(next(iter(self.strikes)))
         return fresh
 
     def make_pardons(self, fingerprint: Fingerprint) -> tuple[Strike, ...]:
-        """Return a pardon for each strike of a request that was answered."""
-        return tuple(
-            Strike(fingerprint.head, fingerprint.whole, crash, True)
-            for crash, held in self.strikes.get(fingerprint.whole, {}).items()
-            if not held.pardoned
-        )
+        """Return what the answer to a request withdraws of its strikes.
+
+        Those of its caller, or of an unknown one, are pardoned; the others are bound to
+        their callers.
+        """
+        changed = []
+        for key, held in self.strikes.get(fingerprint.whole, {}).items():
+            strike = Strike(
+                fingerprint.head,
+                key.whole,
+                key.crash,
+                is_repeat=held.is_repeat,
+                caller=key.caller,
+            )
+            if key.caller in (fingerprint.caller, b""):
+                strike = replace(strike, pardoned=True)
+            else:
+                strike = replace(strike, is_caller_bound=True)
+            if not held.is_at_least(strike):
+                changed.append(strike)
+        return tuple(changed)
 
     def find_seconds_left(self, strike: Strike, now: float) -> float:
         """Return how long a known strike lasts, 0 if it is unknown or pardoned.
 
         :param now: seconds of the monotonic clock.
         """
-        held = self.strikes.get(strike.whole, {}).get(strike.crash)
-        return 0.0 if held is None or held.pardoned else max(0.0, held.ends - now)
+        known = self.strikes.get(strike.whole, {})
+        if not self._is_live(known, strike.key, now):
+            return 0.0
+        return known[strike.key].ends - now
+
+    def update_strike(self, strike: Strike) -> Strike:
+        """Return a strike as it counts by now."""
+        held = self.strikes.get(strike.whole, {}).get(strike.key)
+        if held is None or not held.is_caller_bound:
+            return strike
+        return replace(strike, is_caller_bound=True)
 
     def find_status(self, fingerprint: Fingerprint, now: float) -> QuarantineStatus:
         """Return whether a request is clear, a suspect or quarantined."""
-        live = self._list_live(fingerprint, now)
+        live = self._list_crashes(fingerprint, now)
         if not live:
             return QuarantineStatus.CLEAR
         if self._count_evidence(live) >= self.crash_limit:
@@ -165,20 +235,24 @@
         return QuarantineStatus.SUSPECT
 
     def count_crashes(self, fingerprint: Fingerprint, now: float) -> int:
-        """Return the number of crashes that count against a request."""
-        return len(self._list_live(fingerprint, now))
+        """Return the number of crashes that are known of a content, by any caller."""
+        known = self.strikes.get(fingerprint.whole, {})
+        return len({key.crash for key in known if self._is_live(known, key, now)})
 
     def find_trial_at(self, fingerprint: Fingerprint, now: float) -> float:
         """Return when a refused request may be tried again, infinite if it may not.
 
-        The crashes after those that made it refused were trials.
+        The crashes after those that made it refused were trials. A request of another
+        caller than the one that all crashes have in common is tried at once.
 
         :param now: seconds of the monotonic clock.
         """
-        live = self._list_live(fingerprint, now)
+        live = self._list_crashes(fingerprint, now)
         crashed_at = sorted(held.crashed_at for held in live)
         if len(crashed_at) < self.crash_limit:
             return float("inf")
+        if self._is_explained_by_another(fingerprint, now):
+            return crashed_at[-1]
         last_moment = crashed_at[self.crash_limit - 1] + self.same_moment
         trials = sum(at > last_moment for at in crashed_at)
         if trials >= len(self.trial_delays):
@@ -187,8 +261,8 @@
 
     def retry_ms(self, fingerprint: Fingerprint, now: float) -> int:
         """Return the milliseconds until a refused request may run again."""
-        crashes = self.strikes.get(fingerprint.whole, {})
-        ends = max((held.ends for held in crashes.values()), default=now)
+        known = self.strikes.get(fingerprint.whole, {})
+        ends = max((held.ends for held in known.values()), default=now)
         trial_ends = self.find_trial_at(fingerprint, now) + MIN_RETRY_SECONDS
         earliest = max(now + MIN_RETRY_SECONDS, trial_ends)
         return max(1, round((min(ends, earliest) - now) * MS_PER_SECOND))
@@ -213,16 +287,59 @@
 
     def purge(self, now: float) -> None:
         """Forget requests whose strikes have all expired."""
-        for whole, crashes in list(self.strikes.items()):
-            if all(held.ends <= now for held in crashes.values()):
+        for whole, known in list(self.strikes.items()):
+            if all(held.ends <= now for held in known.values()):
                 self._forget(whole)
 
-    def _list_live(self, fingerprint: Fingerprint, now: float) -> list[KnownStrike]:
-        """Return the strikes of a request that are in force."""
-        crashes = self.strikes.get(fingerprint.whole, {})
-        return [
-            held for held in crashes.values() if held.ends > now and not held.pardoned
-        ]
+    def _is_live(
+        self, known: dict[StrikeKey, KnownStrike], key: StrikeKey, now: float
+    ) -> bool:
+        """Return whether a strike is in force.
+
+        A node of an earlier release pardons a crash without naming a caller.
+
+        :param known: the strikes against requests of the same content.
+        """
+        held = known.get(key)
+        unnamed = known.get(key._replace(caller=b""), held)
+        if held is None or held.pardoned or unnamed.pardoned:
+            return False
+        return held.ends > now
+
+    def _list_counting(
+        self, fingerprint: Fingerprint, now: float
+    ) -> dict[StrikeKey, KnownStrike]:
+        """Return the strikes in force that count against a request."""
+        known = self.strikes.get(fingerprint.whole, {})
+        return {
+            key: held
+            for key, held in known.items()
+            if self._is_live(known, key, now)
+            and (key.caller == fingerprint.caller or not held.is_caller_bound)
+        }
+
+    def _list_crashes(self, fingerprint: Fingerprint, now: float) -> list[KnownStrike]:
+        """Return one strike of each crash that counts against a request.
+
+        Requests of several callers may have been in flight at one crash.
+        """
+        crashes: dict[str, KnownStrike] = {}
+        for key, held in self._list_counting(fingerprint, now).items():
+            if key.crash not in crashes or held.is_repeat:
+                crashes[key.crash] = held
+        return list(crashes.values())
+
+    def _is_explained_by_another(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Return whether another caller's requests were in flight at each crash.
+
+        An unknown caller may be the same one.
+        """
+        crashes: dict[bytes, set[str]] = {}
+        for key in self._list_counting(fingerprint, now):
+            if key.caller not in (fingerprint.caller, b""):
+                crashes.setdefault(key.caller, set()).add(key.crash)
+        most = max(map(len, crashes.values()), default=0)
+        return most == len(self._list_crashes(fingerprint, now))
 
     def _count_evidence(self, live: list[KnownStrike]) -> int:
         """Return the number of crashes, of which those of one moment count once.
--- a/src/daisylink/serving/_suspect_trials.py
+++ b/src/daisylink/serving/_suspect_trials.py
@@ -64,3 +64,7 @@
         self.pauses[fingerprint.whole] = now + MIN_PAUSE_SECONDS
         self.quarantine.begin(fingerprint)
         return True
+
+    def record_answered(self, fingerprint: Fingerprint) -> None:
+        """End the pause after a trial: requests of other callers need trials too."""
+        self.pauses.pop(fingerprint.whole, None)
--- a/src/daisylink/sidecar/_strike_driver.py
+++ b/src/daisylink/sidecar/_strike_driver.py
@@ -62,7 +62,11 @@
         self.on_changed()
 
     def _handle_answered(self, fingerprint: Fingerprint) -> None:
-        withdrawn = self.reporter.record_answered(fingerprint, self.now())
-        if withdrawn:
-            log.bind(strikes=withdrawn).info("strikes withdrawn after an answer")
-            self.on_changed()
+        changed = self.reporter.record_answered(fingerprint, self.now())
+        if not changed:
+            return
+        pardoned = sum(strike.pardoned for strike in changed)
+        log.bind(pardoned=pardoned, caller_bound=len(changed) - pardoned).info(
+            "strikes withdrawn after an answer"
+        )
+        self.on_changed()
--- a/src/daisylink/sidecar/_strikes.py
+++ b/src/daisylink/sidecar/_strikes.py
@@ -14,7 +14,7 @@
 from daisylink.clock import Clock
 from daisylink.logs import get_logger
 from daisylink.request import Fingerprint, LostRequest
-from daisylink.serving import Quarantine, QuarantineSettings, Strike
+from daisylink.serving import Quarantine, QuarantineSettings, Strike, StrikeKey
 from daisylink.serving._records import compute_ring_position
 
 # Suspects run beside other requests: most requests in flight at a crash did not
@@ -61,9 +61,6 @@
     strike: Strike
 
 
-StrikeKey = tuple[bytes, str]
-
-
 class StrikeReporter:
     """The strikes in the members' records, and which of them this node lists.
 
@@ -97,25 +94,31 @@
         lifetime = self.quarantine.strike_lifetime
         expires_ms = self._unix_ms() + round(lifetime * MS_PER_SECOND)
         strikes = [
-            Strike(*fingerprint, crash, expires_ms=expires_ms, is_repeat=is_repeat)
+            Strike.from_fingerprint(
+                fingerprint, crash, expires_ms=expires_ms, is_repeat=is_repeat
+            )
             for fingerprint, is_repeat in merge_lost(lost).items()
         ]
         for strike in self.quarantine.merge_strikes(tuple(strikes), now):
             self._report(strike, now + lifetime)
 
-    def record_answered(self, fingerprint: Fingerprint, now: float) -> int:
+    def record_answered(self, fingerprint: Fingerprint, now: float) -> list[Strike]:
         """Withdraw the strikes of a request that was answered.
 
-        Another request crashed the server.
+        Another request crashed the server, or the same content from another caller,
+        to which its strikes are bound then.
 
-        :returns: the number of strikes withdrawn.
+        :returns: the strikes that were pardoned or bound to their callers.
         """
         pardons = self.quarantine.make_pardons(fingerprint)
         ends = now + self.settings.pardon_retention.total_seconds()
-        withdrawn = self.quarantine.merge_strikes(pardons, now)
-        for pardon in withdrawn:
-            self._report(pardon, ends)
-        return len(withdrawn)
+        changed = self.quarantine.merge_strikes(pardons, now)
+        for strike in changed:
+            if strike.pardoned:
+                self._report(strike, ends)
+            elif strike.key not in self.reported:
+                self._report(self._state_expiry(strike, now), ends)
+        return changed
 
     def handle_record(
         self, node: str, strikes: tuple[Strike, ...], now: float, is_starting: bool
@@ -124,16 +127,21 @@
 
         :param is_starting: whether this node reads the records for the first time, so
             that the strikes may be old.
-        :returns: whether this node's own record has to list more strikes.
+        :returns: whether this node's own record has to list other strikes.
         """
         former = self.listed.pop(node, ())
+        fresh: list[Strike] = []
         if strikes:
             self.listed[node] = strikes
             find_lifetime = find_new_lifetime
             if is_starting:
                 find_lifetime = self._find_old_lifetime
-            self.quarantine.merge_strikes(strikes, now, find_lifetime, self._find_age)
-        return self._adopt(former, node, now) if former else False
+            fresh = self.quarantine.merge_strikes(
+                strikes, now, find_lifetime, self._find_age
+            )
+        is_own_changed = any(strike.key in self.reported for strike in fresh)
+        has_adopted = bool(former) and self._adopt(former, node, now)
+        return is_own_changed or has_adopted
 
     def handle_member_removed(self, node: str, now: float) -> bool:
         """Handle a node that is no longer a member.
@@ -150,12 +158,14 @@
             )
             if ends <= now or is_withdrawn:
                 del self.reported[key]
-        return tuple(reported.strike for reported in self.reported.values())
+        return tuple(
+            self.quarantine.update_strike(reported.strike)
+            for reported in self.reported.values()
+        )
 
     def _report(self, strike: Strike, ends: float) -> None:
-        key = (strike.whole, strike.crash)
-        self.reported.pop(key, None)
-        self.reported[key] = ReportedStrike(ends, strike)
+        self.reported.pop(strike.key, None)
+        self.reported[strike.key] = ReportedStrike(ends, strike)
         while len(self.reported) > MAX_REPORTED:
             del self.reported[next(iter(self.reported))]
 
@@ -165,16 +175,12 @@
         :param gone: the node whose record listed them.
         :returns: whether any were added.
         """
-        listed = {
-            (strike.whole, strike.crash)
-            for others in self.listed.values()
-            for strike in others
-        }
+        listed = {strike.key for others in self.listed.values() for strike in others}
         listed.update(self.reported)
         missing = [
             strike
             for strike in strikes
-            if (strike.whole, strike.crash) not in listed and self._lasts(strike, now)
+            if strike.key not in listed and self._lasts(strike, now)
         ]
         if not missing or not self._is_adopter(gone):
             return False
@@ -224,6 +230,12 @@
             return 0.0
         return self.quarantine.strike_lifetime - self._find_seconds_left(strike)
 
+    def _state_expiry(self, strike: Strike, now: float) -> Strike:
+        """Return a known strike with its expiry by the time of day."""
+        seconds_left = self.quarantine.find_seconds_left(strike, now)
+        expires_ms = self._unix_ms() + round(seconds_left * MS_PER_SECOND)
+        return msgspec.structs.replace(strike, expires_ms=expires_ms)
+
     def _unix_ms(self) -> int:
         return round(self.clock.now().timestamp() * MS_PER_SECOND)
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -242,6 +242,7 @@
     """A backend server whose responses carry its seal, or a faulty one.
 
     :param crash_path: path of the requests that crash it.
+    :param crash_caller: calling service of those requests, None for any.
     :param make_raw_response: makes the bytes sent instead of the response, from the
         request's id.
     :param flood: bytes that follow those again and again until the caller closes.
@@ -251,6 +252,7 @@
         super().__init__()
         self.instance = instance
         self.crash_path = None
+        self.crash_caller = None
         self.make_raw_response = None
         self.flood = b""
         self.flood_bytes = 0
@@ -265,7 +267,8 @@
             write(writer, HTTPStatus.MISDIRECTED_REQUEST, b"")
             return
         self.runs.append(name)
-        if target == self.crash_path:
+        caller = headers["x-daisylink-caller-service"]
+        if target == self.crash_path and self.crash_caller in (None, caller):
             self.close()
             return
         await asyncio.sleep(self.service_seconds)
--- a/tests/test_popular_request.py
+++ b/tests/test_popular_request.py
@@ -33,13 +33,15 @@
 
 PAGE = Fingerprint(b"h", b"page")
 CRASHES = SIDECAR_QUARANTINE_SETTINGS.crash_limit
+# Service of the nodes where the requests enter.
+CALLER = "one"
 
 
 def fingerprint(name):
     """Return the fingerprint of a request without a body."""
     target = f"/x/{name}".encode()
     head = parse_head(b"GET", target, [(b"host", HOST.encode())], False)
-    return compute_fingerprint(head, "", RequestBody(False).digest())
+    return compute_fingerprint(head, "", RequestBody(False).digest(), CALLER)
 
 
 class RunningRequestTests(CallerTestCase):
@@ -52,7 +54,9 @@
 
     def add_strikes(self, name, count=CRASHES):
         strikes = [
-            Strike(*fingerprint(name), f"crash {number}", is_repeat=True)
+            Strike.from_fingerprint(
+                fingerprint(name), f"crash {number}", is_repeat=True
+            )
             for number in range(count)
         ]
         now = self.node.loop.time()
--- a/tests/test_strikes_over_restarts.py
+++ b/tests/test_strikes_over_restarts.py
@@ -179,7 +179,7 @@
             known = compute_fingerprint(head, "", RequestBody(False).digest())
             quarantine = first.sidecar.gateway.quarantine
             strikes = [
-                Strike(*known, f"crash {number}", is_repeat=True)
+                Strike.from_fingerprint(known, f"crash {number}", is_repeat=True)
                 for number in range(CRASHES)
             ]
             quarantine.merge_strikes(tuple(strikes), first.sidecar.now())
--- a/tests/test_suspect_trials.py
+++ b/tests/test_suspect_trials.py
@@ -24,7 +24,7 @@
 
 def add_crash(quarantine, content, number, now, age=0.0):
     """Count a crash against a request, as if it had been tried again and again."""
-    strike = Strike(*content, f"crash {number}", is_repeat=True)
+    strike = Strike.from_fingerprint(content, f"crash {number}", is_repeat=True)
     quarantine.merge_strikes((strike,), now, find_age=lambda _strike: age)
 
 
