The fleet remembers leaves that the store and the process beside the server lost

Cause: the departure lay in the store and in one process. The other nodes had read it, but dropped it with their first listing in the new era, and the process that started took two late heartbeats for a proof that the server had not left.

Change: registry/_lost_departures.py keeps what a listing in a new era lacks; up to eight nodes in turn write it again unless its own process does. A process that doubts the store asks its peers, which send the departures that it cannot have read; until one has answered that had listed the keys before the store's return, or 1.2 s have passed, heartbeats prove nothing. Why this works: whoever read the leave in time tells it before the server can be served, and the store holds it again for later starts. The calls for departures move out of the store driver into a module of their own.

The mutant of the proof names its line anew.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -461,8 +461,8 @@
     Mutant(
         "one late heartbeat is proof that a server has not left",
         "serving/_local_server.py",
-        "        self.needs_proof = not is_complete\n",
-        "        self.needs_proof = False\n",
+        "        self.needs_proof = self.awaits_witness = not is_complete\n",
+        "        self.needs_proof = self.awaits_witness = False\n",
         "tests.test_store_era",
     ),
     Mutant(
--- a/src/daisylink/registry/__init__.py
+++ b/src/daisylink/registry/__init__.py
@@ -3,7 +3,8 @@
 The classes are decision objects, which do no I/O: :class:`Registration` keeps this
 node's record in the store, :class:`WatchCache` keeps a local copy of the store's keys,
 :class:`MemberTable` holds the nodes that serve, :class:`DepartureLog` keeps in the
-store which starts of the local server have left, and :class:`Publisher` decides when a
+store which starts of the local server have left, :class:`LostDepartures` which ones of
+other nodes the store has lost, and :class:`Publisher` decides when a
 version is published in compressed form for the nodes that are not readers.
 """
 
@@ -14,8 +15,19 @@
     DepartureSweeper,
     DepartureSweeperSettings,
 )
-from daisylink.registry._departures import DepartureLog, WriteDepartures
+from daisylink.registry._departures import (
+    DepartureLog,
+    WriteDepartures,
+    decode_departures,
+    encode_departures,
+    list_uncovered,
+)
 from daisylink.registry._era import EraTracker
+from daisylink.registry._lost_departures import (
+    LostDepartures,
+    LostDeparturesSettings,
+    RestoreDepartures,
+)
 from daisylink.registry._members import MemberSettings, MemberTable
 from daisylink.registry._readers import (
     Publish,
@@ -71,6 +83,8 @@
     "LeaseStore",
     "ListKeys",
     "Listing",
+    "LostDepartures",
+    "LostDeparturesSettings",
     "MemberSettings",
     "MemberTable",
     "Publish",
@@ -84,6 +98,7 @@
     "RegistrationCall",
     "RegistrationSettings",
     "RenewLease",
+    "RestoreDepartures",
     "SourceSelector",
     "SourceSelectorSettings",
     "StoreRevision",
@@ -92,6 +107,9 @@
     "WatchKeys",
     "WriteDepartures",
     "WriteRecord",
+    "decode_departures",
+    "encode_departures",
+    "list_uncovered",
     "rank_readers",
     "rank_standbys",
 ]
--- a/src/daisylink/registry/_departures.py
+++ b/src/daisylink/registry/_departures.py
@@ -17,6 +17,36 @@
 from daisylink.serving import ServerStart
 
 
+def encode_departures(starts: Iterable[ServerStart]) -> bytes:
+    """Return the value of a key that holds departures."""
+    return msgspec.msgpack.encode(tuple(starts))
+
+
+def decode_departures(value: bytes | None) -> tuple[ServerStart, ...]:
+    """Return the departures that a key holds, none if it does not exist.
+
+    :raises msgspec.MsgspecError: if they cannot be decoded.
+    """
+    if value is None:
+        return ()
+    return msgspec.msgpack.decode(value, type=tuple[ServerStart, ...])
+
+
+def list_uncovered(
+    starts: Iterable[ServerStart], known: Iterable[ServerStart]
+) -> tuple[ServerStart, ...]:
+    """Return the starts that known departures do not include.
+
+    The departure of a start includes those of earlier starts of the same name.
+    """
+    last_born = dict(sorted(known))
+    return tuple(
+        sorted(
+            start for start in starts if start.born > last_born.get(start.instance, -1)
+        )
+    )
+
+
 @dataclass(frozen=True)
 class WriteDepartures:
     """A call that writes the departures if their key is unchanged.
@@ -67,7 +97,7 @@
         """Return the call to make now, if any."""
         if now < self.wake_at:
             return None
-        value = msgspec.msgpack.encode(self.departures)
+        value = encode_departures(self.departures)
         self.pending = WriteDepartures(value, self.departures, self.revision)
         return self.pending
 
@@ -112,7 +142,7 @@
         if item.value is None:
             self._record_stored((), item.revision._replace(number=0))
             return ()
-        found = msgspec.msgpack.decode(item.value, type=tuple[ServerStart, ...])
+        found = decode_departures(item.value)
         self._record_stored(found, item.revision)
         return found
 
--- a/src/daisylink/serving/__init__.py
+++ b/src/daisylink/serving/__init__.py
@@ -3,6 +3,7 @@
 from daisylink.serving._gateway import Gateway
 from daisylink.serving._load_balancer import LoadBalancer
 from daisylink.serving._local_server import (
+    MAX_DEPARTURES,
     Announcement,
     AnnouncementResult,
     Departure,
@@ -21,6 +22,7 @@
     MemberState,
     ServerStart,
     ServerState,
+    find_ring_rank,
 )
 from daisylink.serving._retry_budget import (
     RetryBounds,
@@ -29,6 +31,7 @@
 )
 
 __all__ = [
+    "MAX_DEPARTURES",
     "Announcement",
     "AnnouncementResult",
     "Departure",
@@ -48,4 +51,5 @@
     "Strike",
     "StrikeKey",
     "divide_retry_budget",
+    "find_ring_rank",
 ]
--- a/src/daisylink/serving/_local_server.py
+++ b/src/daisylink/serving/_local_server.py
@@ -101,10 +101,14 @@
         self.kept_out_until = float("-inf")
         self.failed = False
         self.newest = (0, 0)
-        # Whether the server has to prove by a second announcement that it has not left,
-        # and the first one heard of its present start.
+        # Whether it has yet to be shown that the server has not left, and whether
+        # another node that knows it may still tell.
         self.needs_proof = False
+        self.awaits_witness = False
+        # The first announcement heard of the present start, and whether another one
+        # came after it.
         self.first_heard: Announcement | None = None
+        self.is_renewed = False
         # Birth of the last start that drains or left, by instance, the latest last.
         self.departed: dict[str, int] = {}
 
@@ -148,7 +152,7 @@
         if not is_draining and self._has_departed(announcement):
             return AnnouncementResult.DEPARTED
         self.newest = order
-        self._check_proof(announcement)
+        self._note_heard(announcement)
         is_return = self.state is ServerState.ABSENT
         self.announcement = announcement
         self.failed = False
@@ -227,12 +231,17 @@
     def end_restore(self, is_complete: bool = True) -> None:
         """Take the server into service if it is announced and has not left.
 
-        :param is_complete: whether all departures are known; otherwise the server has
-            to be announced twice, as one that left sends no new announcements and
-            late ones come singly.
+        :param is_complete: whether all departures are known; otherwise other nodes are
+            asked, and the server has to be announced twice, as a late announcement may
+            be its last one.
         """
         self.awaits_departures = False
-        self.needs_proof = not is_complete
+        self.needs_proof = self.awaits_witness = not is_complete
+
+    def end_witness_wait(self) -> None:
+        """Handle that another node has told what it knows, or that none does."""
+        self.awaits_witness = False
+        self._check_proof()
 
     def record_unreachable(self) -> None:
         """Take a server that refused a connection out of service until it renews."""
@@ -272,11 +281,18 @@
             software_version=announcement.software_version,
         )
 
-    def _check_proof(self, announcement: Announcement) -> None:
+    def _note_heard(self, announcement: Announcement) -> None:
         first = self.first_heard
         if first is None or first.born != announcement.born:
             self.first_heard = announcement
+            self.is_renewed = False
         elif announcement.sequence > first.sequence:
+            self.is_renewed = True
+        self._check_proof()
+
+    def _check_proof(self) -> None:
+        """Accept a second announcement once no node is left to ask."""
+        if self.is_renewed and not self.awaits_witness:
             self.needs_proof = False
 
     def _has_departed(self, announcement: Announcement) -> bool:
--- a/src/daisylink/serving/_records.py
+++ b/src/daisylink/serving/_records.py
@@ -1,6 +1,7 @@
 """Records of nodes and their backend servers, and which of two records is newer."""
 
 import hashlib
+from collections.abc import Iterable
 from enum import IntEnum
 from functools import lru_cache
 from typing import NamedTuple
@@ -108,3 +109,17 @@
     """Return the position of a name on the 64-bit hash ring."""
     digest = hashlib.blake2b(text.encode(), digest_size=POSITION_BITS // 8).digest()
     return int.from_bytes(digest, "big")
+
+
+def find_ring_rank(key: str, node: str, nodes: Iterable[str]) -> int:
+    """Return how many nodes come before one in the order that a key chooses.
+
+    All nodes that know the same others agree on it. The node that the key names, if it
+    does, has no place in the order.
+    """
+    position = compute_ring_position(f"{key}/{node}")
+    return sum(
+        compute_ring_position(f"{key}/{other}") < position
+        for other in nodes
+        if other != key
+    )
--- a/src/daisylink/sidecar/_announcement_handler.py
+++ b/src/daisylink/sidecar/_announcement_handler.py
@@ -10,7 +10,13 @@
 from daisylink.errors import DaisylinkError, NodeError, ResultCode
 from daisylink.http_server import WebRequest, WebResponse
 from daisylink.logs import get_logger
-from daisylink.registry import DepartureLog, Item, StoreRevision
+from daisylink.registry import (
+    DepartureLog,
+    Item,
+    StoreRevision,
+    decode_departures,
+    list_uncovered,
+)
 from daisylink.serving import (
     Announcement,
     AnnouncementResult,
@@ -88,6 +94,38 @@
         self.local_server.restore_departures(found)
         self.loop.call_soon(self.on_change)
 
+    @property
+    def awaits_witness(self) -> bool:
+        """Return whether another node may know departures that the store has lost."""
+        return self.local_server.awaits_witness
+
+    def handle_told_departures(self, item: Item) -> None:
+        """Handle the departures of this node's server as another node knows them."""
+        try:
+            found = decode_departures(item.value)
+        except msgspec.MsgspecError as error:
+            log.error("departures told by a peer are unreadable: {}", error)
+            return
+        unknown = list_uncovered(found, self.local_server.departures)
+        if not unknown:
+            return
+        log.bind(starts=[list(start) for start in unknown]).warning(
+            "departures told by a peer"
+        )
+        self.local_server.restore_departures(unknown)
+        self.loop.call_soon(self.on_change)
+
+    def end_witness_wait(self, has_witness: bool) -> None:
+        """Handle that a peer has told the departures that it knows.
+
+        :param has_witness: whether a peer that had read them was found.
+        """
+        log.bind(
+            has_witness=has_witness, departures=len(self.local_server.departures)
+        ).info("departures are not waited for any longer")
+        self.local_server.end_witness_wait()
+        self.loop.call_soon(self.on_change)
+
     def handle_listing(
         self, revision: StoreRevision, has_key: bool, is_complete: bool
     ) -> None:
--- a/src/daisylink/sidecar/_change_feed.py
+++ b/src/daisylink/sidecar/_change_feed.py
@@ -74,6 +74,8 @@
         ones were deleted since the requested revision.
     :param version: number of the version in force at the sender, 0 for none.
     :param age_ms: milliseconds since the store confirmed these keys to the sender.
+    :param first_era: era of the store in which the sender first listed its keys, 0 if
+        unknown; it knows what the store lost in later ones.
     """
 
     revision: StoreRevision
@@ -81,6 +83,7 @@
     is_whole: bool = False
     version: int = 0
     age_ms: int = 0
+    first_era: int = 0
 
     @classmethod
     def from_bytes(cls, data: bytes) -> "KeyUpdates":
--- a/src/daisylink/sidecar/_fleet_state.py
+++ b/src/daisylink/sidecar/_fleet_state.py
@@ -60,6 +60,8 @@
         that the record lists.
     :param on_member_removed: called with each node that is no longer a member.
     :param on_own_departures: called with the key of this node's departures.
+    :param on_told_departures: called with this node's departures as a peer knows them.
+    :param on_departures: called with another node's name and the key of its departures.
     :param on_fleet_size: called with the key of the fleet's size.
     :param on_rollout_item: called with every other key, such as those of rollouts.
     """
@@ -69,6 +71,8 @@
     on_strikes: Callable[[str, tuple[Strike, ...]], None]
     on_member_removed: Callable[[str], None]
     on_own_departures: Callable[[Item], None]
+    on_told_departures: Callable[[Item], None]
+    on_departures: Callable[[str, Item], None]
     on_fleet_size: Callable[[Item], None] = ignore_item
     on_rollout_item: Callable[[Item], None] = ignore_item
 
@@ -153,6 +157,8 @@
             self._handle_member(item)
         elif item.key == self.own_departure_key:
             self.listeners.on_own_departures(item)
+        elif item.key.startswith(DEPARTURE_PREFIX):
+            self.listeners.on_departures(item.key.removeprefix(DEPARTURE_PREFIX), item)
         elif item.key == FLEET_SIZE_KEY:
             self.listeners.on_fleet_size(item)
         else:
@@ -161,10 +167,12 @@
     def handle_older_item(self, item: Item) -> None:
         """Handle a peer's key that is not newer than the known one.
 
-        It may still hold a newer version: the store may have come back without it.
+        It may still hold what the store has lost, a version or departures.
         """
         if item.value is None:
             return
+        if item.key == self.own_departure_key:
+            self.listeners.on_told_departures(item)
         if item.key == self.config_key:
             self._handle_configuration(item)
         elif item.key == COMPRESSED_VERSION_KEY:
--- a/src/daisylink/sidecar/_fleet_sync.py
+++ b/src/daisylink/sidecar/_fleet_sync.py
@@ -16,6 +16,8 @@
     DepartureSweeper,
     DepartureSweeperSettings,
     Item,
+    LostDepartures,
+    LostDeparturesSettings,
     MemberTable,
     Publisher,
     PublisherSettings,
@@ -34,6 +36,7 @@
 from daisylink.sidecar._announcement_handler import AnnouncementHandler
 from daisylink.sidecar._change_feed import ChangeFeed
 from daisylink.sidecar._compressed_version import COMPRESSED_VERSION_KEY
+from daisylink.sidecar._departure_driver import DepartureDriver
 from daisylink.sidecar._era_recovery import EraRecovery
 from daisylink.sidecar._fleet_state import (
     DEPARTURE_PREFIX,
@@ -53,6 +56,8 @@
 # When all nodes start at once, each lists the store's keys so long after its start, so
 # that it finds the others and need not watch them come one by one.
 FIRST_LIST_SECONDS = (1.2, 1.8)
+# How long a server that may have left waits for a peer that would know.
+WITNESS_SECONDS = 1.2
 MS_PER_SECOND = 1000
 
 log = get_logger("sidecar")
@@ -115,6 +120,21 @@
         self.publisher = Publisher(PublisherSettings.from_budget(budget))
         self.era_tracker = platform_adapter.store.era_tracker
         self.era_tracker.on_rise = self._handle_era
+        self.lost_departures = LostDepartures(
+            LostDeparturesSettings(), node, members.list_current
+        )
+        self.departure_driver = DepartureDriver(
+            platform_adapter.store,
+            departure_log,
+            DepartureSweeper(
+                DepartureSweeperSettings(), members, self._list_departures
+            ),
+            self.lost_departures,
+            node,
+            now,
+            spawn,
+            listeners.on_due,
+        )
         self.fleet_state = FleetState(
             members,
             platform_adapter.config_key,
@@ -128,6 +148,8 @@
                 listeners.on_strikes,
                 listeners.on_member_removed,
                 announcement_handler.handle_stored_departures,
+                announcement_handler.handle_told_departures,
+                self.departure_driver.handle_item,
                 listeners.on_fleet_size,
                 listeners.on_rollout_item,
             ),
@@ -166,10 +188,6 @@
             self.watch_cache,
             self.publisher,
             self.source_selector,
-            departure_log,
-            DepartureSweeper(
-                DepartureSweeperSettings(), members, self._list_departures
-            ),
             node,
             now,
             spawn,
@@ -184,6 +202,7 @@
             self.fleet_state,
             self.era_tracker,
             self.change_feed,
+            self.lost_departures,
             rng,
             now,
             spawn,
@@ -200,6 +219,7 @@
             self.registration.wake_at,
             self.watch_cache.wake_at,
             self.store_driver.wake_at,
+            self.lost_departures.wake_at,
             self.change_feed.wake_at,
             self.era_recovery.wake_at,
             self.peer_exchange.next_fetch_at,
@@ -213,6 +233,15 @@
             self.watch_cache.backoff.failures or self.registration.backoff.failures
         )
 
+    @property
+    def _needs_peers(self) -> bool:
+        """Return whether peers may know what this node cannot read from the store."""
+        return (
+            self.is_store_unavailable
+            or self.fleet_state.is_deferring
+            or self.announcement_handler.awaits_witness
+        )
+
     @property
     def can_serve_feed(self) -> bool:
         """Return whether other nodes may get key changes from this one."""
@@ -228,8 +257,8 @@
         self._update_rank()
         self._update_prefix(now)
         self.store_driver.tick(now, self.role.publish_rank)
-        needs_peers = self.is_store_unavailable or self.fleet_state.is_deferring
-        self.peer_exchange.tick(now, needs_peers)
+        self.departure_driver.tick(now)
+        self.peer_exchange.tick(now, self._needs_peers)
         self.change_feed.notify_waiters()
 
     def handle_peer_version(self, number: int, host: str = "") -> None:
@@ -296,6 +325,7 @@
         )
         has_compressed = COMPRESSED_VERSION_KEY in cache.values
         self.fleet_state.handle_listing(cache.revision, has_compressed)
+        self.lost_departures.handle_listing(cache.revision)
         if is_deferring:
             self.era_recovery.settle()
 
@@ -317,6 +347,16 @@
         has_answer = self.peer_exchange.answered_at >= self.era_recovery.began_at
         if self.fleet_state.is_deferring and (has_answer or has_settled):
             self.fleet_state.end_deferral()
+        self._check_witness(now)
+
+    def _check_witness(self, now: float) -> None:
+        """End the server's wait for a peer that knows whether it has left."""
+        if not self.announcement_handler.awaits_witness:
+            return
+        began_at = self.era_recovery.began_at
+        has_witness = self.peer_exchange.witnessed_at >= began_at
+        if has_witness or now >= began_at + WITNESS_SECONDS:
+            self.announcement_handler.end_witness_wait(has_witness)
 
     def _list_departures(self) -> dict[str, StoreRevision]:
         """Return the revisions of all nodes' departures, by node."""
--- a/src/daisylink/sidecar/_peer_exchange.py
+++ b/src/daisylink/sidecar/_peer_exchange.py
@@ -10,7 +10,14 @@
 from daisylink.http_client import HttpClient, Transfer
 from daisylink.http_server import WebRequest, WebResponse
 from daisylink.logs import get_logger
-from daisylink.registry import NO_REVISION, EraTracker, MemberTable, WatchCache
+from daisylink.registry import (
+    NO_REVISION,
+    EraTracker,
+    LostDepartures,
+    MemberTable,
+    WatchCache,
+    encode_departures,
+)
 from daisylink.sidecar._change_feed import (
     CHANGES_PATH,
     ChangeFeed,
@@ -20,7 +27,7 @@
     parse_revision,
 )
 from daisylink.sidecar._compressed_version import COMPRESSED_VERSION_KEY
-from daisylink.sidecar._fleet_state import FleetState
+from daisylink.sidecar._fleet_state import FleetState, departure_key
 
 # A peer's answer may wait for other traffic of its link.
 CALL_SECONDS = 2.0
@@ -40,6 +47,7 @@
     :param fleet_state: has the version in force.
     :param era_tracker: learns the era of the store from peers.
     :param change_feed: serves peers that do not watch the store.
+    :param lost_departures: departures that peers cannot read from the store.
     :param now: returns the monotonic time in seconds.
     :param spawn: starts a task.
     :param on_updates: called after each fetch, also after a failed one.
@@ -52,6 +60,7 @@
         fleet_state: FleetState,
         era_tracker: EraTracker,
         change_feed: ChangeFeed,
+        lost_departures: LostDepartures,
         rng: random.Random,
         now: Callable[[], float],
         spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task],
@@ -62,6 +71,7 @@
         self.fleet_state = fleet_state
         self.era_tracker = era_tracker
         self.change_feed = change_feed
+        self.lost_departures = lost_departures
         self.rng = rng
         self.now = now
         self.spawn = spawn
@@ -70,6 +80,8 @@
         self.next_fetch_at = float("inf")
         # When a peer with a version in force last responded.
         self.answered_at = float("-inf")
+        # When a peer last responded that knew the fleet in an earlier era.
+        self.witnessed_at = float("-inf")
         self.transfers: dict[str, Transfer] = {}
 
     def tick(self, now: float, needs_peers: bool) -> None:
@@ -105,10 +117,14 @@
             for item in watch_cache.list_changes_after(after, prefix="")
             if item.key not in version_keys
         ]
+        node = request.query.get("node", "")
         updates = KeyUpdates(
             max(watch_cache.revision, self.revision),
-            items + self._list_missing_version(known),
+            items
+            + self._list_missing_version(known)
+            + self._list_lost_departures(node, after.era),
             version=self.fleet_state.version_number,
+            first_era=self.lost_departures.first_era,
         )
         return WebResponse(body=updates.to_bytes())
 
@@ -122,6 +138,17 @@
         value = self.fleet_state.compress_version()
         return [(COMPRESSED_VERSION_KEY, value, NO_REVISION)]
 
+    def _list_lost_departures(self, node: str, era: int) -> list[tuple]:
+        """Return the departures of a peer that it cannot have read from the store.
+
+        :param node: name of the peer, "" if it is of an earlier release.
+        :param era: the newest era that the peer knows of.
+        """
+        starts = self.lost_departures.list_unknown(node, era)
+        if not starts:
+            return []
+        return [(departure_key(node), encode_departures(starts), NO_REVISION)]
+
     def fetch_updates(self, host: str = "") -> None:
         """Fetch the keys that this node lacks from a peer.
 
@@ -151,7 +178,8 @@
         known = self.watch_cache.revision if self.watch_cache.is_listed else NO_REVISION
         after = format_revision(max(self.revision, known))
         number = self.fleet_state.version_number
-        target = f"{UPDATES_PATH}?after={after}&version={number}"
+        own_node = self.members.own_record.node
+        target = f"{UPDATES_PATH}?after={after}&version={number}&node={own_node}"
         bound_log = log.bind(peer=peer, in_force=number)
         try:
             response = await client.call("GET", target, CALL_SECONDS, transfer=transfer)
@@ -168,6 +196,8 @@
             self.era_tracker.learn(updates.revision.era)
             self.revision = max(self.revision, updates.revision)
             self.watch_cache.handle_updates(updates.list_items())
+            if 0 < updates.first_era < self.era_tracker.current:
+                self.witnessed_at = self.now()
         finally:
             client.close()
             del self.transfers[peer]
--- a/src/daisylink/sidecar/_store_driver.py
+++ b/src/daisylink/sidecar/_store_driver.py
@@ -10,9 +10,6 @@
 from daisylink.registry import (
     ApplyBudget,
     Changes,
-    DeleteDepartures,
-    DepartureLog,
-    DepartureSweeper,
     EndLease,
     GrantLease,
     LeaseStore,
@@ -27,7 +24,6 @@
     SourceSelector,
     WatchCache,
     WatchKeys,
-    WriteDepartures,
     WriteRecord,
 )
 from daisylink.sidecar._change_feed import ChangeFeedClient
@@ -35,7 +31,8 @@
     COMPRESSED_VERSION_KEY,
     CompressedVersion,
 )
-from daisylink.sidecar._fleet_state import departure_key, member_key
+from daisylink.sidecar._fleet_state import member_key
+from daisylink.sidecar._store_log import log_failure, log_unexpected
 
 # Minimum time between restarts of the watch.
 REWATCH_INTERVAL_SECONDS = 2.0
@@ -81,8 +78,6 @@
         watch_cache: WatchCache,
         publisher: Publisher,
         source_selector: SourceSelector,
-        departure_log: DepartureLog,
-        departure_sweeper: DepartureSweeper,
         node: str,
         now: Callable[[], float],
         spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task],
@@ -95,8 +90,6 @@
         self.publisher = publisher
         self.source_selector = source_selector
         self.change_feed_client = ChangeFeedClient(budget)
-        self.departure_log = departure_log
-        self.departure_sweeper = departure_sweeper
         self.node = node
         self.now = now
         self.spawn = spawn
@@ -119,11 +112,6 @@
         publish = self.publisher.tick(rank, now)
         if publish is not None:
             self.spawn(self._publish(publish))
-        write = self.departure_log.tick(now)
-        if write is not None:
-            self.spawn(self._write_departures(write))
-        for deletion in self.departure_sweeper.tick(now):
-            self.spawn(self._delete_departures(deletion))
         call = self.registration.tick(now)
         if call is not None:
             self.spawn(self._register(call))
@@ -228,10 +216,10 @@
         try:
             result = await self._send(call)
         except PlatformError as error:
-            _log_failure(call, error, had_failed)
+            log_failure(call, error, had_failed)
             self.registration.handle_failure(error.code, self.now())
         except Exception:
-            self._handle_unexpected(call)
+            log_unexpected(call)
             self.registration.handle_failure(UNEXPECTED, self.now())
         else:
             self.registration.handle_result(result, self.now())
@@ -251,11 +239,6 @@
             case EndLease(lease_id):
                 return await self.store.end_lease(lease_id)
 
-    def _handle_unexpected(self, call: Any) -> None:
-        """Log an error that no call should raise; the call counts as failed."""
-        name = type(call).__name__
-        log.bind(call=name).exception("a store call could not be handled")
-
     async def _read(self, call: ReadCall) -> None:
         had_failed = self.watch_cache.backoff.failures > 0
         try:
@@ -268,10 +251,10 @@
                 case WatchKeys():
                     await self._watch(call)
         except PlatformError as error:
-            _log_failure(call, error, had_failed)
+            log_failure(call, error, had_failed)
             self.watch_cache.handle_failure(error.code, self.now())
         except Exception:
-            self._handle_unexpected(call)
+            log_unexpected(call)
             self.watch_cache.handle_failure(UNEXPECTED, self.now())
         else:
             self.postponed = None
@@ -322,33 +305,6 @@
                     age_ms=_count_ms(age),
                 ).info("version read")
 
-    async def _write_departures(self, call: WriteDepartures) -> None:
-        had_failed = self.departure_log.backoff.failures > 0
-        try:
-            revision = await self.store.compare_and_swap(
-                departure_key(self.node), call.value, call.revision
-            )
-        except PlatformError as error:
-            _log_failure(call, error, had_failed)
-            self.departure_log.handle_failure(self.now())
-        except Exception:
-            self._handle_unexpected(call)
-            self.departure_log.handle_failure(self.now())
-        else:
-            self.departure_log.handle_success(revision)
-        self.on_call_done()
-
-    async def _delete_departures(self, call: DeleteDepartures) -> None:
-        bound_log = log.bind(node=call.node, revision=call.revision)
-        try:
-            await self.store.delete(departure_key(call.node), call.revision)
-        except PlatformError as error:
-            bound_log.bind(code=int(error.code)).info(
-                "departures not deleted: {}", error
-            )
-        else:
-            bound_log.info("departures of a node that is gone deleted")
-
     async def _publish(self, call: Publish) -> None:
         compressed_version = CompressedVersion.from_document(call.number, call.document)
         bound_log = log.bind(version=call.number, known=call.revision)
@@ -366,7 +322,7 @@
             else:
                 self.publisher.handle_failure(self.now())
         except Exception:
-            self._handle_unexpected(call)
+            log_unexpected(call)
             self.publisher.handle_failure(self.now())
         else:
             bound_log.bind(revision=revision, bytes=len(value)).info(
@@ -378,11 +334,3 @@
 
 def _count_ms(seconds: float) -> int:
     return round(seconds * MS_PER_SECOND)
-
-
-def _log_failure(call: Any, error: PlatformError, had_failed: bool) -> None:
-    bound_log = log.bind(call=type(call).__name__, code=int(error.code))
-    if had_failed:
-        bound_log.debug("store call failed again: {}", error.message)
-    else:
-        bound_log.warning("store call failed: {}", error.message)
--- a/src/daisylink/sidecar/_strikes.py
+++ b/src/daisylink/sidecar/_strikes.py
@@ -14,8 +14,13 @@
 from daisylink.clock import Clock
 from daisylink.logs import get_logger
 from daisylink.request import Fingerprint, LostRequest
-from daisylink.serving import Quarantine, QuarantineSettings, Strike, StrikeKey
-from daisylink.serving._records import compute_ring_position
+from daisylink.serving import (
+    Quarantine,
+    QuarantineSettings,
+    Strike,
+    StrikeKey,
+    find_ring_rank,
+)
 
 # Suspects run beside other requests: most requests in flight at a crash did not
 # cause it, and a request may crash at most three servers. One that is answered loses
@@ -202,13 +207,7 @@
 
     def _is_adopter(self, gone: str) -> bool:
         """Return whether this node lists the strikes of one that is gone."""
-        position = compute_ring_position(f"{gone}/{self.node}")
-        ahead = sum(
-            compute_ring_position(f"{gone}/{node}") < position
-            for node in self.list_members()
-            if node != gone
-        )
-        return ahead < ADOPTERS
+        return find_ring_rank(gone, self.node, self.list_members()) < ADOPTERS
 
     def _find_old_lifetime(self, strike: Strike) -> float:
         """Return how long a strike lasts that may be old, in seconds."""
--- a/tests/test_late_readers.py
+++ b/tests/test_late_readers.py
@@ -245,6 +245,7 @@
                 unittest.mock.Mock(),
                 unittest.mock.Mock(),
                 unittest.mock.Mock(),
+                unittest.mock.Mock(),
                 random.Random(seed),
                 lambda: 0.0,
                 lambda work: work.close(),
