Any name of a configuration is carried in the headers between nodes

With a line end in the name, servers got a header of its making.

Cause: the header between nodes has fields separated by spaces; names were written into it as they are, in UTF-8, and read as ASCII.

Change: one encoder for each text in a header, request/_header_text.py. A name of visible ASCII characters is sent as before; any other is percent-encoded behind a "=". What servers are told keeps its letters, but for control characters. Why this works: a field can no longer contain what separates fields or headers, and decoding returns the same text.

--- a/src/daisylink/request/_head.py
+++ b/src/daisylink/request/_head.py
@@ -5,6 +5,7 @@
 
 from daisylink.errors import RequestError, ResultCode
 from daisylink.request._header_names import DEFAULT_HEADER_NAMES, HeaderNames
+from daisylink.request._header_text import decode_field, encode_field
 from daisylink.version import Priority
 
 DEPTH_HEADER = b"daisylink-depth"
@@ -22,7 +23,7 @@
 OWN_PREFIX = b"daisylink-"
 MAX_NUMBER_DIGITS = 9
 LIMIT_FIELDS = 3
-EMPTY_FIELD = "-"
+HOP_FIELDS = 9
 # Nodes of the first release send only the first four fields.
 OLD_HOP_FIELDS = 4
 
@@ -241,15 +242,15 @@
     """Return the value of the hop header."""
     kind = "i" if hop.idempotent else "n"
     fields = (
-        hop.pool,
+        encode_field(hop.pool),
         hop.deadline_ms,
         kind,
         hop.priority.value,
-        hop.origin or EMPTY_FIELD,
-        hop.instance or EMPTY_FIELD,
+        encode_field(hop.origin),
+        encode_field(hop.instance),
         hop.version,
         hop.slo_ms,
-        hop.route or EMPTY_FIELD,
+        encode_field(hop.route),
     )
     return " ".join(str(field) for field in fields).encode()
 
@@ -257,24 +258,26 @@
 def decode_hop_metadata(value: bytes) -> HopMetadata:
     """Decode the value of the hop header.
 
+    Nodes of earlier releases send the route's name, the last field, as it is.
+
     :raises RequestError: if it is malformed.
     """
     try:
-        fields = value.decode("ascii").split(" ")
+        fields = value.decode().split(" ", HOP_FIELDS - 1)
         if len(fields) == OLD_HOP_FIELDS:
-            fields += [EMPTY_FIELD, EMPTY_FIELD, "0", "0", EMPTY_FIELD]
+            fields += ["", "", "0", "0", ""]
         pool, deadline_ms, kind, priority, *rest = fields
         origin, instance, version, slo_ms, route = rest
         return HopMetadata(
-            pool,
+            decode_field(pool),
             int(deadline_ms),
             kind == "i",
             Priority(priority),
-            "" if origin == EMPTY_FIELD else origin,
-            "" if instance == EMPTY_FIELD else instance,
+            decode_field(origin),
+            decode_field(instance),
             int(version),
             int(slo_ms),
-            "" if route == EMPTY_FIELD else route,
+            decode_field(route),
         )
     except ValueError as error:
         raise RequestError("malformed hop header") from error
@@ -282,7 +285,7 @@
 
 def encode_told_limit(told: ToldLimit) -> bytes:
     """Return the value of the limit header."""
-    return f"{told.rate!r} {told.instance or EMPTY_FIELD} {told.born}".encode()
+    return f"{told.rate!r} {encode_field(told.instance)} {told.born}".encode()
 
 
 def decode_told_limit(value: bytes) -> ToldLimit | None:
@@ -295,11 +298,12 @@
         return None
     try:
         rate, born = float(fields[0]), int(fields[2])
+        instance = decode_field(fields[1])
     except ValueError:
         return None
     if not math.isfinite(rate) or rate < 0:
         return None
-    return ToldLimit(rate, fields[1], born)
+    return ToldLimit(rate, instance, born)
 
 
 def find_connection_headers(headers: list[Header]) -> frozenset[bytes]:
--- a/src/daisylink/request/_next_hop_head.py
+++ b/src/daisylink/request/_next_hop_head.py
@@ -20,6 +20,7 @@
     encode_hop_metadata,
     encode_told_limit,
 )
+from daisylink.request._header_text import encode_value
 from daisylink.request._plan import RequestPlan
 
 # Time for the next node's response to arrive before this node's deadline.
@@ -69,7 +70,7 @@
     if not sender.may_wait:
         extra.append((WAIT_HEADER, MAY_NOT_WAIT))
     if plan.tenant:
-        extra.append((TENANT_HEADER, plan.tenant.encode()))
+        extra.append((TENANT_HEADER, encode_value(plan.tenant)))
     return build_hop_head(head, extra, expect)
 
 
@@ -80,11 +81,11 @@
     left_ms = _count_left_ms(plan.deadline, gateway.now())
     headers: list[Header] = [(header_names.deadline, b"%d" % left_ms)]
     if header_names.target:
-        headers.append((header_names.target, gateway.own_record.instance.encode()))
+        headers.append((header_names.target, encode_value(gateway.own_record.instance)))
     if header_names.origin:
-        headers.append((header_names.origin, exchange.origin.encode()))
+        headers.append((header_names.origin, encode_value(exchange.origin)))
     if header_names.tenant and plan.tenant:
-        headers.append((header_names.tenant, plan.tenant.encode()))
+        headers.append((header_names.tenant, encode_value(plan.tenant)))
     headers.append((DEPTH_HEADER, b"%d" % (head.depth + 1)))
     return build_hop_head(head, headers)
 
