An instance name with a control character is refused

Servers saw: a server that names itself with a line end ("i-1\r\nx:1", which its calls can spell in their query) got a header of that name's making with each request, and the nodes that know its limit sent it on between them.

Cause: the check of the name let all ASCII pass but spaces.

Change: a name has to be visible ASCII characters; the call is refused with ANNOUNCE_INVALID, as other malformed ones are.

Tests: test_an_instance_that_no_header_can_name_is_refused fails before in four of its ten subtests (line ends and NUL). No cost: the check runs once for each heartbeat.

--- a/src/daisylink/platform/_announcements.py
+++ b/src/daisylink/platform/_announcements.py
@@ -46,7 +46,8 @@
     instance = request.query.get("of", "")
     if request.method != "POST" or call not in (ANNOUNCE_CALL, LEAVE_CALL):
         raise NodeError("no such call", ResultCode.ADMIN_NOT_FOUND)
-    if not instance or not instance.isascii() or " " in instance:
+    is_name = instance.isascii() and instance.isprintable() and " " not in instance
+    if not instance or not is_name:
         raise NodeError("no instance named", ResultCode.ANNOUNCE_INVALID)
     try:
         if call == LEAVE_CALL:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -265,8 +265,14 @@
             decode_announcement(
                 make_call("heartbeat", HEARTBEAT)._replace(body=b"\xff{")
             )
-        with self.assertRaises(NodeError):
-            decode_announcement(make_call("heartbeat", HEARTBEAT, instance=""))
+
+    def test_an_instance_that_no_header_can_name_is_refused(self):
+        """A line end in it put a header into the requests that the server got."""
+        for instance in ("", "a b", "i-ä", "i-1\r\nx:1", "i-1\x00"):
+            for call in ("heartbeat", "leave"):
+                message = make_call(call, HEARTBEAT, instance)
+                with self.subTest(instance=instance), self.assertRaises(NodeError):
+                    decode_announcement(message)
 
 
 class NamesTests(unittest.TestCase):
