A strike that is learned from an answer lasts no longer than others

Callers would have seen: a request refused for up to ten minutes more than its strikes last, at nodes that learned a strike only when another caller's request was answered.

Cause: the record that binds a strike to its caller stated when it expires, but not how much of its time was left, and nodes that do not start count only the latter.

Change: what states the time that is left stands in one place, for strikes that a node lists for one that is gone and for those that an answer binds.

Tests: test_a_strike_learned_from_an_answer_lasts_no_longer fails before (suspect, not clear, after its time).

--- a/src/daisylink/sidecar/_strikes.py
+++ b/src/daisylink/sidecar/_strikes.py
@@ -122,7 +122,7 @@
             if strike.pardoned:
                 self._report(strike, ends)
             elif strike.key not in self.reported:
-                self._report(self._state_expiry(strike, now), ends)
+                self._report(self._state_lifetime(strike, now), ends)
         return changed
 
     def handle_record(
@@ -191,9 +191,7 @@
             return False
         for strike in missing:
             seconds_left = self.quarantine.find_seconds_left(strike, now)
-            lifetime_ms = round(seconds_left * MS_PER_SECOND)
-            adopted = msgspec.structs.replace(strike, lifetime_ms=lifetime_ms)
-            self._report(adopted, now + seconds_left)
+            self._report(self._state_lifetime(strike, now), now + seconds_left)
         log.bind(node=gone, strikes=len(missing)).info("strikes of another node listed")
         return True
 
@@ -229,11 +227,14 @@
             return 0.0
         return self.quarantine.strike_lifetime - self._find_seconds_left(strike)
 
-    def _state_expiry(self, strike: Strike, now: float) -> Strike:
-        """Return a known strike with its expiry by the time of day."""
+    def _state_lifetime(self, strike: Strike, now: float) -> Strike:
+        """Return a known strike with the time that is left of it."""
         seconds_left = self.quarantine.find_seconds_left(strike, now)
-        expires_ms = self._unix_ms() + round(seconds_left * MS_PER_SECOND)
-        return msgspec.structs.replace(strike, expires_ms=expires_ms)
+        lifetime_ms = round(seconds_left * MS_PER_SECOND)
+        expires_ms = strike.expires_ms or self._unix_ms() + lifetime_ms
+        return msgspec.structs.replace(
+            strike, expires_ms=expires_ms, lifetime_ms=lifetime_ms
+        )
 
     def _unix_ms(self) -> int:
         return round(self.clock.now().timestamp() * MS_PER_SECOND)
--- a/tests/test_crashing_callers.py
+++ b/tests/test_crashing_callers.py
@@ -39,6 +39,7 @@
 THIRD = Fingerprint(b"h", b"page", b"roster")
 PATH = "/x/page"
 DOWN_SECONDS = 1.0
+LIFETIME_SECONDS = SIDECAR_QUARANTINE_SETTINGS.strike_lifetime.total_seconds()
 QUARANTINED = QuarantineStatus.QUARANTINED
 # Fields of a strike in records of the release before callers were told apart.
 OLD_FIELDS = 7
@@ -141,6 +142,20 @@
             self.assertTrue(strike.is_caller_bound)
         self.assertIs(self.find_status(CRASHING), QUARANTINED)
 
+    def test_a_strike_learned_from_an_answer_lasts_no_longer(self):
+        """Its node may be gone by then, so that only the answer names it."""
+        self.crash(CRASHING)
+        self.advance(LIFETIME_SECONDS - 5.0)
+        del self.reporter.reported[next(iter(self.reporter.reported))]
+        self.answer(SOUND)
+        reader = Quarantine(SIDECAR_QUARANTINE_SETTINGS)
+        reading = self.make_reporter("n1", reader)
+        strikes = self.reporter.list_current(self.now)
+        reading.handle_record("n0", strikes, self.now, is_starting=False)
+        self.assertIs(self.find_status(CRASHING, reader), QuarantineStatus.SUSPECT)
+        self.advance(6.0)
+        self.assertIs(self.find_status(CRASHING, reader), QuarantineStatus.CLEAR)
+
     def test_a_node_of_the_release_before_is_understood(self):
         """Its strikes count against each caller, its pardons for each."""
         for number in range(CRASHES):
