--- a/specs/run.py
+++ b/specs/run.py
@@ -6,6 +6,7 @@
 
 from specs import (
     acceptance,
+    callers,
     distribution,
     keys,
     membership,
@@ -22,6 +23,7 @@
     store_era,
     quota,
     quarantine,
+    callers,
 )
 MAX_STATES = 400_000
 
--- a/specs/store_era.py
+++ b/specs/store_era.py
@@ -2,9 +2,10 @@
 
 The store is copied at any moment and comes back from that copy in a later era. The node
 beside the server is killed at any moment and starts again knowing nothing; a heartbeat
-of before the leave arrives at any moment. One loss cannot be mended: the store loses a
-leave that no process knows, or whose process is killed before it had time to write it
-again. It is noted in the state and excused.
+of before the leave arrives at any moment. Its peer lives on, and may read or be told
+the leave; it writes it again, and tells it to a process that starts before there was
+time for that. One loss cannot be mended: the store loses a leave that neither process
+knows. It is noted in the state and excused.
 """
 
 from typing import NamedTuple
@@ -19,6 +20,8 @@
     "not written again",
     "older version installed",
     "older copy believed by a process that starts",
+    "a process that starts asks nobody for the leave",
+    "nobody else writes the leave again",
 )
 
 
@@ -55,12 +58,12 @@
     :param copy: contents that the store may come back with.
     :param newest: newest version that the operator has written.
     :param peer: version in force at the node's peer.
+    :param peer_knows_leave: whether the peer has read the leave or was told of it.
     :param is_acknowledged: whether the server's leave was acknowledged.
     :param was_stored: whether the store has held the departure.
     :param is_settling: whether the node may not have had time to write again since the
         store came back.
-    :param is_forgotten: whether neither the store nor the node knows any more that the
-        server left.
+    :param is_forgotten: whether the store, the node and its peer have lost the leave.
     :param took_older: whether a process that started took an older version than its
         peer had.
     """
@@ -70,6 +73,7 @@
     copy: Store = Store()
     newest: int = 1
     peer: int = 0
+    peer_knows_leave: bool = False
     node: Node = Node()
     is_acknowledged: bool = False
     was_stored: bool = False
@@ -121,8 +125,12 @@
     if state.era < MAX_ERA:
         back = state._replace(store=state.copy, era=state.era + 1, is_settling=True)
         yield "the store comes back", _note_forgotten(back)
-    if state.peer < store.version:
-        yield "the peer reads", state._replace(peer=store.version)
+    read = state._replace(
+        peer=max(state.peer, store.version),
+        peer_knows_leave=state.peer_knows_leave or store.has_leave,
+    )
+    if read != state:
+        yield "the peer reads", read
 
 
 def _run_node(state, mutant):
@@ -136,6 +144,8 @@
     if mutant != "older version installed":
         found = max(found, node.version)
     knows_leave = node.knows_leave or store.has_leave
+    if mutant != "a process that starts asks nobody for the leave":
+        knows_leave = knows_leave or (state.is_settling and state.peer_knows_leave)
     read = Node(
         True,
         found,
@@ -156,7 +166,7 @@
 
 
 def _note_forgotten(state):
-    is_known = state.node.knows_leave or state.store.has_leave
+    is_known = state.node.knows_leave or state.store.has_leave or state.peer_knows_leave
     is_lost = state.was_stored and state.is_settling and not is_known
     return state._replace(is_forgotten=state.is_forgotten or is_lost)
 
@@ -166,6 +176,17 @@
     if not node.knows_leave and not state.is_acknowledged:
         told = node._replace(knows_leave=True, is_open=False)
         yield "the server says that it leaves", state._replace(node=told)
+    if node.knows_leave and not state.is_acknowledged and not state.peer_knows_leave:
+        yield "the peer is told", state._replace(peer_knows_leave=True)
+    peer_writes = (
+        state.peer_knows_leave
+        and state.was_stored
+        and not store.has_leave
+        and mutant != "nobody else writes the leave again"
+    )
+    if peer_writes:
+        written = store._replace(has_leave=True)
+        yield "the peer writes the leave again", state._replace(store=written)
     must_write = not state.is_acknowledged or mutant != "not written again"
     if node.knows_leave and not store.has_leave and must_write:
         written = store._replace(has_leave=True)
@@ -174,7 +195,7 @@
             state._replace(store=written, was_stored=True),
         )
     owes_write = state.is_acknowledged and node.knows_leave and not store.has_leave
-    if state.is_settling and not (owes_write and must_write):
+    if state.is_settling and not (owes_write and must_write) and not peer_writes:
         yield "the time to write again ends", state._replace(is_settling=False)
     is_stored = store.has_leave or mutant == "acknowledged before it is stored"
     if node.knows_leave and is_stored and not state.is_acknowledged:
